Lay down the seams: clock, network, member, platform, results, units

Cause: the repository was empty, and several parts are to be written side by side. The seams come first, so that decision code never meets the system clock, a socket or the platform itself.

Ruled out: one package for all shared types (every part would then import every other part's words), and seams that grow out of the first implementation (they would carry its I/O along).

Conclusion: parts may now be built against these types alone.

--- /dev/null
+++ b/cmd/topazrock-standin/main.go
@@ -0,0 +1,4 @@
+// Command topazrock-standin is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/topazrock/main.go
@@ -0,0 +1,4 @@
+// Command topazrock is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,18 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d or until ctx ends, and returns the error of ctx in that case.
+func Sleep(ctx context.Context, c Clock, d time.Duration) error {
+	t := c.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/document/service.go
@@ -0,0 +1,123 @@
+// Package document holds the service document: the one text that a service
+// team edits. It is INI, checked whole before it is accepted, and applied
+// atomically by version.
+package document
+
+import "time"
+
+// Service is one parsed and checked service document.
+type Service struct {
+	Name   string
+	Groups []Group
+	Users  []User
+	Limits Limits
+	Reads  []ReadClass
+	Writes []RequestClass
+}
+
+// Group is one database group that the service uses. Callers name it as the
+// database they connect to.
+type Group struct {
+	Name    string
+	Members []Member
+	// Connections is the hard total of connections to the group's members over
+	// all instances.
+	Connections int
+	// Slots bounds the statements that run in the group at once, over all instances.
+	Slots int
+}
+
+// Member is one member of a database group.
+type Member struct {
+	Address       string
+	FailureDomain string
+}
+
+// User is an account that callers authenticate with.
+type User struct {
+	Name string
+	// Verifier is a SCRAM-SHA-256 verifier in the form that PostgreSQL stores:
+	// SCRAM-SHA-256$iterations:salt$storedkey:serverkey
+	Verifier string
+}
+
+// Limits bounds time and size for every class that does not state its own.
+type Limits struct {
+	// StatementTimeout bounds one statement at a member.
+	StatementTimeout time.Duration
+	// RequestTimeout is a caller's deadline from arrival to answer.
+	RequestTimeout time.Duration
+	// ConfirmTimeout bounds the wait for a replica's confirmation.
+	ConfirmTimeout time.Duration
+	// TransactionIdleTimeout bounds how long an open transaction may be idle.
+	TransactionIdleTimeout time.Duration
+	// AnswerBuffer is how many bytes of an answer are held before the first
+	// byte goes out.
+	AnswerBuffer int
+	// MaxQueue bounds each class's queue on one instance.
+	MaxQueue int
+}
+
+// ReadClass is a declared kind of read.
+type ReadClass struct {
+	Name string
+	// MaxAge is the age of data that the read accepts. Zero: it must be fresh.
+	MaxAge time.Duration
+	// Priority orders classes for a slot; 1 goes first, 9 last.
+	Priority int
+	// MaxQueue bounds the class's queue on one instance; zero means Limits.MaxQueue.
+	MaxQueue int
+	// Timeout is the class's deadline; zero means Limits.RequestTimeout.
+	Timeout time.Duration
+}
+
+// RequestClass is a declared kind of request that may write.
+type RequestClass struct {
+	Name string
+	// AtMostOnce says that a request of the class must never be repeated. Such
+	// a request needs a key.
+	AtMostOnce bool
+	Priority   int
+	MaxQueue   int
+	Timeout    time.Duration
+}
+
+// FindGroup returns the group of a name.
+func (s *Service) FindGroup(name string) (Group, bool) {
+	for _, g := range s.Groups {
+		if g.Name == name {
+			return g, true
+		}
+	}
+	return Group{}, false
+}
+
+// FindRead returns the read class of a name.
+func (s *Service) FindRead(name string) (ReadClass, bool) {
+	for _, r := range s.Reads {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return ReadClass{}, false
+}
+
+// FindWrite returns the request class of a name.
+func (s *Service) FindWrite(name string) (RequestClass, bool) {
+	for _, w := range s.Writes {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return RequestClass{}, false
+}
+
+// FindUser returns the account of a name.
+func (s *Service) FindUser(name string) (User, bool) {
+	for _, u := range s.Users {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return User{}, false
+}
--- /dev/null
+++ b/internal/group/snapshot.go
@@ -0,0 +1,59 @@
+// Package group follows the members of one database group: it probes them,
+// keeps what they reported, and lets routing read an immutable snapshot.
+//
+// Three kinds of waiting are built on the reports. Confirm waits until enough
+// replicas of a term hold a position, so that the position is on a majority.
+// Barrier asks the primary for its position after a read arrived and confirms
+// it. Fresh-as-of times say how old a replica's data can be at most; they come
+// from the primary's past positions and never from a replica's claim of lag.
+package group
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// MemberView is what is known of one member.
+type MemberView struct {
+	Address       string
+	FailureDomain string
+	Status        member.Status
+	// SeenAt is when the newest report was asked for; zero if there is none.
+	SeenAt time.Time
+	// FreshAsOf is a moment at which the primary's confirmed position was asked
+	// that this member has reached since: its data is no older than that.
+	// Zero when nothing is proved.
+	FreshAsOf time.Time
+	// Failing is since when probes on new connections have failed; zero if the
+	// last one went well.
+	Failing time.Time
+	// Leaving says that the platform lists the member as leaving.
+	Leaving bool
+}
+
+// Snapshot is what is known of a group at one moment. It is never changed
+// after it was published.
+type Snapshot struct {
+	Group string
+	// Term is the highest term known, and Primary the address of its primary;
+	// empty while the term has none known.
+	Term      logpos.Term
+	Primary   string
+	TermStart logpos.Position
+	// ConfirmedAt is when a report of a replica attached in Term was last
+	// asked for and answered; writes are refused before sending when it is old.
+	ConfirmedAt time.Time
+	Members     []MemberView
+}
+
+// Find returns the view of the member at an address.
+func (s *Snapshot) Find(address string) (MemberView, bool) {
+	for _, m := range s.Members {
+		if m.Address == address {
+			return m, true
+		}
+	}
+	return MemberView{}, false
+}
