--- /dev/null
+++ b/internal/upstream/cancel.go
@@ -0,0 +1,34 @@
+package upstream
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/netio"
+)
+
+// CancelKey names a backend process to its member.
+type CancelKey struct {
+	ProcessID uint32
+	SecretKey []byte
+}
+
+// Cancel asks the member on a new connection to stop what c is running. It
+// does not wait for the effect; the answer arrives on c.
+func (c *Conn) Cancel(ctx context.Context, d netio.Dialer) error {
+	conn, err := d.Dial(ctx, c.address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	request := pgproto3.CancelRequest{ProcessID: c.cancelKey.ProcessID, SecretKey: c.cancelKey.SecretKey}
+	bytes, err := request.Encode(nil)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(bytes)
+	return err
+}
--- /dev/null
+++ b/internal/upstream/opener.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/netio"
+)
+
+// Opener opens authenticated connections to members.
+type Opener struct {
+	Dialer netio.Dialer
+	Clock  clock.Clock
+	// User, Password and Database are sent to the member at start-up.
+	User, Password, Database string
+	// ApplicationName tells the member's operators who holds the connection.
+	ApplicationName string
+}
+
+// Open connects and authenticates. The error wraps *pgconn.PgError when the
+// member itself refused.
+func (o *Opener) Open(ctx context.Context, address string) (*Conn, error) {
+	config, err := o.config(address)
+	if err != nil {
+		return nil, err
+	}
+	pg, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	h, err := pg.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	c := NewConn(address, o.Clock.Now(), h.Conn, h.Frontend)
+	c.cancelKey = CancelKey{ProcessID: h.PID, SecretKey: h.SecretKey}
+	return c, nil
+}
+
+func (o *Opener) config(address string) (*pgconn.Config, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("host=%s port=%s sslmode=disable", host, port)
+	config, err := pgconn.ParseConfig(text)
+	if err != nil {
+		return nil, err
+	}
+	config.User = o.User
+	config.Password = o.Password
+	config.Database = o.Database
+	config.RuntimeParams = map[string]string{"application_name": o.ApplicationName}
+	config.Fallbacks = nil
+	config.DialFunc = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return o.Dialer.Dial(ctx, address)
+	}
+	config.LookupFunc = func(_ context.Context, host string) ([]string, error) {
+		return []string{host}, nil
+	}
+	return config, nil
+}
