Reach a member's control side over the PostgreSQL wire

Cause: fencing, promotion and status reports need a transport; the member package only names the calls.

Ruled out: keeping a connection after a call that timed out (the late answer would be read as the answer to the next call), and pgconn's own cancel request (one more dial towards a member that is silent already).

Conclusion: one connection, one call at a time; a call without a whole answer closes it. SQLSTATE 55G01 becomes member.ErrTermPassed and keeps it open.

--- /dev/null
+++ b/internal/member/pgcontrol/dialer.go
@@ -0,0 +1,89 @@
+package pgcontrol
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/netio"
+)
+
+// maxMessageLength bounds one message from a member, in bytes. A status row is
+// far below it.
+const maxMessageLength = 64 << 10
+
+// baseSettings names every setting that pgconn would otherwise take from the
+// environment or the home directory; the Dialer overwrites what matters.
+const baseSettings = "host=127.0.0.1 port=5432 user=control password=none dbname=postgres sslmode=disable"
+
+// Options are the settings of control connections.
+type Options struct {
+	User     string
+	Password string
+	// Database is the name sent at startup; it may be empty.
+	Database string
+}
+
+// Dialer implements member.Dialer.
+type Dialer struct {
+	network netio.Dialer
+	options Options
+}
+
+// NewDialer returns a Dialer that opens its connections with network.
+func NewDialer(network netio.Dialer, options Options) *Dialer {
+	return &Dialer{network: network, options: options}
+}
+
+// DialControl implements member.Dialer. The address is an IP and a port.
+func (d *Dialer) DialControl(ctx context.Context, address string) (member.Control, error) {
+	cfg, err := d.config(address)
+	if err != nil {
+		return nil, err
+	}
+	c := &control{}
+	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		// pgconn dials again to cancel a call whose context ended. The control
+		// calls need no cancel, and to a dead member it would only add a dial.
+		if c.raw != nil {
+			return nil, errOneDial
+		}
+		raw, err := d.network.Dial(ctx, address)
+		c.raw = raw
+		return raw, err
+	}
+	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, fmt.Errorf("pgcontrol: connect to %s: %w", address, err)
+	}
+	c.conn = conn
+	return c, nil
+}
+
+// config builds the pgconn settings for one address.
+func (d *Dialer) config(address string) (*pgconn.Config, error) {
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("pgcontrol: address %q: %w", address, err)
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, fmt.Errorf("pgcontrol: port of %q: %w", address, err)
+	}
+	cfg, err := pgconn.ParseConfig(baseSettings)
+	if err != nil {
+		return nil, fmt.Errorf("pgcontrol: settings: %w", err)
+	}
+	cfg.Host, cfg.Port = host, uint16(port)
+	cfg.User, cfg.Password, cfg.Database = d.options.User, d.options.Password, d.options.Database
+	cfg.Fallbacks = nil
+	cfg.ConnectTimeout = 0
+	cfg.RuntimeParams = map[string]string{"application_name": ApplicationName}
+	cfg.MaxProtocolMessageBodyLen = maxMessageLength
+	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/member/pgcontrol/pgcontrol_test.go
@@ -0,0 +1,166 @@
+package pgcontrol
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// script is a member that answers each statement as told.
+type script struct {
+	answer func(sql string) []pgproto3.BackendMessage
+	seen   []string
+	params map[string]string
+}
+
+// Dial implements netio.Dialer.
+func (s *script) Dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go s.serve(server)
+	return client, nil
+}
+
+func (s *script) serve(conn net.Conn) {
+	defer conn.Close()
+	b := pgproto3.NewBackend(conn, conn)
+	startup, err := b.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+	s.params = startup.(*pgproto3.StartupMessage).Parameters
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for b.Flush() == nil {
+		m, err := b.Receive()
+		q, ok := m.(*pgproto3.Query)
+		if err != nil || !ok {
+			return
+		}
+		s.seen = append(s.seen, q.String)
+		for _, a := range s.answer(q.String) {
+			b.Send(a)
+		}
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}
+}
+
+func row(fields ...string) []pgproto3.BackendMessage {
+	names := []string{"role", "entered", "last_term", "last_position", "term_start", "attached"}
+	d := &pgproto3.RowDescription{}
+	r := &pgproto3.DataRow{}
+	for i, f := range fields {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(names[i]), DataTypeOID: 25})
+		r.Values = append(r.Values, []byte(f))
+	}
+	return []pgproto3.BackendMessage{d, r, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}}
+}
+
+func TestCallsSendTheirStatement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{answer: func(string) []pgproto3.BackendMessage {
+			return row("replica", "7", "6", "120", "90", "7")
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+		defer cancel()
+		c, err := NewDialer(s, Options{User: "ctl", Password: "p"}).DialControl(ctx, "10.0.0.1:5432")
+		is.NoErr(err)
+		defer c.Close()
+
+		st, err := c.Status(ctx)
+		is.NoErr(err)
+		is.Equal(st, member.Status{Role: member.RoleReplica, Entered: 7,
+			Last: logpos.Mark{Term: 6, Position: 120}, TermStart: 90, Attached: 7})
+		_, err = c.WaitPosition(ctx, 130)
+		is.NoErr(err)
+		_, err = c.EnterTerm(ctx, 8)
+		is.NoErr(err)
+		_, err = c.Promote(ctx, 8)
+		is.NoErr(err)
+		_, err = c.Follow(ctx, 8, "10.0.0.2:5432'")
+		is.NoErr(err)
+		is.Equal(s.seen, []string{
+			"SELECT * FROM group_status()",
+			"SELECT * FROM group_wait_position(130, 300)",
+			"SELECT * FROM group_enter_term(8)",
+			"SELECT * FROM group_promote(8)",
+			"SELECT * FROM group_follow(8, '10.0.0.2:5432''')",
+		})
+		is.Equal(s.params["application_name"], ApplicationName)
+		is.Equal(s.params["user"], "ctl")
+	})
+}
+
+// A member that has entered a higher term refuses the call. The claimer must
+// see ErrTermPassed, and the connection must serve the next call.
+func TestTermPassedKeepsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{answer: func(sql string) []pgproto3.BackendMessage {
+			if sql == StatusStatement {
+				return row("fenced", "9", "6", "120", "0", "0")
+			}
+			return []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Severity: "ERROR", Code: "55G01", Message: "entered 9"}}
+		}}
+		c, err := NewDialer(s, Options{User: "ctl"}).DialControl(t.Context(), "10.0.0.1:5432")
+		is.NoErr(err)
+		defer c.Close()
+		_, err = c.EnterTerm(t.Context(), 8)
+		is.True(errors.Is(err, member.ErrTermPassed))
+		st, err := c.Status(t.Context())
+		is.NoErr(err)
+		is.Equal(st.Entered, logpos.Term(9))
+	})
+}
+
+// A member answers a status call only after the caller's bound. The call fails
+// at the bound, and the next call fails too: it must not read the late answer.
+func TestLateAnswerIsNeverTakenForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		s := &script{answer: func(string) []pgproto3.BackendMessage {
+			<-release
+			return row("primary", "1", "1", "10", "0", "1")
+		}}
+		c, err := NewDialer(s, Options{User: "ctl"}).DialControl(t.Context(), "10.0.0.1:5432")
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err = c.Status(ctx)
+		is.True(err != nil)
+		is.Equal(time.Since(start), 50*time.Millisecond)
+		_, err = c.Status(t.Context())
+		is.True(err != nil)
+		close(release)
+		synctest.Wait()
+		is.Equal(len(s.seen), 1)
+	})
+}
+
+func TestParseStatusRefusesMalformedRows(t *testing.T) {
+	good := []string{"primary", "1", "1", "10", "0", "1"}
+	for column, bad := range map[int]string{0: "leader", 1: "-1", 3: "", 5: "x"} {
+		fields := make([][]byte, len(good))
+		for i, f := range good {
+			fields[i] = []byte(f)
+		}
+		fields[column] = []byte(bad)
+		if _, err := ParseStatus(fields); !errors.Is(err, ErrMalformedStatus) {
+			t.Errorf("column %d as %q: got %v", column, bad, err)
+		}
+	}
+	if _, err := ParseStatus(nil); !errors.Is(err, ErrMalformedStatus) {
+		t.Errorf("no columns: got %v", err)
+	}
+}
