Keep a group's connections within a limit

A pool that counts a connection from the start of its opening until the member let it go, so that opening, closing and probing ones are inside the limit. Ruled out: counting at Close, because the member may still hold the connection.

--- /dev/null
+++ b/internal/pool/entry.go
@@ -0,0 +1,22 @@
+package pool
+
+import "github.com/topazrock/topazrock/internal/upstream"
+
+// state is where a connection stands.
+type state int
+
+const (
+	stateIdle state = iota
+	stateInUse
+	stateProbing
+	stateClosing
+)
+
+// entry is one connection that counts against the limit.
+type entry struct {
+	conn   *upstream.Conn
+	member *memberState
+	state  state
+	// suspect says that the connection must be probed before its next use.
+	suspect bool
+}
--- /dev/null
+++ b/internal/pool/fake_test.go
@@ -0,0 +1,153 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+var errSilent = errors.New("no answer")
+
+const (
+	openLatency  = 10 * time.Millisecond
+	roundTrip    = 3 * time.Millisecond
+	firstMember  = "10.0.0.1:5432"
+	secondMember = "10.0.0.2:5432"
+)
+
+// fakeMembers counts the connections that members hold, as the members see it.
+type fakeMembers struct {
+	mu sync.Mutex
+	// held counts by member, sum over all; highest is the highest sum seen.
+	held    map[string]int
+	sum     int
+	highest int
+	// openings counts the attempts, concurrent and peak how many ran at once.
+	openings   int
+	concurrent int
+	peak       int
+	attempts   []time.Time
+	// full members refuse; down ones are out of reach.
+	full map[string]bool
+	down map[string]bool
+	// silent connections answer no probe; gone ones were closed by the member.
+	silent map[*upstream.Conn]bool
+	gone   map[*upstream.Conn]bool
+	// unconfirmed makes closings go unanswered.
+	unconfirmed bool
+}
+
+func newFakeMembers() *fakeMembers {
+	return &fakeMembers{
+		held:   make(map[string]int),
+		full:   make(map[string]bool),
+		down:   make(map[string]bool),
+		silent: make(map[*upstream.Conn]bool),
+		gone:   make(map[*upstream.Conn]bool),
+	}
+}
+
+func (f *fakeMembers) open(ctx context.Context, address string) (*upstream.Conn, error) {
+	f.begin()
+	defer f.end()
+	if err := clock.Sleep(ctx, clock.System{}, openLatency); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full[address] {
+		return nil, &pgconn.PgError{Code: sqlStateTooManyConnections}
+	}
+	if f.down[address] {
+		return nil, errSilent
+	}
+	f.held[address]++
+	f.sum++
+	f.highest = max(f.highest, f.sum)
+	near, _ := net.Pipe()
+	return upstream.NewConn(address, time.Now(), near, nil), nil
+}
+
+func (f *fakeMembers) begin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.openings++
+	f.attempts = append(f.attempts, time.Now())
+	f.concurrent++
+	f.peak = max(f.peak, f.concurrent)
+}
+
+func (f *fakeMembers) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.concurrent--
+}
+
+// close lets the member notice after half a round trip and confirm after one.
+func (f *fakeMembers) close(ctx context.Context, c *upstream.Conn) error {
+	_ = c.Close()
+	_ = clock.Sleep(ctx, clock.System{}, roundTrip/2)
+	f.mu.Lock()
+	f.held[c.Address()]--
+	f.sum--
+	unconfirmed := f.unconfirmed
+	f.mu.Unlock()
+	if unconfirmed {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return clock.Sleep(ctx, clock.System{}, roundTrip/2)
+}
+
+func (f *fakeMembers) probe(ctx context.Context, c *upstream.Conn) error {
+	f.mu.Lock()
+	silent := f.silent[c]
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return errSilent
+	}
+	return clock.Sleep(ctx, clock.System{}, roundTrip)
+}
+
+func (f *fakeMembers) check(c *upstream.Conn) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone[c] {
+		return net.ErrClosed
+	}
+	return nil
+}
+
+// count returns the connections the members hold now.
+func (f *fakeMembers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sum
+}
+
+// newPool returns a pool over the members.
+func (f *fakeMembers) newPool(limit int) *Limited {
+	return New(f.config(limit))
+}
+
+func (f *fakeMembers) config(limit int) Config {
+	return Config{
+		Group: "contracts",
+		Clock: clock.System{},
+		Rand:  rand.New(rand.NewPCG(1, 2)),
+		Open:  f.open,
+		Probe: f.probe,
+		Check: f.check,
+		Close: f.close,
+		Limit: limit,
+	}
+}
--- /dev/null
+++ b/internal/pool/limited.go
@@ -0,0 +1,189 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// Limited is a Pool that never holds more connections than its limit.
+type Limited struct {
+	cfg Config
+	log hclog.Logger
+	// background ends when the pool is closed for good; it bounds what runs in
+	// the pool's own goroutines.
+	background context.Context
+	stop       context.CancelFunc
+	gauges     gauges
+
+	mu       sync.Mutex
+	limit    int
+	entries  map[*upstream.Conn]*entry
+	members  map[string]*memberState
+	waiting  queue
+	arrivals uint64
+	inUse    int
+	opening  int
+	probing  int
+	// closing counts closings whose end the member has not confirmed yet and
+	// failed openings that the member may still see.
+	closing int
+	idle    int
+	closed  bool
+	// changed is closed and replaced whenever a connection stops counting.
+	changed chan struct{}
+}
+
+var _ Pool = (*Limited)(nil)
+
+// New returns a Limited that holds no connection yet.
+func New(cfg Config) *Limited {
+	cfg = cfg.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	return &Limited{
+		cfg:        cfg,
+		log:        cfg.Logger.Named("pool"),
+		background: ctx,
+		stop:       stop,
+		gauges:     cfg.Metrics.gauges(cfg.Group),
+		limit:      cfg.Limit,
+		entries:    make(map[*upstream.Conn]*entry),
+		members:    make(map[string]*memberState),
+		changed:    make(chan struct{}),
+	}
+}
+
+// Stats returns the present counts.
+func (p *Limited) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats()
+}
+
+func (p *Limited) stats() Stats {
+	return Stats{
+		Limit:   p.limit,
+		Idle:    p.idle,
+		InUse:   p.inUse,
+		Opening: p.opening,
+		Probing: p.probing,
+		Closing: p.closing,
+		Waiting: len(p.waiting.waiters),
+	}
+}
+
+func (p *Limited) total() int { return p.stats().Total() }
+
+// member returns the state kept for an address.
+func (p *Limited) member(address string) *memberState {
+	m, ok := p.members[address]
+	if !ok {
+		m = &memberState{address: address}
+		p.members[address] = m
+	}
+	return m
+}
+
+// Suspect implements Pool. Idle connections of that age are probed now, side by
+// side, so that one silent connection costs one probe and not one for each
+// request that would have met the next; those in use are probed on Release.
+func (p *Limited) Suspect(address string, opened time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.member(address)
+	for _, e := range p.entries {
+		if e.member == m && !e.conn.Opened().After(opened) {
+			e.suspect = true
+		}
+	}
+	kept := m.idle[:0]
+	for _, e := range m.idle {
+		if !e.suspect {
+			kept = append(kept, e)
+			continue
+		}
+		p.idle--
+		p.startProbe(e)
+	}
+	m.idle = kept
+	p.dispatch()
+}
+
+// SetLeaving replaces the set of members that get no new work. Their idle
+// connections are closed now, the others when they are released.
+func (p *Limited) SetLeaving(addresses []string) {
+	leaving := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		leaving[a] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range addresses {
+		p.member(a)
+	}
+	for address, m := range p.members {
+		m.leaving = leaving[address]
+		if !m.leaving {
+			continue
+		}
+		p.closeIdle(m, closedLeaving)
+		p.refuseWaiters(m, len(p.waiting.waiters), p.unreachable(m))
+	}
+	p.dispatch()
+}
+
+// SetLimit changes the limit. Idle connections past it are closed at once,
+// those in use when they are released; Settle tells when that is done.
+func (p *Limited) SetLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = max(n, 0)
+	p.shrink()
+	p.dispatch()
+}
+
+// Settle waits until no more connections count than the limit allows.
+func (p *Limited) Settle(ctx context.Context) error {
+	return p.wait(ctx, func() bool { return p.total() <= p.limit })
+}
+
+// Close refuses all that wait, closes idle connections, and waits until those
+// in use were released and closed. When ctx ends first, it returns its error
+// and the rest is closed as it is released.
+func (p *Limited) Close(ctx context.Context) error {
+	p.mu.Lock()
+	p.closed = true
+	for _, w := range p.waiting.waiters {
+		w.granted <- grant{err: result.New(result.Draining, "the pool of %s is closed", p.cfg.Group)}
+	}
+	p.waiting.waiters = nil
+	for _, m := range p.members {
+		p.closeIdle(m, closedShutdown)
+	}
+	p.mu.Unlock()
+	err := p.wait(ctx, func() bool { return p.total() == 0 })
+	p.stop()
+	return err
+}
+
+// wait blocks until done, which is called under the lock, returns true.
+func (p *Limited) wait(ctx context.Context, done func() bool) error {
+	for {
+		p.mu.Lock()
+		ok, changed := done(), p.changed
+		p.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/limited_test.go
@@ -0,0 +1,90 @@
+package pool
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// acquire returns a connection or ends the test.
+func acquire(t *testing.T, p *Limited, address string) *upstream.Conn {
+	t.Helper()
+	c, err := p.Acquire(t.Context(), address)
+	if err != nil {
+		t.Fatalf("acquire: %v", err)
+	}
+	return c
+}
+
+// code returns the result code of an error.
+func code(err error) result.Code {
+	if e, ok := result.As(err); ok {
+		return e.Code
+	}
+	return 0
+}
+
+// closePool ends what the pool still runs, so that the bubble can end.
+func closePool(t *testing.T, p *Limited) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := p.Close(ctx); err != nil {
+		t.Fatalf("close: %v, left %+v", err, p.Stats())
+	}
+}
+
+func TestReleasedConnectionIsReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(3)
+		defer closePool(t, p)
+		first := acquire(t, p, firstMember)
+		p.Release(first)
+		is.Equal(acquire(t, p, firstMember), first)
+		is.Equal(members.openings, 1)
+		p.Release(first)
+	})
+}
+
+func TestConnectionThatIsNotCleanIsClosed(t *testing.T) {
+	// A transaction left state on its connection, or an answer is still on the
+	// wire. The next caller would meet it as its own, so it must get another
+	// connection.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakeMembers().newPool(3)
+		defer closePool(t, p)
+		first := acquire(t, p, firstMember)
+		first.Spoil()
+		p.Release(first)
+		second := acquire(t, p, firstMember)
+		is.True(second != first)
+		p.Release(second)
+	})
+}
+
+func TestFullShareIsRefusedAtTheDeadline(t *testing.T) {
+	// All connections of the share are in use and none is released. The caller
+	// gets "too many connections" at its own deadline and not later.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakeMembers().newPool(1)
+		defer closePool(t, p)
+		held := acquire(t, p, firstMember)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		_, err := p.Acquire(ctx, firstMember)
+		is.Equal(code(err), result.TooManyConnections)
+		is.Equal(time.Since(began), time.Second)
+		p.Release(held)
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,5 +1,13 @@
 // Package pool keeps an instance's connections to the members of a group
 // within the instance's share of the group's total.
+//
+// A connection counts from the moment its opening begins until the member is
+// known to have let it go. What opens, closes or probes a connection runs in
+// its own goroutine, at most one for each counted connection; all of them work
+// on the tables of one Limited.
+//
+// Lock order: Limited.mu is the only lock, it is a leaf, and it is never held
+// across I/O or across a call of a Config function.
 package pool
 
 import (
--- /dev/null
+++ b/internal/pool/work.go
@@ -0,0 +1,185 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// sqlStateTooManyConnections is the member's refusal of one more connection.
+const sqlStateTooManyConnections = "53300"
+
+// startOpen begins an opening. One that starts while others run waits a random
+// moment first: after a failover every instance needs all its connections at
+// the same instant, and the new primary would meet them as one burst.
+func (p *Limited) startOpen(m *memberState) {
+	var delay time.Duration
+	if p.opening > 0 {
+		delay = time.Duration(p.cfg.Rand.Int64N(int64(p.cfg.OpenJitter)))
+	}
+	p.opening++
+	m.opening++
+	go p.open(m, delay)
+}
+
+func (p *Limited) open(m *memberState, delay time.Duration) {
+	ctx, cancel := context.WithTimeout(p.background, p.cfg.OpenTimeout)
+	defer cancel()
+	var c *upstream.Conn
+	err := error(nil)
+	if delay > 0 {
+		err = clock.Sleep(ctx, p.cfg.Clock, delay)
+	}
+	if err == nil {
+		c, err = p.cfg.Open(ctx, m.address)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	m.opening--
+	if err != nil {
+		p.openFailed(m, err)
+	} else {
+		p.opened(m, c)
+	}
+	p.dispatch()
+}
+
+// opened takes in a new connection.
+func (p *Limited) opened(m *memberState, c *upstream.Conn) {
+	p.cfg.Metrics.opened.WithLabelValues(p.cfg.Group, "ok").Inc()
+	m.recovered()
+	e := &entry{conn: c, member: m}
+	p.entries[c] = e
+	p.settle(e)
+	p.signal()
+}
+
+// openFailed holds back openings to the member, and ends the wait of those
+// whom nothing else can serve.
+func (p *Limited) openFailed(m *memberState, err error) {
+	now := p.cfg.Clock.Now()
+	m.holdBack(now, p.cfg.Rand, p.cfg.MinPause, p.cfg.MaxPause)
+	go p.dispatchAfter(m.pausedUntil.Sub(now))
+	var refusal *pgconn.PgError
+	m.refused = errors.As(err, &refusal) && refusal.Code == sqlStateTooManyConnections
+	outcome := "failed"
+	if m.refused {
+		outcome = "refused"
+	}
+	p.cfg.Metrics.opened.WithLabelValues(p.cfg.Group, outcome).Inc()
+	p.log.Warn("Opening a connection failed.", "group", p.cfg.Group, "member", m.address, "pause", m.pause, "error", err)
+	if refusal == nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		// The attempt may have reached the member, which then holds a
+		// connection that this side has given up.
+		p.closing++
+		go p.hold(p.cfg.CloseHold)
+	} else {
+		p.signal()
+	}
+	if m.refused {
+		return
+	}
+	refuse := len(p.waiting.waiters)
+	if m.inUse > 0 {
+		refuse = 1
+	}
+	p.refuseWaiters(m, refuse, p.unreachable(m).WithCause(err))
+}
+
+// dispatchAfter dispatches when a pause is over.
+func (p *Limited) dispatchAfter(d time.Duration) {
+	if clock.Sleep(p.background, p.cfg.Clock, d) != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
+
+// startProbe begins the probe of a connection that no table holds.
+func (p *Limited) startProbe(e *entry) {
+	if p.cfg.Probe == nil {
+		p.startClose(e, closedSilent)
+		return
+	}
+	e.state = stateProbing
+	p.probing++
+	go p.probe(e)
+}
+
+func (p *Limited) probe(e *entry) {
+	ctx, cancel := context.WithTimeout(p.background, p.cfg.ProbeTimeout)
+	defer cancel()
+	err := p.cfg.Probe(ctx, e.conn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing--
+	e.suspect = false
+	if err != nil {
+		p.startClose(e, closedSilent)
+	} else {
+		p.settle(e)
+	}
+	p.dispatch()
+}
+
+// startClose begins the closing of a connection that no table holds.
+func (p *Limited) startClose(e *entry, reason string) {
+	e.state = stateClosing
+	p.closing++
+	p.cfg.Metrics.closed.WithLabelValues(p.cfg.Group, reason).Inc()
+	go p.close(e)
+}
+
+// close ends a connection and keeps it in the count until the member confirmed
+// it or CloseHold has passed. Without the hold the member sees one connection
+// more than the total for as long as it has not read the end of the old one.
+// Past the hold the member's own limit is what is left.
+func (p *Limited) close(e *entry) {
+	started := p.cfg.Clock.Now()
+	confirmed := p.closeConfirmed(e)
+	p.mu.Lock()
+	delete(p.entries, e.conn)
+	p.mu.Unlock()
+	var rest time.Duration
+	if !confirmed {
+		p.cfg.Metrics.unconfirmed.WithLabelValues(p.cfg.Group).Inc()
+		rest = p.cfg.CloseHold - p.cfg.Clock.Now().Sub(started)
+	}
+	p.hold(rest)
+}
+
+func (p *Limited) closeConfirmed(e *entry) bool {
+	if p.cfg.Close == nil {
+		_ = e.conn.Close()
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(p.background), p.cfg.CloseHold)
+	defer cancel()
+	return p.cfg.Close(ctx, e.conn) == nil
+}
+
+// hold waits for d and then stops counting one closing.
+func (p *Limited) hold(d time.Duration) {
+	if d > 0 {
+		_ = clock.Sleep(context.WithoutCancel(p.background), p.cfg.Clock, d)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing--
+	p.signal()
+	p.dispatch()
+}
+
+// signal wakes those who wait for the counts to fall.
+func (p *Limited) signal() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
