--- /dev/null
+++ b/internal/document/parse.go
@@ -0,0 +1,98 @@
+package document
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/inifile"
+)
+
+// Parse reads and checks a service document. The error is inifile.Problems
+// with every fault of the text; fileName is what they name as the file.
+func Parse(fileName string, text []byte) (*Service, error) {
+	f := inifile.Read(&schema, fileName, text)
+	s := build(f)
+	checkLimits(f, s)
+	checkGroups(f)
+	checkClasses(f, s)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func build(f *inifile.File) *Service {
+	s := &Service{Name: f.First(&schema, sectionService).String("name")}
+	for _, sec := range f.All(sectionGroup) {
+		list, _ := sec.Value("members").([]Member)
+		s.Groups = append(s.Groups, Group{Name: sec.Name, Members: list,
+			Connections: sec.Int("connections"), Slots: sec.Int("slots")})
+	}
+	for _, sec := range f.All(sectionUser) {
+		s.Users = append(s.Users, User{Name: sec.Name, Verifier: sec.String("verifier")})
+	}
+	s.Limits = buildLimits(f.First(&schema, sectionLimits))
+	for _, sec := range f.All(sectionRead) {
+		s.Reads = append(s.Reads, ReadClass{Name: sec.Name, MaxAge: sec.Duration("max_age"),
+			Priority: sec.Int("priority"), MaxQueue: sec.Int("max_queue"), Timeout: sec.Duration("timeout")})
+	}
+	for _, sec := range f.All(sectionRequest) {
+		s.Writes = append(s.Writes, RequestClass{Name: sec.Name, AtMostOnce: sec.String("repeat") == repeatNever,
+			Priority: sec.Int("priority"), MaxQueue: sec.Int("max_queue"), Timeout: sec.Duration("timeout")})
+	}
+	return s
+}
+
+func buildLimits(sec *inifile.Section) Limits {
+	return Limits{
+		StatementTimeout:       sec.Duration("statement_timeout"),
+		RequestTimeout:         sec.Duration("request_timeout"),
+		ConfirmTimeout:         sec.Duration("confirm_timeout"),
+		TransactionIdleTimeout: sec.Duration("transaction_idle_timeout"),
+		AnswerBuffer:           sec.Int("answer_buffer"),
+		MaxQueue:               sec.Int("max_queue"),
+	}
+}
+
+func checkLimits(f *inifile.File, s *Service) {
+	sec := f.First(&schema, sectionLimits)
+	l := s.Limits
+	if l.StatementTimeout > l.RequestTimeout && l.RequestTimeout > 0 {
+		f.Refuse(sec, "statement_timeout", "longer than request_timeout", upTo(l.RequestTimeout))
+	}
+	if l.ConfirmTimeout > l.RequestTimeout && l.RequestTimeout > 0 {
+		f.Refuse(sec, "confirm_timeout", "longer than request_timeout", upTo(l.RequestTimeout))
+	}
+}
+
+func upTo(d time.Duration) string { return "up to " + d.String() }
+
+// checkGroups refuses groups that would count a member's connections twice or
+// whose slots no connection could serve.
+func checkGroups(f *inifile.File) {
+	owner := make(map[string]string)
+	for _, sec := range f.All(sectionGroup) {
+		list, _ := sec.Value("members").([]Member)
+		for _, m := range list {
+			if other, taken := owner[m.Address]; taken {
+				f.Refuse(sec, "members", fmt.Sprintf("member %s belongs to group %s", m.Address, other),
+					"each member in one group")
+			}
+			owner[m.Address] = sec.Name
+		}
+		connections := sec.Int("connections")
+		if slots := sec.Int("slots"); connections > 0 && slots > connections {
+			f.Refuse(sec, "slots", "more slots than connections", fmt.Sprintf("1 to %d", connections))
+		}
+	}
+}
+
+// checkClasses refuses a read and a request of the same name: a tag names a
+// class by its name alone.
+func checkClasses(f *inifile.File, s *Service) {
+	for _, sec := range f.All(sectionRequest) {
+		if _, taken := s.FindRead(sec.Name); taken {
+			f.RefuseSection(sec, "a read class has the same name", "one name for one class")
+		}
+	}
+}
