Follow a group's members and confirm positions in their term

Cause: routing and execution need to know the primary of the highest term, to wait until a write is on a majority, to ask a fresh position for a read, and to prove the age of a replica's data.

Ruled out: counting reports that were asked for before a call began (they prove the position, but let a read pass at a primary that has been replaced); times instead of tickets (a paused process would take an old report for a new one); polling for confirmation (a write would cost half a poll interval more than one replication lag); a second connection a member for probes (the first question after a failure goes out on a new connection anyway).

Conclusion: one goroutine and one kept connection a member, one wait for the lowest position that somebody needs, and one table under one lock.

--- a/internal/adminapi/problem.go
+++ b/internal/adminapi/problem.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/topazrock/topazrock/internal/inifile"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -59,10 +58,6 @@
 // that the API does, which is to the platform.
 func newProblem(err error) *Problem {
 	e, ok := result.As(err)
-	var faulty inifile.Problems
-	if !ok && errors.As(err, &faulty) {
-		e, ok = result.New(result.DocumentInvalid, "%d faults", len(faulty)).WithCause(faulty), true
-	}
 	if !ok {
 		e = result.New(result.PlatformUnavailable, "%v", err)
 	}
@@ -88,15 +83,18 @@
 	return p
 }
 
-// faults lists the faults of a document, one text each.
+// faults splits a joined error into its texts.
 func faults(err error) []string {
-	var faulty inifile.Problems
-	if !errors.As(err, &faulty) {
+	if err == nil {
 		return nil
 	}
+	var joined interface{ Unwrap() []error }
+	if !errors.As(err, &joined) {
+		return []string{err.Error()}
+	}
 	var texts []string
-	for _, f := range faulty {
-		texts = append(texts, f.String())
+	for _, e := range joined.Unwrap() {
+		texts = append(texts, e.Error())
 	}
 	return texts
 }
--- a/internal/admission/stats.go
+++ /dev/null
@@ -1,8 +0,0 @@
-package admission
-
-// Stats counts the requests of a controller at one moment.
-type Stats struct {
-	Slots   int
-	Running int
-	Waiting int
-}
--- /dev/null
+++ b/internal/group/follower.go
@@ -0,0 +1,210 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// follower asks one member, one question at a time, on one kept connection.
+//
+// A question that fails or is late ends the connection, and the next one goes
+// out on a new connection: an open connection may be silent for good while new
+// ones work. Only failures on new connections make a member suspect.
+type follower struct {
+	w      *Watcher
+	index  int
+	dialer member.Dialer
+	kick   chan struct{}
+	// control is the kept connection; only run's goroutine uses it.
+	control member.Control
+
+	// What follows is guarded by Watcher.mu.
+	view MemberView
+	// newest is the ticket number of the report that view shows.
+	newest uint64
+	// askedAt is when the last question was sent, and idle whether its answer
+	// brought nothing that somebody waits for.
+	askedAt time.Time
+	idle    bool
+	// busy says that the last probe found the member full.
+	busy bool
+	// attachedAt is when the newest report of an attached replica was asked for.
+	attachedAt time.Time
+	// provenBy is the position that proved view.FreshAsOf.
+	provenBy logpos.Position
+	// doubted asks for a new connection; interrupt ends the call in flight.
+	doubted   bool
+	interrupt context.CancelFunc
+}
+
+func newFollower(w *Watcher, index int, m document.Member, d member.Dialer) *follower {
+	return &follower{
+		w:      w,
+		index:  index,
+		dialer: d,
+		kick:   make(chan struct{}, 1),
+		view:   MemberView{Address: m.Address, FailureDomain: m.FailureDomain},
+	}
+}
+
+// wake makes run look again at what is due.
+func (f *follower) wake() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run asks the member until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	defer f.disconnect()
+	for ctx.Err() == nil {
+		if f.doubtTaken() {
+			f.disconnect()
+		}
+		q := f.next()
+		if q.delay > 0 {
+			f.sleep(ctx, q.delay)
+			continue
+		}
+		f.ask(ctx, q)
+	}
+}
+
+// ask sends one question and takes in its outcome.
+func (f *follower) ask(ctx context.Context, q question) {
+	ctx, cancel := context.WithTimeout(ctx, q.bound)
+	defer cancel()
+	fresh := f.control == nil
+	t := f.begin(cancel, fresh)
+	s, err := f.call(ctx, q)
+	f.finish(t, q, s, err)
+	switch {
+	case err == nil:
+		f.w.Observe(f.view.Address, t, s)
+	case errors.Is(err, member.ErrBusy):
+		// The member answered, only not with a report: it lives.
+		f.disconnect()
+		f.answeredBusy()
+	default:
+		f.disconnect()
+		if fresh {
+			f.failed(t, err)
+		}
+	}
+}
+
+// call dials if there is no connection, and asks.
+func (f *follower) call(ctx context.Context, q question) (member.Status, error) {
+	if f.control == nil {
+		c, err := f.dialer.DialControl(ctx, f.view.Address)
+		if err != nil {
+			return member.Status{}, err
+		}
+		f.control = c
+	}
+	if q.wait {
+		return f.control.WaitPosition(ctx, q.position)
+	}
+	return f.control.Status(ctx)
+}
+
+func (f *follower) disconnect() {
+	if f.control != nil {
+		_ = f.control.Close()
+		f.control = nil
+	}
+}
+
+// sleep waits for d, a kick or the end of ctx.
+func (f *follower) sleep(ctx context.Context, d time.Duration) {
+	t := f.w.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.kick:
+	case <-t.C:
+	}
+}
+
+func (f *follower) doubtTaken() bool {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	taken := f.doubted
+	f.doubted = false
+	return taken
+}
+
+// begin takes the ticket of a question. Only a question on the kept connection
+// can be interrupted; one on a new connection is the probe that doubt asks for.
+func (f *follower) begin(interrupt context.CancelFunc, fresh bool) Ticket {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	if !fresh {
+		f.interrupt = interrupt
+	}
+	f.busy = false
+	t := f.w.ticket()
+	f.askedAt = t.at
+	return t
+}
+
+// finish notes whether the answer came early without what was asked for.
+func (f *follower) finish(t Ticket, q question, s member.Status, err error) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	f.interrupt = nil
+	early := f.w.clock.Now().Sub(t.at) < f.w.intervals.FastPoll
+	f.idle = err == nil && q.wait && early && s.Last.Position < q.position
+}
+
+// answeredBusy notes that the member answered, and that the next try can wait.
+func (f *follower) answeredBusy() {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	f.busy = true
+	f.recovered()
+	f.w.publish()
+}
+
+// recovered ends a run of failed probes.
+func (f *follower) recovered() {
+	if f.view.Failing.IsZero() {
+		return
+	}
+	f.w.log.Info("Member answers again.", "group", f.w.group, "member", f.view.Address)
+	f.view.Failing, f.view.Failures = time.Time{}, 0
+	f.w.notify()
+}
+
+// failed counts a failed probe on a new connection.
+func (f *follower) failed(t Ticket, err error) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	f.w.metrics.failures.WithLabelValues(f.w.group, f.view.Address).Inc()
+	if f.view.Failing.IsZero() {
+		f.w.log.Warn("Member does not answer.", "group", f.w.group, "member", f.view.Address, "error", err)
+		f.view.Failing = t.at
+	}
+	f.view.Failures++
+	f.w.notify()
+	f.w.publish()
+}
+
+// adopt makes s the member's newest report.
+func (f *follower) adopt(t Ticket, s member.Status) {
+	f.view.Status, f.view.SeenAt = s, t.at
+	if attached(s, f.w.term) {
+		f.attachedAt = t.at
+	}
+	// A log shorter than what proved the member's age was cut or begun anew;
+	// the proof was about records that are no longer there.
+	if s.Last.Position < f.provenBy {
+		f.view.FreshAsOf, f.provenBy = time.Time{}, 0
+	}
+}
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -1,11 +1,3 @@
-// Package group follows the members of one database group: it probes them,
-// keeps what they reported, and lets routing read an immutable snapshot.
-//
-// Three kinds of waiting are built on the reports. Confirm waits until enough
-// replicas of a term hold a position, so that the position is on a majority.
-// Barrier asks the primary for its position after a read arrived and confirms
-// it. Fresh-as-of times say how old a replica's data can be at most; they come
-// from the primary's past positions and never from a replica's claim of lag.
 package group
 
 import (
@@ -29,6 +21,8 @@
 	// Failing is since when probes on new connections have failed; zero if the
 	// last one went well.
 	Failing time.Time
+	// Failures counts the probes that have failed since Failing.
+	Failures int
 	// Leaving says that the platform lists the member as leaving.
 	Leaving bool
 }
--- /dev/null
+++ b/internal/group/ticket.go
@@ -0,0 +1,13 @@
+package group
+
+import "time"
+
+// Ticket marks the moment before a question to a member is sent. Tickets of one
+// Watcher are totally ordered, also when the clock stands still.
+type Ticket struct {
+	number uint64
+	at     time.Time
+}
+
+// After reports whether t was taken later than o.
+func (t Ticket) After(o Ticket) bool { return t.number > o.number }
--- /dev/null
+++ b/internal/group/waiter.go
@@ -0,0 +1,120 @@
+package group
+
+import (
+	"context"
+	"math/bits"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// waiter is one Confirm or Barrier that has not ended.
+type waiter struct {
+	ticket Ticket
+	// marked says that mark is known; a barrier waits for the primary to tell it.
+	marked bool
+	mark   logpos.Mark
+	// holders has one bit a member that counts, by index.
+	holders uint64
+	// done is closed at the end, after err was set.
+	done chan struct{}
+	err  error
+}
+
+// join adds a waiter that counts reports asked for from now on.
+func (w *Watcher) join(mark logpos.Mark, marked bool) *waiter {
+	x := &waiter{ticket: w.ticket(), mark: mark, marked: marked, done: make(chan struct{})}
+	w.waiters[x] = struct{}{}
+	for _, f := range w.followers {
+		f.wake()
+	}
+	return x
+}
+
+// leave removes a waiter whose caller no longer waits.
+func (w *Watcher) leave(x *waiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.waiters, x)
+}
+
+// end tells a waiter its outcome.
+func (w *Watcher) end(x *waiter, err error) {
+	delete(w.waiters, x)
+	x.err = err
+	close(x.done)
+}
+
+// await waits for x to end. The second value is false if ctx ended first.
+func (w *Watcher) await(ctx context.Context, x *waiter) (error, bool) {
+	select {
+	case <-x.done:
+		return x.err, true
+	case <-ctx.Done():
+		w.leave(x)
+		return nil, false
+	}
+}
+
+// count lets a report count for every waiter that was there before it was asked.
+func (w *Watcher) count(f *follower, t Ticket, s member.Status) {
+	for x := range w.waiters {
+		if !t.After(x.ticket) {
+			continue
+		}
+		w.mark(x, s)
+		if x.marked && attached(s, x.mark.Term) && s.Last.Position >= x.mark.Position {
+			x.holders |= 1 << f.index
+		}
+		if x.marked && bits.OnesCount64(x.holders) >= w.quorum {
+			w.end(x, nil)
+		}
+	}
+}
+
+// mark gives a barrier its mark from a report of the primary.
+func (w *Watcher) mark(x *waiter, s member.Status) {
+	if x.marked || s.Role != member.RolePrimary || s.Entered != w.term {
+		return
+	}
+	x.marked = true
+	x.mark = logpos.Mark{Term: s.Entered, Position: s.Last.Position}
+	for _, f := range w.followers {
+		f.wake()
+	}
+}
+
+// failOlder ends every waiter of a term below the one given.
+func (w *Watcher) failOlder(term logpos.Term) {
+	for x := range w.waiters {
+		if x.marked && x.mark.Term < term {
+			w.end(x, result.New(result.PrimaryReplaced, "term %d was replaced by %d", x.mark.Term, term))
+		}
+	}
+}
+
+// demand returns the lowest position that somebody waits for the member to hold.
+func (w *Watcher) demand(f *follower) (logpos.Position, bool) {
+	var lowest logpos.Position
+	found := false
+	for x := range w.waiters {
+		if !x.marked || x.holders&(1<<f.index) != 0 {
+			continue
+		}
+		if !found || x.mark.Position < lowest {
+			lowest, found = x.mark.Position, true
+		}
+	}
+	return lowest, found
+}
+
+// barrierWaits reports whether a barrier waits for the primary's position.
+func (w *Watcher) barrierWaits() bool {
+	for x := range w.waiters {
+		if !x.marked {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/group/watcher.go
@@ -0,0 +1,161 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/logpos"
+)
+
+// Watcher implements Tracker for one group with one goroutine a member.
+type Watcher struct {
+	group     string
+	clock     clock.Clock
+	log       hclog.Logger
+	metrics   *Metrics
+	intervals Intervals
+	// quorum is how many replicas make a majority together with the primary.
+	quorum   int
+	snapshot atomic.Pointer[Snapshot]
+
+	mu        sync.Mutex
+	rand      *rand.Rand
+	followers []*follower
+	tickets   uint64
+	term      logpos.Term
+	primary   string
+	termStart logpos.Position
+	samples   samples
+	waiters   map[*waiter]struct{}
+	// changed is closed and replaced when the term, the primary or a member's
+	// suspicion changes.
+	changed chan struct{}
+}
+
+var _ Tracker = (*Watcher)(nil)
+
+// NewWatcher returns a Watcher that knows nothing yet; Run makes it learn.
+func NewWatcher(c Config) *Watcher {
+	w := &Watcher{
+		group:     c.Group,
+		clock:     c.Clock,
+		log:       c.Logger,
+		metrics:   c.Metrics,
+		intervals: c.Intervals,
+		quorum:    len(c.Members) / 2,
+		rand:      c.Rand,
+		waiters:   make(map[*waiter]struct{}),
+		changed:   make(chan struct{}),
+	}
+	if w.log == nil {
+		w.log = hclog.NewNullLogger()
+	}
+	if w.metrics == nil {
+		w.metrics = NewMetrics(nil)
+	}
+	if w.intervals == (Intervals{}) {
+		w.intervals = DefaultIntervals()
+	}
+	for i, m := range c.Members {
+		w.followers = append(w.followers, newFollower(w, i, m, c.Dialer))
+	}
+	w.publish()
+	return w
+}
+
+// Run asks the members until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range w.followers {
+		wg.Go(func() { f.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Snapshot implements Tracker.
+func (w *Watcher) Snapshot() *Snapshot { return w.snapshot.Load() }
+
+// Changes returns a channel that is closed at the next change of the term, the
+// primary, or of whether a member fails. Take it before reading the Snapshot.
+func (w *Watcher) Changes() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// AwaitPrimary returns the first snapshot that has a primary, or the error of
+// ctx if it ends before.
+func (w *Watcher) AwaitPrimary(ctx context.Context) (*Snapshot, error) {
+	for {
+		changed := w.Changes()
+		if s := w.Snapshot(); s.Primary != "" {
+			return s, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// SetLeaving replaces the addresses that the platform lists as leaving.
+func (w *Watcher) SetLeaving(addresses []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range w.followers {
+		f.view.Leaving = slices.Contains(addresses, f.view.Address)
+	}
+	w.notify()
+	w.publish()
+}
+
+// ReportFailure implements Tracker. The kept connection is given up, so that
+// the next question goes out on a new one.
+func (w *Watcher) ReportFailure(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.find(address)
+	// Statements fail by the hundred when a member dies; one probe settles all.
+	if f == nil || w.clock.Now().Sub(f.view.SeenAt) < w.intervals.FastPoll {
+		return
+	}
+	f.doubted = true
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+	f.wake()
+}
+
+// Ask takes a ticket for a question that is about to be sent to a member.
+func (w *Watcher) Ask() Ticket {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ticket()
+}
+
+func (w *Watcher) ticket() Ticket {
+	w.tickets++
+	return Ticket{number: w.tickets, at: w.clock.Now()}
+}
+
+func (w *Watcher) find(address string) *follower {
+	for _, f := range w.followers {
+		if f.view.Address == address {
+			return f
+		}
+	}
+	return nil
+}
+
+// notify wakes everyone who waits on Changes.
+func (w *Watcher) notify() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
--- a/internal/member/pgcontrol/dialer.go
+++ b/internal/member/pgcontrol/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -58,7 +59,7 @@
 	}
 	conn, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
-		return nil, fmt.Errorf("pgcontrol: connect to %s: %w", address, err)
+		return nil, connectError(address, err)
 	}
 	c.conn = conn
 	return c, nil
@@ -87,3 +88,12 @@
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	return cfg, nil
 }
+
+// connectError tells a member that is full from one that does not answer.
+func connectError(address string, err error) error {
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) && answer.Code == sqlStateTooManyConnections {
+		return fmt.Errorf("%w: %s", member.ErrBusy, address)
+	}
+	return fmt.Errorf("pgcontrol: connect to %s: %w", address, err)
+}
--- a/internal/member/pgcontrol/pgcontrol.go
+++ b/internal/member/pgcontrol/pgcontrol.go
@@ -20,5 +20,9 @@
 	followFormat  = "SELECT * FROM group_follow(%d, '%s')"
 )
 
-// sqlStateTermPassed is what a member answers to a call of a lower term.
-const sqlStateTermPassed = "55G01"
+const (
+	// sqlStateTermPassed is what a member answers to a call of a lower term.
+	sqlStateTermPassed = "55G01"
+	// sqlStateTooManyConnections is what a member that is full answers at startup.
+	sqlStateTooManyConnections = "53300"
+)
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -86,7 +86,7 @@
 	if m.refused {
 		return
 	}
-	refuse := p.waiting.Len()
+	refuse := len(p.waiting.waiters)
 	if m.inUse > 0 {
 		refuse = 1
 	}
