Add the stand-in platform and the stand-in's command line

Tests in memory and tests with separate processes need the same object API with its faults: an outage, a slow answer, an answer lost after the write took effect, a lagging list of machines. One store serves both, directly and over HTTP.

--- /dev/null
+++ b/internal/standin/command/command.go
@@ -0,0 +1,52 @@
+// Package command is the command line of topazrock-standin.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Run runs one command line and returns the exit code: 0 for success, 1 when
+// the command failed, 2 for a wrong command line.
+func Run(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parser := flags.NewNamedParser("topazrock-standin", flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short, long string, c flags.Commander) {
+		if _, err := parser.AddCommand(name, short, long, c); err != nil {
+			panic(err)
+		}
+	}
+	add("platform", "Serve the platform's API",
+		"Example: topazrock-standin platform --address 127.0.0.1:8080", &platformCommand{ctx: ctx, out: stdout})
+	add("member", "Serve one member of a database group",
+		"Example: topazrock-standin member --address 127.0.0.11:5432 --primary 127.0.0.11:5432", &memberCommand{ctx: ctx, out: stdout})
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(stderr, usage.Message)
+		return exitUsage
+	default:
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,291 @@
+// Package platform is a stand-in for the platform: an object API with versions,
+// conditional updates and watches, and the list of machines. It serves tests in
+// memory and processes over HTTP, and has switches for the platform's faults.
+package platform
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// defaultWait is how long a watch waits for a change.
+const defaultWait = 10 * time.Second
+
+// Call names a kind of call that the store counts.
+type Call string
+
+// Kinds of calls. A watch counts once however long it waits.
+const (
+	CallGet       Call = "get"
+	CallList      Call = "list"
+	CallPut       Call = "put"
+	CallWatch     Call = "watch"
+	CallInventory Call = "inventory"
+)
+
+// Faults are the switches of the store.
+type Faults struct {
+	// Outage makes every call fail, a waiting watch too.
+	Outage bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswers is how many of the next Puts take effect with no answer.
+	LoseAnswers int
+	// InventoryLag is how late the list of machines shows a change.
+	InventoryLag time.Duration
+}
+
+// shown is a list of machines and when it was set.
+type shown struct {
+	at        time.Time
+	inventory platform.Inventory
+}
+
+// collection holds the objects of one kind.
+type collection struct {
+	objects  map[string]platform.Object
+	revision int64
+	// floor is the revision that a watch must not lie before.
+	floor int64
+}
+
+// Store implements platform.API in memory.
+type Store struct {
+	hook atomic.Pointer[func(point string)]
+
+	mu        sync.Mutex
+	kinds     map[platform.Kind]*collection
+	inventory []shown
+	faults    Faults
+	calls     map[Call]int
+	// changed is closed and replaced when an object or a switch changes.
+	changed chan struct{}
+}
+
+var _ platform.API = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		kinds:   map[platform.Kind]*collection{},
+		calls:   map[Call]int{},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetHook calls f at put.before and put.after_before_answer.
+func (s *Store) SetHook(f func(point string)) { s.hook.Store(&f) }
+
+// SetFaults replaces the switches.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.notify()
+}
+
+// Faults returns the switches.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Calls returns how many calls of each kind have come.
+func (s *Store) Calls() map[Call]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Compact forgets the history of a kind: watches from before now must list.
+func (s *Store) Compact(kind platform.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	c.floor = c.revision
+}
+
+// SetInventory sets the list of machines. Callers see it after InventoryLag.
+func (s *Store) SetInventory(i platform.Inventory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inventory = append(s.inventory, shown{time.Now(), i})
+}
+
+// Get implements platform.API.
+func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if err := s.begin(ctx, CallGet); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.collection(kind).objects[name]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+// List implements platform.API.
+func (s *Store) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	if err := s.begin(ctx, CallList); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	return c.after(0), c.revision, nil
+}
+
+// Put implements platform.API.
+func (s *Store) Put(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
+	if err := s.begin(ctx, CallPut); err != nil {
+		return platform.Object{}, err
+	}
+	s.at("put.before")
+	o, lost, err := s.store(kind, name, value, ifVersion)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	s.at("put.after_before_answer")
+	if lost || ctx.Err() != nil {
+		return platform.Object{}, platform.ErrOutcomeUnknown
+	}
+	return o, nil
+}
+
+func (s *Store) store(kind platform.Kind, name string, value []byte, ifVersion int64) (o platform.Object, lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	o = c.objects[name]
+	if o.Version != ifVersion || len(value) > platform.MaxValueSize {
+		return o, false, platform.ErrConflict
+	}
+	c.revision++
+	o = platform.Object{Kind: kind, Name: name, Version: ifVersion + 1, Revision: c.revision, Value: bytes.Clone(value)}
+	c.objects[name] = o
+	lost = s.faults.LoseAnswers > 0
+	if lost {
+		s.faults.LoseAnswers--
+	}
+	s.notify()
+	return o, lost, nil
+}
+
+// Watch implements platform.API. It waits ten seconds at the longest.
+func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	return s.watch(ctx, kind, after, defaultWait)
+}
+
+func (s *Store) watch(ctx context.Context, kind platform.Kind, after int64, wait time.Duration) ([]platform.Object, int64, error) {
+	if err := s.begin(ctx, CallWatch); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		objects, revision, changed, err := s.peek(kind, after)
+		if err != nil || len(objects) > 0 {
+			return objects, revision, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) peek(kind platform.Kind, after int64) ([]platform.Object, int64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	switch {
+	case s.faults.Outage:
+		return nil, 0, nil, platform.ErrUnavailable
+	case after < c.floor || after > c.revision:
+		return nil, 0, nil, platform.ErrCompacted
+	}
+	return c.after(after), c.revision, s.changed, nil
+}
+
+// Inventory implements platform.API.
+func (s *Store) Inventory(ctx context.Context) (platform.Inventory, error) {
+	if err := s.begin(ctx, CallInventory); err != nil {
+		return platform.Inventory{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := time.Now().Add(-s.faults.InventoryLag)
+	for _, i := range slices.Backward(s.inventory) {
+		if !i.at.After(due) {
+			return i.inventory, nil
+		}
+	}
+	return platform.Inventory{}, nil
+}
+
+// begin counts a call and applies the delay and the outage.
+func (s *Store) begin(ctx context.Context, c Call) error {
+	s.mu.Lock()
+	s.calls[c]++
+	delay := s.faults.Delay
+	s.mu.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if s.Faults().Outage {
+		return platform.ErrUnavailable
+	}
+	return ctx.Err()
+}
+
+func (s *Store) at(point string) {
+	if f := s.hook.Load(); f != nil && *f != nil {
+		(*f)(point)
+	}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) collection(kind platform.Kind) *collection {
+	c := s.kinds[kind]
+	if c == nil {
+		c = &collection{objects: map[string]platform.Object{}}
+		s.kinds[kind] = c
+	}
+	return c
+}
+
+// after returns the objects changed past a revision, in that order.
+func (c *collection) after(revision int64) []platform.Object {
+	objects := []platform.Object{}
+	for _, o := range c.objects {
+		if o.Revision > revision {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	return objects
+}
--- /dev/null
+++ b/internal/standin/platform/store_test.go
@@ -0,0 +1,112 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+func put(s *Store, name, value string, version int64) (platform.Object, error) {
+	return s.Put(context.Background(), platform.KindGroup, name, []byte(value), version)
+}
+
+func TestConditionalPutAndWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewStore()
+		o, err := put(s, "a", "1", 0)
+		is.NoErr(err)
+		is.Equal(o.Version, int64(1))
+		_, err = put(s, "a", "2", 0)
+		is.Equal(err, platform.ErrConflict)
+		time.AfterFunc(time.Second, func() { _, _ = put(s, "b", "1", 0) })
+		objects, revision, err := s.Watch(t.Context(), platform.KindGroup, o.Revision)
+		is.NoErr(err)
+		is.Equal(objects[0].Name, "b")
+		start := time.Now()
+		objects, _, err = s.Watch(t.Context(), platform.KindGroup, revision)
+		is.NoErr(err)
+		is.Equal(len(objects), 0)
+		is.Equal(time.Since(start), defaultWait)
+		s.Compact(platform.KindGroup)
+		_, _, err = s.Watch(t.Context(), platform.KindGroup, o.Revision)
+		is.Equal(err, platform.ErrCompacted)
+		is.Equal(s.Calls()[CallWatch], 3)
+	})
+}
+
+// The caller learns nothing of its Put though the value is stored, because the
+// answer was lost on the way back. In an outage every call fails, and a watch
+// that waits already fails as the outage begins.
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewStore()
+		s.SetFaults(Faults{LoseAnswers: 1})
+		_, err := put(s, "a", "1", 0)
+		is.Equal(err, platform.ErrOutcomeUnknown)
+		o, err := s.Get(t.Context(), platform.KindGroup, "a")
+		is.NoErr(err)
+		is.Equal(string(o.Value), "1")
+		time.AfterFunc(time.Second, func() { s.SetFaults(Faults{Outage: true}) })
+		_, _, err = s.Watch(t.Context(), platform.KindGroup, o.Revision)
+		is.Equal(err, platform.ErrUnavailable)
+		s.SetFaults(Faults{InventoryLag: time.Second})
+		s.SetInventory(platform.Inventory{Upstreams: []platform.Upstream{{Address: "x"}}})
+		i, err := s.Inventory(t.Context())
+		is.NoErr(err)
+		is.Equal(len(i.Upstreams), 0)
+		<-time.After(time.Second)
+		i, err = s.Inventory(t.Context())
+		is.NoErr(err)
+		is.Equal(len(i.Upstreams), 1)
+	})
+}
+
+func TestHandler(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(Handler(NewStore()))
+	defer server.Close()
+	call := func(method, path, ifMatch, body string) (int, string) {
+		r, err := http.NewRequestWithContext(t.Context(), method, server.URL+path, strings.NewReader(body))
+		is.NoErr(err)
+		r.Header.Set("If-Match", ifMatch)
+		answer, err := server.Client().Do(r)
+		if err != nil {
+			return 0, ""
+		}
+		defer answer.Body.Close()
+		text, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		return answer.StatusCode, strings.TrimSpace(string(text))
+	}
+	code, text := call("PUT", "/v1/objects/groups/a", `"0"`, "x")
+	is.Equal(code, 200)
+	is.Equal(text, `{"kind":"groups","name":"a","version":1,"revision":1,"value":"eA=="}`)
+	code, _ = call("PUT", "/v1/objects/groups/a", `"0"`, "x")
+	is.Equal(code, 409)
+	code, _ = call("GET", "/v1/objects/groups/b", "", "")
+	is.Equal(code, 404)
+	code, text = call("GET", "/v1/watch/groups?after=1&wait_ms=1", "", "")
+	is.Equal(code, 200)
+	is.Equal(text, `{"objects":[],"revision":1}`)
+	code, _ = call("GET", "/v1/watch/groups?after=9&wait_ms=1", "", "")
+	is.Equal(code, 410)
+	call("POST", "/v1/faults", "", `{"lose_answers":1}`)
+	code, _ = call("PUT", "/v1/objects/groups/a", `"1"`, "y")
+	is.Equal(code, 0)
+	code, text = call("GET", "/v1/objects/groups/a", "", "")
+	is.Equal(code, 200)
+	is.True(strings.Contains(text, `"version":2`))
+	call("POST", "/v1/faults", "", `{"outage":true}`)
+	code, _ = call("GET", "/v1/inventory", "", "")
+	is.Equal(code, 503)
+}
