--- a/cmd/topazrock/main.go
+++ b/cmd/topazrock/main.go
@@ -1,4 +1,34 @@
-// Command topazrock is described in the README.
+// Command topazrock is a database proxy with session consistency, and its
+// command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/topazrock/topazrock/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(cli.Run(ctx, cli.Environment{
+		Args:   os.Args[1:],
+		Stdin:  os.Stdin,
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		User:   accountName(),
+	}))
+}
+
+// accountName returns the name of the account that runs the process.
+func accountName() string {
+	account, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return account.Username
+}
--- a/internal/adminapi/documents.go
+++ b/internal/adminapi/documents.go
@@ -9,6 +9,7 @@
 	"unicode"
 	"unicode/utf8"
 
+	"github.com/topazrock/topazrock/internal/inifile"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -82,7 +83,8 @@
 // applyError gives an error without a code the one that claims least: the
 // change may have been stored before the error arose.
 func applyError(err error) error {
-	if _, ok := result.As(err); ok {
+	var faulty inifile.Problems
+	if _, ok := result.As(err); ok || errors.As(err, &faulty) {
 		return err
 	}
 	return result.New(result.StillSettling, "%v", err)
--- a/internal/adminapi/problem.go
+++ b/internal/adminapi/problem.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/topazrock/topazrock/internal/inifile"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -58,6 +59,10 @@
 // that the API does, which is to the platform.
 func newProblem(err error) *Problem {
 	e, ok := result.As(err)
+	var faulty inifile.Problems
+	if !ok && errors.As(err, &faulty) {
+		e, ok = result.New(result.DocumentInvalid, "%d faults", len(faulty)).WithCause(faulty), true
+	}
 	if !ok {
 		e = result.New(result.PlatformUnavailable, "%v", err)
 	}
@@ -83,18 +88,15 @@
 	return p
 }
 
-// faults splits a joined error into its texts.
+// faults lists the faults of a document, one text each.
 func faults(err error) []string {
-	if err == nil {
+	var faulty inifile.Problems
+	if !errors.As(err, &faulty) {
 		return nil
 	}
-	var joined interface{ Unwrap() []error }
-	if !errors.As(err, &joined) {
-		return []string{err.Error()}
-	}
 	var texts []string
-	for _, e := range joined.Unwrap() {
-		texts = append(texts, e.Error())
+	for _, f := range faulty {
+		texts = append(texts, f.String())
 	}
 	return texts
 }
--- a/internal/adminapi/server_test.go
+++ b/internal/adminapi/server_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/inifile"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/member"
 	"github.com/topazrock/topazrock/internal/netio"
@@ -44,8 +45,7 @@
 	if strings.Contains(text, "[service]") {
 		return nil
 	}
-	return result.New(result.DocumentInvalid, "2 faults").
-		WithCause(errors.Join(errors.New("base:1: first"), errors.New("base:2: second")))
+	return inifile.Problems{{File: "base", Line: 1, Reason: "first"}, {File: "base", Line: 2, Reason: "second"}}
 }
 
 func (f *fakeDocuments) Apply(_ context.Context, _, _ string, ifVersion int64, by string) (Outcome, error) {
@@ -106,7 +106,7 @@
 		{Outcome{}, nil, http.StatusGatewayTimeout, result.StillSettling},
 		{Outcome{}, errors.New("connection reset"), http.StatusGatewayTimeout, result.StillSettling},
 		{Outcome{}, result.New(result.PlatformUnavailable, "down"), http.StatusServiceUnavailable, result.PlatformUnavailable},
-		{Outcome{}, result.New(result.DocumentInvalid, "bad"), http.StatusUnprocessableEntity, result.DocumentInvalid},
+		{Outcome{}, inifile.Problems{{Reason: "bad"}}, http.StatusUnprocessableEntity, result.DocumentInvalid},
 	}
 	for _, c := range cases {
 		is := is.New(t)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,5 +1,14 @@
 // Package admission decides which request may run now, which waits, and which
 // is refused at once.
+//
+// Waiters are ordered by priority, then by deadline, then by arrival. Every
+// eighth slot given to a waiter goes to the one that has waited longest, so
+// that a low priority keeps a small share under any load and a high one loses
+// no more than that. Bulk requests leave a part of the slots free while urgent
+// writes come in.
+//
+// Lock order: Controller.mu is the only lock; nothing is called under it but
+// the clock, the random source and the metrics.
 package admission
 
 import (
--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,244 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+func newController(slots int) *Controller {
+	return New(Config{
+		Group: "contracts",
+		Clock: clock.System{},
+		Rand:  rand.New(rand.NewPCG(1, 2)),
+		Slots: slots,
+	})
+}
+
+// enter takes a slot or ends the test.
+func enter(t *testing.T, c *Controller, r Request) func() {
+	t.Helper()
+	release, err := c.Enter(t.Context(), r)
+	if err != nil {
+		t.Fatalf("enter: %v", err)
+	}
+	return release
+}
+
+// hold takes a slot and gives it back after d, so that the class's service time
+// is known.
+func hold(t *testing.T, c *Controller, r Request, d time.Duration) {
+	t.Helper()
+	release := enter(t, c, r)
+	_ = clock.Sleep(t.Context(), clock.System{}, d)
+	release()
+}
+
+// queueUp enters in the background and reports the class on got.
+func queueUp(c *Controller, r Request, got chan<- string) {
+	go func() {
+		release, err := c.Enter(context.Background(), r)
+		if err == nil {
+			got <- r.Class
+			release()
+		}
+	}()
+	synctest.Wait()
+}
+
+func TestRenewalsGoBeforeLookups(t *testing.T) {
+	// The only slot is in use, a lookup waits, then a renewal arrives. The
+	// renewal gets the slot first because of its priority.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(1)
+		release := enter(t, c, lookup)
+		got := make(chan string, 2)
+		queueUp(c, lookup, got)
+		queueUp(c, renewal, got)
+		release()
+		is.Equal(<-got, "renewal")
+		is.Equal(<-got, "lookup")
+	})
+}
+
+func TestLowPriorityIsNotStarved(t *testing.T) {
+	// Renewals keep coming faster than the one slot serves them. A lookup that
+	// waits still gets its turn, after at most seven of them.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(1)
+		release := enter(t, c, lookup)
+		got := make(chan string, 20)
+		queueUp(c, lookup, got)
+		for range 10 {
+			queueUp(c, renewal, got)
+		}
+		release()
+		before := 0
+		for class := <-got; class != "lookup"; class = <-got {
+			before++
+		}
+		is.Equal(before, fairEvery-1)
+	})
+}
+
+func TestBulkLeavesASlotForUrgentWrites(t *testing.T) {
+	// Renewals were seen lately. Lookups come in bulk and would take every
+	// slot; the last one stays free and the next renewal does not wait.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(2)
+		enter(t, c, renewal)()
+		releaseLookup := enter(t, c, lookup)
+		got := make(chan string, 2)
+		queueUp(c, lookup, got)
+		is.Equal(c.Stats(), Stats{Slots: 2, Running: 1, Waiting: 1})
+		began := time.Now()
+		enter(t, c, renewal)()
+		is.Equal(time.Since(began), time.Duration(0))
+		releaseLookup()
+		is.Equal(<-got, "lookup")
+	})
+}
+
+func TestReserveLapsesWithoutUrgentWrites(t *testing.T) {
+	// No renewal came for longer than the reserve remembers. Lookups may then
+	// use every slot: a reserve that nobody needs would only cost throughput.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(2)
+		enter(t, c, renewal)()
+		_ = clock.Sleep(t.Context(), clock.System{}, reserveMemory+time.Millisecond)
+		first, second := enter(t, c, lookup), enter(t, c, lookup)
+		is.Equal(c.Stats().Running, 2)
+		first()
+		second()
+	})
+}
+
+func TestHopelessDeadlineIsRefusedAtOnce(t *testing.T) {
+	// A lookup takes a second and one runs. The next caller has half a second:
+	// it is refused on arrival and told when to come back.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(1)
+		hold(t, c, lookup, time.Second)
+		release := enter(t, c, lookup)
+		r := lookup
+		r.Deadline = time.Now().Add(500 * time.Millisecond)
+		began := time.Now()
+		_, err := c.Enter(t.Context(), r)
+		e, ok := result.As(err)
+		is.True(ok)
+		is.Equal(e.Code, result.DeadlineTooShort)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.True(e.RetryAfter >= time.Second)
+		release()
+	})
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	// The class's queue is full. The next request is refused at once, and a
+	// request of another class still finds room.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(1)
+		release := enter(t, c, lookup)
+		got := make(chan string, 2)
+		bounded := lookup
+		bounded.MaxQueue = 1
+		queueUp(c, bounded, got)
+		_, err := c.Enter(t.Context(), bounded)
+		e, _ := result.As(err)
+		is.Equal(e.Code, result.QueueFull)
+		queueUp(c, renewal, got)
+		is.Equal(c.Stats().Waiting, 2)
+		release()
+		is.Equal(<-got, "renewal")
+		is.Equal(<-got, "lookup")
+	})
+}
+
+func TestWaiterIsRefusedAtItsDeadline(t *testing.T) {
+	// The slot is held by a statement that never ends. The waiter gets its
+	// final answer at its deadline, not when the slot comes free.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(1)
+		release := enter(t, c, lookup)
+		r := renewal
+		r.Deadline = time.Now().Add(time.Second)
+		began := time.Now()
+		_, err := c.Enter(t.Context(), r)
+		e, _ := result.As(err)
+		is.Equal(e.Code, result.QueueTimeout)
+		is.Equal(time.Since(began), time.Second)
+		release()
+	})
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	// A planned stop begins while one request runs and one waits. Both end as
+	// usual, a new one is refused, and only then the drain is over.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(1)
+		release := enter(t, c, lookup)
+		got := make(chan string, 1)
+		queueUp(c, renewal, got)
+		drained := make(chan error, 1)
+		go func() { drained <- c.Drain(context.Background()) }()
+		synctest.Wait()
+		_, err := c.Enter(t.Context(), renewal)
+		e, _ := result.As(err)
+		is.Equal(e.Code, result.Draining)
+		is.Equal(len(drained), 0)
+		release()
+		is.Equal(<-got, "renewal")
+		is.NoErr(<-drained)
+	})
+}
+
+func TestFewerSlotsSettleWhenRequestsEnd(t *testing.T) {
+	// Two requests run when the slots are cut to one. Nothing is cut short;
+	// Settle returns when one has ended, and only then may the slot be lent.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(2)
+		first, second := enter(t, c, lookup), enter(t, c, lookup)
+		c.SetSlots(1)
+		settled := make(chan error, 1)
+		go func() { settled <- c.Settle(context.Background()) }()
+		synctest.Wait()
+		is.Equal(len(settled), 0)
+		first()
+		first()
+		is.NoErr(<-settled)
+		is.Equal(c.Stats().Running, 1)
+		second()
+	})
+}
+
+func BenchmarkEnter(b *testing.B) {
+	c := newController(64)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			release, err := c.Enter(ctx, renewal)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			release()
+		}
+	})
+}
--- /dev/null
+++ b/internal/admission/dispatch.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// dispatch gives free slots to waiters. It runs under the lock after every
+// change of the tables.
+func (c *Controller) dispatch() {
+	for len(c.inUse) < c.slots {
+		w := c.next()
+		if w == nil {
+			break
+		}
+		c.waiting.Remove(w)
+		w.class.waiting--
+		if err := c.tooLate(w); err != nil {
+			w.granted <- grant{err: err}
+			continue
+		}
+		c.contended++
+		c.admit(w)
+	}
+	c.running.Set(float64(len(c.inUse)))
+	c.waits.Set(float64(c.waiting.Len()))
+}
+
+// next returns the waiter whose turn it is, nil if none may have a slot.
+func (c *Controller) next() *waiter {
+	fair := c.contended%fairEvery == fairEvery-1
+	var chosen *waiter
+	for _, w := range c.waiting.Items() {
+		if !c.allowed(w) {
+			continue
+		}
+		if !fair {
+			return w
+		}
+		if chosen == nil || w.arrival < chosen.arrival {
+			chosen = w
+		}
+	}
+	return chosen
+}
+
+// allowed reports whether w may take a slot without touching the reserve.
+func (c *Controller) allowed(w *waiter) bool {
+	return w.urgent() || len(c.inUse) < c.slots-c.reserve()
+}
+
+// reserve is the number of slots kept free for urgent requests. Without it bulk
+// requests hold all slots when a renewal arrives, and the renewal waits for a
+// whole bulk request although it goes first in the queue.
+func (c *Controller) reserve() int {
+	if c.slots < 2 || c.urgentWrite.IsZero() {
+		return 0
+	}
+	if c.cfg.Clock.Now().Sub(c.urgentWrite) > reserveMemory {
+		return 0
+	}
+	return max(c.slots/reservePart, 1)
+}
+
+// tooLate returns the error for a waiter that would not end by its deadline any
+// more. A slot given to it would be spent on an answer that nobody takes.
+func (c *Controller) tooLate(w *waiter) *result.Error {
+	if !c.cfg.Clock.Now().Add(w.class.service).After(w.request.Deadline) {
+		return nil
+	}
+	return c.refusal(result.QueueTimeout, w.class, c.expectedWait(w))
+}
+
+// admit gives w a slot.
+func (c *Controller) admit(w *waiter) {
+	now := c.cfg.Clock.Now()
+	s := &slot{class: w.class, since: now}
+	c.inUse[s] = struct{}{}
+	w.class.admitted.Inc()
+	w.class.wait.Observe(now.Sub(w.arrived).Seconds())
+	w.granted <- grant{slot: s}
+	c.running.Set(float64(len(c.inUse)))
+}
+
+// release takes back a slot. A second call for the same slot does nothing.
+func (c *Controller) release(s *slot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.inUse[s]; !ok {
+		c.log.Error("Released a slot twice.", "group", c.cfg.Group, "class", s.class.name)
+		return
+	}
+	delete(c.inUse, s)
+	s.class.observe(max(c.cfg.Clock.Now().Sub(s.since), time.Microsecond))
+	c.dispatch()
+	c.signal()
+}
--- /dev/null
+++ b/internal/admission/load_test.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+const (
+	loadSlots    = 5
+	meanService  = 20 * time.Millisecond
+	loadTime     = 20 * time.Second
+	renewalShare = 0.1
+	// capacity is how many requests a second the slots serve at most.
+	capacity = float64(loadSlots) / 0.020
+)
+
+var (
+	renewal = Request{Class: "renewal", Priority: 1, Write: true, MaxQueue: 50}
+	lookup  = Request{Class: "lookup", Priority: 5, MaxQueue: 200}
+)
+
+// load is an open stream of requests against one controller.
+type load struct {
+	gate   *Controller
+	random *rand.Rand
+
+	mu sync.Mutex
+	// done counts the requests of a class that ended before their deadline.
+	done map[string]int
+	// waits holds the time from arrival to slot of those admitted.
+	waits map[string][]time.Duration
+	// refusedAt holds the time from arrival to refusal, by code.
+	refusedAt map[result.Code][]time.Duration
+}
+
+// runLoad offers factor times the capacity, a tenth of it renewals up to half
+// of the capacity, and returns what came of it.
+func runLoad(factor float64, requestTimeout time.Duration) *load {
+	l := &load{
+		gate:      New(Config{Group: "contracts", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(3, 4)), Slots: loadSlots}),
+		random:    rand.New(rand.NewPCG(5, 6)),
+		done:      make(map[string]int),
+		waits:     make(map[string][]time.Duration),
+		refusedAt: make(map[result.Code][]time.Duration),
+	}
+	var all sync.WaitGroup
+	end := time.Now().Add(loadTime)
+	for time.Now().Before(end) {
+		gap := time.Duration(l.random.ExpFloat64() / (capacity * factor) * float64(time.Second))
+		_ = clock.Sleep(context.Background(), clock.System{}, gap)
+		r := lookup
+		if l.random.Float64() < renewalShare {
+			r = renewal
+		}
+		r.Deadline = time.Now().Add(requestTimeout)
+		service := time.Duration(l.random.ExpFloat64() * float64(meanService))
+		all.Go(func() { l.request(r, service) })
+	}
+	all.Wait()
+	return l
+}
+
+func (l *load) request(r Request, service time.Duration) {
+	arrived := time.Now()
+	release, err := l.gate.Enter(context.Background(), r)
+	waited := time.Since(arrived)
+	if err != nil {
+		e, _ := result.As(err)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.refusedAt[e.Code] = append(l.refusedAt[e.Code], waited)
+		return
+	}
+	_ = clock.Sleep(context.Background(), clock.System{}, service)
+	release()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waits[r.Class] = append(l.waits[r.Class], waited)
+	if !time.Now().After(r.Deadline) {
+		l.done[r.Class]++
+	}
+}
+
+// goodput is how many requests a second ended before their deadline.
+func (l *load) goodput() float64 {
+	return float64(l.done["renewal"]+l.done["lookup"]) / loadTime.Seconds()
+}
+
+// p99 returns the 99th percentile.
+func p99(d []time.Duration) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return d[len(d)*99/100]
+}
+
+func TestGoodputHoldsUnderOverload(t *testing.T) {
+	// Callers offer two and five times what the slots can do. Those that cannot
+	// be served in time are told so on arrival, so that the slots go on doing
+	// work that is still wanted, and renewals do not notice the rest.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		timeout := 500 * time.Millisecond
+		var peak float64
+		for _, factor := range []float64{0.7, 0.9, 1, 1.2} {
+			peak = max(peak, runLoad(factor, timeout).goodput())
+		}
+		for _, factor := range []float64{2, 5} {
+			l := runLoad(factor, timeout)
+			t.Logf("load %.0fx: goodput %.1f/s of peak %.1f/s, renewal p99 wait %v, lookup p99 wait %v, refused at once %d, in the queue %d",
+				factor, l.goodput(), peak, p99(l.waits["renewal"]), p99(l.waits["lookup"]),
+				len(l.refusedAt[result.DeadlineTooShort])+len(l.refusedAt[result.QueueFull]),
+				len(l.refusedAt[result.QueueTimeout]))
+			is.True(l.goodput() >= 0.9*peak)
+			is.Equal(p99(l.refusedAt[result.DeadlineTooShort]), time.Duration(0))
+			is.Equal(p99(l.refusedAt[result.QueueFull]), time.Duration(0))
+			is.True(p99(l.waits["renewal"]) < 5*meanService)
+			is.True(len(l.waits["lookup"]) > 0)
+		}
+	})
+}
--- /dev/null
+++ b/internal/cli/local.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/topazrock/topazrock/internal/build"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// versionCommand prints the version of the program.
+type versionCommand struct{ root *root }
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.root.env.Stdout, "topazrock", build.Version())
+	return err
+}
+
+// codesCommand prints the page of result codes.
+type codesCommand struct{ root *root }
+
+// Execute implements flags.Commander.
+func (c *codesCommand) Execute([]string) error { return result.WritePage(c.root.env.Stdout) }
+
+// verifierCommand makes a password verifier.
+type verifierCommand struct{ root *root }
+
+// Execute implements flags.Commander. The password comes from standard input,
+// since arguments show in the list of processes.
+func (c *verifierCommand) Execute([]string) error {
+	input := bufio.NewScanner(c.root.env.Stdin)
+	if !input.Scan() {
+		return &exitError{ExitUsage, errors.New("give the password as one line on standard input")}
+	}
+	password := strings.TrimSuffix(input.Text(), "\r")
+	if password == "" {
+		return &exitError{ExitUsage, errors.New("the password is empty")}
+	}
+	verifier, err := document.NewVerifier(password)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.root.env.Stdout, verifier)
+	return err
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,22 @@
+package cli
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// serveCommand runs an entry instance.
+type serveCommand struct {
+	root     *root
+	Settings string `long:"settings" short:"s" required:"true" description:"settings file" value-name:"FILE"`
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	if c.root.env.Serve == nil {
+		return errors.New("this build cannot serve")
+	}
+	err := c.root.env.Serve(c.root.ctx, c.Settings)
+	return oops.In("serve").Wrap(err)
+}
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -9,11 +9,28 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/logpos"
 )
 
+// Step is one extended-protocol message in a Unit's Shape, by the answer it gets.
+type Step = byte
+
+// Steps. The synthetic ones were left out of Messages, and their answer is
+// added where it belongs in the order of answers.
+const (
+	StepParse          Step = 'P'
+	StepBind           Step = 'B'
+	StepDescribe       Step = 'D'
+	StepExecute        Step = 'E'
+	StepClose          Step = 'C'
+	StepSync           Step = 'S'
+	StepSyntheticParse Step = 'p'
+	StepSyntheticClose Step = 'c'
+)
+
 // Statement is a prepared statement of the caller's session.
 type Statement struct {
 	SQL           string   `json:"sql"`
@@ -22,7 +39,11 @@
 
 // Unit is one piece of work.
 type Unit struct {
-	Group string `json:"group"`
+	// ID names the unit on its entry instance, for cancel and partial answers.
+	ID string `json:"id"`
+	// ReplyTo is the peer address of the entry instance; empty when it is this one.
+	ReplyTo string `json:"reply_to,omitempty"`
+	Group   string `json:"group"`
 	// Class and Key come from the request's tag; empty when untagged.
 	Class string `json:"class,omitempty"`
 	Key   string `json:"key,omitempty"`
@@ -34,10 +55,21 @@
 	// Timeout is the time left to the caller's deadline when the unit was sent.
 	Timeout time.Duration `json:"timeout"`
 	// Messages are encoded frontend messages, the last of them Query or Sync.
+	// Named statements go by names made of their content, and their Parse and
+	// Close messages are left out: they are shared between sessions.
 	Messages []byte `json:"messages"`
-	// Statements holds the session's prepared statements that Messages name
-	// and do not define.
+	// Shape lists the extended-protocol messages in order, one Step each; empty
+	// for a Query.
+	Shape string `json:"shape,omitempty"`
+	// Statements holds the named statements that Messages refer to.
 	Statements map[string]Statement `json:"statements,omitempty"`
+	// Unnamed is the session's unnamed statement where Messages refer to it
+	// without defining it.
+	Unnamed *Statement `json:"unnamed,omitempty"`
+	// Ends hints that the unit ends a transaction, Begins that it opens one. A
+	// wrong hint costs a round trip, never a promise.
+	Ends   bool `json:"ends,omitempty"`
+	Begins bool `json:"begins,omitempty"`
 	// Transaction names the open transaction; empty outside of one.
 	Transaction string `json:"transaction,omitempty"`
 }
@@ -52,12 +84,20 @@
 	Transaction string `json:"transaction,omitempty"`
 	// TransactionStatus is the status byte of the final ReadyForQuery: I, T or E.
 	TransactionStatus byte `json:"transaction_status"`
+	// Failed says that the answer ends in an error of the member.
+	Failed bool `json:"failed,omitempty"`
 	// Member is the address of the member that answered.
 	Member string `json:"member,omitempty"`
 	// Replica says that a replica answered.
 	Replica bool `json:"replica,omitempty"`
 }
 
+// Runs reports whether the unit executes anything, rather than only preparing
+// or describing statements.
+func (u *Unit) Runs() bool {
+	return u.Shape == "" || strings.IndexByte(u.Shape, StepExecute) >= 0
+}
+
 // Executor runs units.
 type Executor interface {
 	// Execute runs one unit. Large answers go to partial piece by piece before
@@ -67,4 +107,7 @@
 	Execute(ctx context.Context, u *Unit, partial func([]byte) error) (*Reply, error)
 	// Abandon rolls back and releases an open transaction whose caller is gone.
 	Abandon(group, transaction string)
+	// Cancel asks the member to stop the statement that a unit is running. The
+	// unit still gets its own answer.
+	Cancel(group, unitID string)
 }
--- /dev/null
+++ b/internal/executor/execute.go
@@ -0,0 +1,63 @@
+package executor
+
+import (
+	"context"
+
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// Execute implements execution.Executor for the group's units.
+func (g *Group) Execute(ctx context.Context, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
+	p, err := newPlan(g.Service(), u)
+	if err != nil {
+		return nil, g.Metrics.refused(g.Group, err)
+	}
+	ctx, cancel := context.WithDeadline(ctx, g.Clock.Now().Add(min(u.Timeout, p.timeout)))
+	defer cancel()
+	g.Budget.Deposit()
+	reply, err := g.dispatch(ctx, u, p, partial)
+	if err != nil {
+		return nil, g.Metrics.refused(g.Group, err)
+	}
+	g.Metrics.answered(g.Group, p.class, reply.Replica)
+	return reply, nil
+}
+
+func (g *Group) dispatch(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
+	switch {
+	case u.Transaction != "":
+		return g.continueTransaction(ctx, u, p, partial)
+	case p.read:
+		return g.read(ctx, u, p, partial)
+	default:
+		return g.write(ctx, u, p, partial)
+	}
+}
+
+// enter waits for a slot.
+func (g *Group) enter(ctx context.Context, p plan, inTransaction bool) (func(), error) {
+	deadline, _ := ctx.Deadline()
+	return g.Gate.Enter(ctx, p.admission(deadline, inTransaction))
+}
+
+// Cancel implements execution.Executor.
+func (g *Group) Cancel(_, unitID string) {
+	c := g.running.claimCancel(unitID)
+	if c == nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	if err := c.Cancel(ctx, g.Dialer); err != nil {
+		g.Logger.Debug("Cancel request was not sent.", "member", c.Address(), "error", err)
+	}
+}
+
+// unknown returns the error of a unit that was sent and whose end is not known.
+func unknown(ctx context.Context, cause error) *result.Error {
+	if ctx.Err() != nil || isTimeout(cause) {
+		return result.New(result.StatementTimeout, "no whole answer in time").WithCause(cause)
+	}
+	return result.New(result.ConnectionLost, "after the request was sent").WithCause(cause)
+}
--- /dev/null
+++ b/internal/executor/group.go
@@ -0,0 +1,81 @@
+// Package executor runs units at the members of a group, on an instance that is
+// home to the group, and forwards units of other groups to their homes.
+//
+// Invariants. A unit's bytes go to at most one primary, once. What a primary
+// answered is passed on only after the group confirmed the position at which
+// the unit ended, in the primary's term. Before the first byte was written a
+// failure is of the did-not-run family; after it, of the outcome-unknown family,
+// unless the request's key proves otherwise. A connection belongs to one unit or
+// one transaction at a time.
+//
+// Lock order: transaction.mu, then transactions.mu or running.mu. The two table
+// locks are never held together, and none is held across I/O but transaction.mu,
+// which no other transaction waits for.
+package executor
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/pool"
+)
+
+// RetryBudget says whether one more retry may be made now.
+type RetryBudget interface {
+	// Deposit counts a request, which earns a share of a retry.
+	Deposit()
+	// Withdraw takes one retry, or reports that the budget is spent.
+	Withdraw() bool
+}
+
+// Config is what a Group is made of.
+type Config struct {
+	// Group is the group's name, Instance the ID of this instance.
+	Group, Instance string
+	FailureDomain   string
+	// Service returns the service document in force.
+	Service func() *document.Service
+	Tracker group.Tracker
+	Pool    pool.Pool
+	Gate    admission.Gate
+	Budget  RetryBudget
+	Clock   clock.Clock
+	Random  *rand.Rand
+	Dialer  netio.Dialer
+	Logger  hclog.Logger
+	Metrics *Metrics
+}
+
+// Group runs the units of one group on a home instance.
+type Group struct {
+	Config
+	transactions *transactions
+	running      *running
+}
+
+// NewGroup returns a Group that is ready to run units.
+func NewGroup(c Config) *Group {
+	c.Logger = c.Logger.Named("executor")
+	return &Group{
+		Config:       c,
+		transactions: newTransactions(c.Instance + transactionSeparator + c.Group),
+		running:      newRunning(),
+	}
+}
+
+// OpenTransactions returns how many transactions are open.
+func (g *Group) OpenTransactions() int { return g.transactions.count() }
+
+// transactionSeparator stands behind the instance in a transaction's ID.
+const transactionSeparator = "/"
+
+// confirmationAge is how old the newest report of an attached replica may be
+// for a write to be sent. A primary that no replica follows cannot have its
+// writes confirmed, so sending one would only make an unknown outcome.
+const confirmationAge = time.Second
--- /dev/null
+++ b/internal/executor/intransaction.go
@@ -0,0 +1,141 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// continueTransaction runs a unit on the connection of its transaction.
+func (g *Group) continueTransaction(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
+	tx := g.transactions.find(u.Transaction)
+	if tx == nil {
+		return nil, result.New(result.TransactionLost, "its connection is gone")
+	}
+	tx.mu.Lock()
+	defer tx.mu.Unlock()
+	if tx.ended {
+		return nil, result.New(result.TransactionLost, "it was ended before")
+	}
+	release, err := g.enter(ctx, p, true)
+	if err != nil {
+		g.end(tx, true)
+		return nil, err
+	}
+	x := newExchange(tx.conn, u, p.limits.AnswerBuffer, partial)
+	err = g.converseIn(ctx, u, p, x, tx)
+	release()
+	if err != nil {
+		g.end(tx, true)
+		g.reportBroken(tx.conn, err)
+		return nil, unknown(ctx, err)
+	}
+	tx.lastUsed = g.Clock.Now()
+	return g.concludeIn(ctx, u, p, x, tx)
+}
+
+func (g *Group) converseIn(ctx context.Context, u *execution.Unit, p plan, x *exchange, tx *transaction) error {
+	if err := tx.conn.SetDeadline(g.statementDeadline(ctx, p)); err != nil {
+		return err
+	}
+	var parts []part
+	if prepare, names, ok := preparePart(x.conn, u); ok {
+		x.prepared = names
+		parts = append(parts, prepare)
+	}
+	if p.keyed(u) {
+		parts = append(parts, queryPart(partKey, insertKey(u.Key, keyRan)))
+	}
+	parts = append(parts, part{kind: partUnit, bytes: u.Messages})
+	if u.Ends && !tx.replica {
+		parts = append(parts, statusPart())
+	}
+	g.running.start(u.ID, x.conn)
+	err := x.run(parts)
+	g.running.stop(u.ID, x.conn)
+	return err
+}
+
+// concludeIn replies to a unit in a transaction and ends the transaction when
+// the unit did.
+func (g *Group) concludeIn(ctx context.Context, u *execution.Unit, p plan, x *exchange, tx *transaction) (*execution.Reply, error) {
+	if x.keyFailure != nil {
+		return nil, g.keyRefusedIn(ctx, u, x, tx)
+	}
+	if x.final != statusIdle {
+		return &execution.Reply{
+			Messages:          x.answer.messages,
+			Token:             tx.token,
+			Transaction:       tx.id,
+			TransactionStatus: x.final,
+			Failed:            x.answer.failure != nil,
+			Member:            tx.conn.Address(),
+			Replica:           tx.replica,
+		}, nil
+	}
+	if tx.replica {
+		g.end(tx, false)
+		return g.reply(tx.token, x, true), nil
+	}
+	err := g.ensureReport(x)
+	g.end(tx, false)
+	if err != nil {
+		return nil, unknown(ctx, err)
+	}
+	if x.answer.completed == 0 {
+		return g.reply(tx.token, x, false), nil
+	}
+	mark, err := g.confirm(ctx, p, x.status)
+	if err != nil {
+		return nil, err
+	}
+	return g.reply(g.token(mark), x, false), nil
+}
+
+// end gives the transaction's connection back. With spoil the connection is
+// closed, which makes the member roll the transaction back.
+func (g *Group) end(tx *transaction, spoil bool) {
+	if tx.ended {
+		return
+	}
+	tx.ended = true
+	g.transactions.remove(tx.id)
+	if spoil {
+		tx.conn.Spoil()
+	}
+	g.Pool.Release(tx.conn)
+}
+
+// Abandon implements execution.Executor.
+func (g *Group) Abandon(_, id string) {
+	tx := g.transactions.find(id)
+	if tx == nil {
+		return
+	}
+	tx.mu.Lock()
+	defer tx.mu.Unlock()
+	g.end(tx, true)
+}
+
+// Run ends transactions that were idle for too long, until ctx ends. Their
+// locks and connections are held for callers that may be gone for good.
+func (g *Group) Run(ctx context.Context) {
+	for clock.Sleep(ctx, g.Clock, reapInterval) == nil {
+		limit := g.Service().Limits.TransactionIdleTimeout
+		for _, tx := range g.transactions.idleSince(g.Clock.Now().Add(-limit)) {
+			g.Logger.Info("Idle transaction was rolled back.", "group", g.Group, "transaction", tx.id)
+			g.Metrics.transactionReaped(g.Group)
+			g.Abandon(g.Group, tx.id)
+		}
+	}
+}
+
+// pollPause is the pause between two looks at a snapshot.
+const pollPause = 5 * time.Millisecond
+
+func (g *Group) pause(ctx context.Context) error {
+	return clock.Sleep(ctx, g.Clock, pollPause)
+}
--- /dev/null
+++ b/internal/executor/reply.go
@@ -0,0 +1,33 @@
+package executor
+
+import (
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/logpos"
+)
+
+// reply returns the answer of a unit after which no transaction is open.
+func (g *Group) reply(t logpos.Token, x *exchange, replica bool) *execution.Reply {
+	return &execution.Reply{
+		Messages:          x.answer.messages,
+		Token:             t,
+		TransactionStatus: statusIdle,
+		Failed:            x.answer.failure != nil,
+		Member:            x.conn.Address(),
+		Replica:           replica,
+	}
+}
+
+// openTransaction keeps the connection for the transaction that the unit opened.
+func (g *Group) openTransaction(u *execution.Unit, x *exchange, replica bool) *execution.Reply {
+	tx := &transaction{conn: x.conn, replica: replica, token: u.Token, lastUsed: g.Clock.Now()}
+	g.transactions.add(tx)
+	return &execution.Reply{
+		Messages:          x.answer.messages,
+		Token:             u.Token,
+		Transaction:       tx.id,
+		TransactionStatus: x.final,
+		Failed:            x.answer.failure != nil,
+		Member:            x.conn.Address(),
+		Replica:           replica,
+	}
+}
--- /dev/null
+++ b/internal/executor/running.go
@@ -0,0 +1,64 @@
+package executor
+
+import (
+	"sync"
+
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// runningUnit is a unit that a member is working on.
+type runningUnit struct {
+	conn *upstream.Conn
+	// cancelled says that a cancel request may be under way to the connection.
+	cancelled bool
+}
+
+// running is the table of units at work, for cancel requests and for the load
+// of each member.
+type running struct {
+	mu    sync.Mutex
+	units map[string]*runningUnit
+	load  map[string]int
+}
+
+func newRunning() *running {
+	return &running{units: make(map[string]*runningUnit), load: make(map[string]int)}
+}
+
+func (r *running) start(unitID string, c *upstream.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.units[unitID] = &runningUnit{conn: c}
+	r.load[c.Address()]++
+}
+
+// stop ends a unit. A connection that a cancel request names is spoiled: the
+// request may arrive late and would stop the next caller's statement.
+func (r *running) stop(unitID string, c *upstream.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u := r.units[unitID]; u != nil && u.cancelled {
+		c.Spoil()
+	}
+	delete(r.units, unitID)
+	r.load[c.Address()]--
+}
+
+// claimCancel returns the connection of a unit that is still at work, for one
+// cancel request.
+func (r *running) claimCancel(unitID string) *upstream.Conn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := r.units[unitID]
+	if u == nil || u.cancelled {
+		return nil
+	}
+	u.cancelled = true
+	return u.conn
+}
+
+func (r *running) at(address string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.load[address]
+}
--- /dev/null
+++ b/internal/executor/transactions.go
@@ -0,0 +1,69 @@
+package executor
+
+import (
+	"strconv"
+	"sync"
+	"time"
+)
+
+// transactions is the table of open transactions of one group.
+type transactions struct {
+	mu     sync.Mutex
+	prefix string
+	next   uint64
+	open   map[string]*transaction
+}
+
+func newTransactions(prefix string) *transactions {
+	return &transactions{prefix: prefix, open: make(map[string]*transaction)}
+}
+
+// add gives t an identity that no other transaction of any instance has had.
+func (t *transactions) add(tx *transaction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	tx.id = t.prefix + transactionSeparator + strconv.FormatUint(t.next, 36)
+	t.open[tx.id] = tx
+}
+
+func (t *transactions) find(id string) *transaction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open[id]
+}
+
+func (t *transactions) remove(id string) *transaction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tx := t.open[id]
+	delete(t.open, id)
+	return tx
+}
+
+func (t *transactions) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+// idleSince returns the transactions that no unit used after a moment.
+func (t *transactions) idleSince(moment time.Time) []*transaction {
+	t.mu.Lock()
+	all := make([]*transaction, 0, len(t.open))
+	for _, tx := range t.open {
+		all = append(all, tx)
+	}
+	t.mu.Unlock()
+	var idle []*transaction
+	for _, tx := range all {
+		if !tx.mu.TryLock() {
+			continue
+		}
+		if tx.lastUsed.Before(moment) {
+			idle = append(idle, tx)
+		}
+		tx.mu.Unlock()
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/executor/write.go
@@ -0,0 +1,176 @@
+package executor
+
+import (
+	"context"
+
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// write runs a unit at the primary, once.
+func (g *Group) write(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
+	release, err := g.enter(ctx, p, false)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := g.atPrimary(ctx, u, p, partial, release)
+	if err == nil || !p.keyed(u) {
+		return reply, err
+	}
+	return nil, g.settle(ctx, u, err)
+}
+
+// writablePrimary returns the primary if a write to it can be confirmed.
+func (g *Group) writablePrimary() (*group.Snapshot, error) {
+	s := g.Tracker.Snapshot()
+	if s.Primary == "" {
+		return nil, result.New(result.NoPrimary, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
+	}
+	if g.Clock.Now().Sub(s.ConfirmedAt) > confirmationAge {
+		return nil, result.New(result.NoConfirmingReplica, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
+	}
+	return s, nil
+}
+
+// atPrimary sends the unit to the primary and confirms it. It calls release
+// when the member has finished: confirmation needs no slot.
+func (g *Group) atPrimary(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error, release func()) (*execution.Reply, error) {
+	s, err := g.writablePrimary()
+	if err != nil {
+		release()
+		return nil, err
+	}
+	c, err := g.Pool.Acquire(ctx, s.Primary)
+	if err != nil {
+		release()
+		g.Tracker.ReportFailure(s.Primary)
+		return nil, err
+	}
+	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
+	err = g.converse(ctx, u, p, x)
+	release()
+	if err != nil {
+		g.Pool.Release(c)
+		g.reportBroken(c, err)
+		return nil, unknown(ctx, err)
+	}
+	return g.concludeAtPrimary(ctx, u, p, x)
+}
+
+// converse runs the unit's exchange within the statement's time.
+func (g *Group) converse(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
+	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p)); err != nil {
+		return err
+	}
+	g.running.start(u.ID, x.conn)
+	err := x.run(g.parts(u, p, x))
+	g.running.stop(u.ID, x.conn)
+	return err
+}
+
+// parts lists what is sent for a unit outside of a transaction.
+func (g *Group) parts(u *execution.Unit, p plan, x *exchange) []part {
+	var parts []part
+	if prepare, names, ok := preparePart(x.conn, u); ok {
+		x.prepared = names
+		parts = append(parts, prepare)
+	}
+	unit := part{kind: partUnit, bytes: u.Messages}
+	switch {
+	case p.keyed(u) && u.Begins:
+		return append(parts, unit, queryPart(partKey, insertKey(u.Key, keyRan)))
+	case p.keyed(u):
+		parts = append(parts,
+			queryPart(partBegin, "BEGIN"),
+			queryPart(partKey, insertKey(u.Key, keyRan)),
+			unit,
+			queryPart(partCommit, "COMMIT"))
+	default:
+		parts = append(parts, unit)
+	}
+	if u.Begins {
+		return parts
+	}
+	return append(parts, statusPart())
+}
+
+// concludeAtPrimary turns the finished exchange into a reply: an open
+// transaction, or a confirmed outcome.
+func (g *Group) concludeAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange) (*execution.Reply, error) {
+	if x.keyFailure != nil {
+		return nil, g.keyRefused(ctx, u, x)
+	}
+	if x.final != statusIdle {
+		return g.openTransaction(u, x, false), nil
+	}
+	if err := g.ensureReport(x); err != nil {
+		g.Pool.Release(x.conn)
+		return nil, unknown(ctx, err)
+	}
+	g.Pool.Release(x.conn)
+	if refusedAsReadOnly(x.answer) {
+		return nil, result.New(result.NoPrimary, "member %s no longer leads", x.conn.Address()).WithRetryAfter(retryAfterFailover)
+	}
+	if x.answer.failure != nil && x.answer.completed == 0 {
+		// Nothing took effect, so there is nothing to confirm.
+		return g.reply(u.Token, x, false), nil
+	}
+	mark, err := g.confirm(ctx, p, x.status)
+	if err != nil {
+		return nil, err
+	}
+	return g.reply(g.token(mark), x, false), nil
+}
+
+// ensureReport asks for the member's report when it was not pipelined.
+func (g *Group) ensureReport(x *exchange) error {
+	if x.status != nil {
+		return nil
+	}
+	final := x.final
+	err := x.run([]part{statusPart()})
+	x.final = final
+	return err
+}
+
+// confirm waits until the group confirms what the primary reported behind the
+// unit. The check comes after the answer, so that an instance that was frozen
+// between sending and here cannot pass on the answer of a replaced primary.
+func (g *Group) confirm(ctx context.Context, p plan, s *member.Status) (logpos.Mark, error) {
+	if s == nil || s.Role != member.RolePrimary || s.Last.Term != s.Entered {
+		return logpos.Mark{}, result.New(result.PrimaryReplaced, "the member no longer leads")
+	}
+	ctx, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
+	defer cancel()
+	mark := logpos.Mark{Term: s.Entered, Position: s.Last.Position}
+	start := g.Clock.Now()
+	if err := g.Tracker.Confirm(ctx, mark); err != nil {
+		return logpos.Mark{}, err
+	}
+	g.Metrics.confirmed(g.Group, g.Clock.Now().Sub(start))
+	return mark, nil
+}
+
+func (g *Group) token(m logpos.Mark) logpos.Token { return logpos.Token{Group: g.Group, Mark: m} }
+
+// reportBroken tells the pool and the tracker of a connection that went silent
+// or broke.
+func (g *Group) reportBroken(c *upstream.Conn, err error) {
+	if isTimeout(err) {
+		g.Pool.Suspect(c.Address(), c.Opened())
+	}
+	g.Tracker.ReportFailure(c.Address())
+}
+
+// readOnlyTransaction is the SQLSTATE of a member that takes no writes.
+const readOnlyTransaction = "25006"
+
+// refusedAsReadOnly reports that the member took the unit for a write and does
+// not lead any more. The unit was one implicit transaction, so nothing of it ran.
+func refusedAsReadOnly(a *answer) bool {
+	return a.failure != nil && a.failure.Code == readOnlyTransaction && a.completed == 0
+}
--- /dev/null
+++ b/internal/frontend/authenticate.go
@@ -0,0 +1,148 @@
+package frontend
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/result"
+	"github.com/xdg-go/scram"
+)
+
+// mechanism is the one SASL mechanism that callers may use.
+const mechanism = "SCRAM-SHA-256"
+
+// noDeadline clears a connection's deadlines.
+var noDeadline time.Time
+
+// authenticate checks the caller's user and password against the service
+// document. The same error answers an unknown user and a wrong password, and
+// both go through the whole exchange, so that neither tells which users exist.
+func (n *session) authenticate(backend *pgproto3.Backend, m *pgproto3.StartupMessage) error {
+	directory := n.server.config.Directory
+	if !directory.Ready() {
+		return result.New(result.NotReady, "no service document is known yet").WithRetryAfter(retryAfterFull)
+	}
+	service, ok := directory.FindService(n.group)
+	if !ok {
+		return result.New(result.UnknownGroup, "%q", n.group)
+	}
+	user, known := service.FindUser(m.Parameters["user"])
+	credentials := decoyCredentials
+	if known {
+		c, err := parseVerifier(user.Verifier)
+		if err != nil {
+			return result.New(result.AuthFailed, "user %q", user.Name).WithCause(err)
+		}
+		credentials = c
+	}
+	if err := n.exchangeSCRAM(backend, credentials); err != nil || !known {
+		return result.New(result.AuthFailed, "user %q", m.Parameters["user"])
+	}
+	return nil
+}
+
+// decoyCredentials match no password.
+var decoyCredentials = scram.StoredCredentials{
+	KeyFactors: scram.KeyFactors{Salt: "topazrock-no-user", Iters: 4096},
+	StoredKey:  make([]byte, 32),
+	ServerKey:  make([]byte, 32),
+}
+
+func (n *session) exchangeSCRAM(backend *pgproto3.Backend, credentials scram.StoredCredentials) error {
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return credentials, nil
+	})
+	if err != nil {
+		return err
+	}
+	conversation := server.NewConversation()
+	if !n.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}}) {
+		return errMalformed
+	}
+	first, err := receiveInitial(backend)
+	if err != nil {
+		return err
+	}
+	challenge, err := conversation.Step(first)
+	if err != nil {
+		return err
+	}
+	if !n.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}) {
+		return errMalformed
+	}
+	final, err := receiveFinal(backend)
+	if err != nil {
+		return err
+	}
+	proof, err := conversation.Step(final)
+	if err != nil {
+		return err
+	}
+	if !n.send(&pgproto3.AuthenticationSASLFinal{Data: []byte(proof)}) {
+		return errMalformed
+	}
+	return nil
+}
+
+func receiveInitial(backend *pgproto3.Backend) (string, error) {
+	if err := backend.SetAuthType(pgproto3.AuthTypeSASL); err != nil {
+		return "", err
+	}
+	m, err := backend.Receive()
+	if err != nil {
+		return "", err
+	}
+	r, ok := m.(*pgproto3.SASLInitialResponse)
+	if !ok || r.AuthMechanism != mechanism {
+		return "", errMalformed
+	}
+	return string(r.Data), nil
+}
+
+func receiveFinal(backend *pgproto3.Backend) (string, error) {
+	if err := backend.SetAuthType(pgproto3.AuthTypeSASLContinue); err != nil {
+		return "", err
+	}
+	m, err := backend.Receive()
+	if err != nil {
+		return "", err
+	}
+	r, ok := m.(*pgproto3.SASLResponse)
+	if !ok {
+		return "", errMalformed
+	}
+	return string(r.Data), nil
+}
+
+// parseVerifier reads a verifier in the form that PostgreSQL stores:
+// SCRAM-SHA-256$iterations:salt$storedkey:serverkey, with base64 fields.
+func parseVerifier(text string) (scram.StoredCredentials, error) {
+	var c scram.StoredCredentials
+	parts := strings.Split(text, "$")
+	if len(parts) != 3 || parts[0] != mechanism {
+		return c, fmt.Errorf("verifier does not begin with %s", mechanism)
+	}
+	iterations, salt, ok1 := strings.Cut(parts[1], ":")
+	stored, serverKey, ok2 := strings.Cut(parts[2], ":")
+	if !ok1 || !ok2 {
+		return c, fmt.Errorf("verifier lacks a field")
+	}
+	var err error
+	if c.Iters, err = strconv.Atoi(iterations); err != nil {
+		return c, err
+	}
+	rawSalt, err := base64.StdEncoding.DecodeString(salt)
+	if err != nil {
+		return c, err
+	}
+	c.Salt = string(rawSalt)
+	if c.StoredKey, err = base64.StdEncoding.DecodeString(stored); err != nil {
+		return c, err
+	}
+	c.ServerKey, err = base64.StdEncoding.DecodeString(serverKey)
+	return c, err
+}
--- /dev/null
+++ b/internal/frontend/hints.go
@@ -0,0 +1,83 @@
+package frontend
+
+import "strings"
+
+// firstWord returns the first word of an SQL text in lower case, past leading
+// comments and blanks. It is a hint that saves round trips; no promise rests on it.
+func firstWord(sql string) string {
+	sql = skipComments(sql)
+	end := strings.IndexFunc(sql, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	})
+	if end < 0 {
+		end = len(sql)
+	}
+	return strings.ToLower(sql[:end])
+}
+
+func skipComments(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n")
+		if !strings.HasPrefix(sql, "/*") {
+			return sql
+		}
+		i := strings.Index(sql, "*/")
+		if i < 0 {
+			return sql
+		}
+		sql = sql[i+2:]
+	}
+}
+
+func hintBegins(sql string) bool {
+	w := firstWord(sql)
+	return (w == "begin" || w == "start") && !severalStatements(sql)
+}
+
+// hintEnds leaves out ROLLBACK TO SAVEPOINT, which ends nothing.
+func hintEnds(sql string) bool {
+	switch firstWord(sql) {
+	case "commit", "end", "abort":
+		return true
+	case "rollback":
+		return !strings.Contains(strings.ToLower(sql), " to ")
+	}
+	return false
+}
+
+// severalStatements reports whether more may follow the first statement.
+func severalStatements(sql string) bool {
+	i := strings.IndexByte(sql, ';')
+	return i >= 0 && strings.TrimSpace(sql[i+1:]) != ""
+}
+
+// sessionSetting reports whether sql is a SET that would have to outlive its
+// transaction.
+func sessionSetting(sql string) bool {
+	if firstWord(sql) != "set" {
+		return false
+	}
+	fields := strings.Fields(skipComments(sql))
+	if len(fields) < 2 {
+		return false
+	}
+	second := strings.ToLower(fields[1])
+	return second != "local" && second != "transaction" && second != "constraints"
+}
+
+// TokenParameter is the name under which a session token goes out as a
+// ParameterStatus and comes in as a start-up parameter or SET.
+const TokenParameter = "topazrock.token"
+
+// tokenSetting returns the token of SET topazrock.token = '...' (or TO).
+func tokenSetting(sql string) (string, bool) {
+	text := strings.TrimRight(skipComments(sql), "; \t\r\n")
+	fields := strings.Fields(strings.Replace(text, "=", " = ", 1))
+	if len(fields) != 4 || !strings.EqualFold(fields[0], "set") || !strings.EqualFold(fields[1], TokenParameter) {
+		return "", false
+	}
+	if fields[2] != "=" && !strings.EqualFold(fields[2], "to") {
+		return "", false
+	}
+	return strings.Trim(fields[3], "'"), true
+}
--- /dev/null
+++ b/internal/frontend/metrics.go
@@ -0,0 +1,44 @@
+package frontend
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// Metrics counts what happens at the caller's side.
+type Metrics struct {
+	callers       prometheus.Gauge
+	refusals      *prometheus.CounterVec
+	stalledWrites prometheus.Counter
+	cancels       prometheus.Counter
+}
+
+// NewMetrics registers the package's metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		callers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "topazrock_callers",
+			Help: "Callers that are connected.",
+		}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_caller_errors_total",
+			Help: "Result codes sent to callers, by code.",
+		}, []string{"code"}),
+		stalledWrites: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "topazrock_stalled_writes_total",
+			Help: "Sessions cut off because the caller took nothing of its answer.",
+		}),
+		cancels: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "topazrock_cancels_total",
+			Help: "Cancel requests that named a session of this instance.",
+		}),
+	}
+	r.MustRegister(m.callers, m.refusals, m.stalledWrites, m.cancels)
+	return m
+}
+
+func (m *Metrics) refused(e *result.Error) {
+	if e != nil {
+		m.refusals.WithLabelValues(e.Code.Label()).Inc()
+	}
+}
--- /dev/null
+++ b/internal/frontend/session.go
@@ -0,0 +1,315 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// session is one caller's connection.
+type session struct {
+	server    *Server
+	conn      net.Conn
+	processID uint32
+	secret    uint32
+
+	group string
+	token logpos.Token
+	// roaming says that the caller came without a token and has not had an
+	// answer here yet: it may have written through another instance.
+	roaming     bool
+	transaction string
+	// aborted says that the proxy lost the caller's transaction. Until the
+	// caller ends it, its statements are refused; running them would commit
+	// each on its own.
+	aborted    bool
+	statements map[string]*statement
+	unnamed    *statement
+	units      uint64
+
+	// mu guards running.
+	mu sync.Mutex
+	// running is the ID of the unit at work; empty when there is none.
+	running string
+}
+
+func newSession(s *Server, conn net.Conn, processID uint32) *session {
+	var secret [4]byte
+	_, _ = rand.Read(secret[:])
+	return &session{
+		server:    s,
+		conn:      conn,
+		processID: processID,
+		secret:    binary.BigEndian.Uint32(secret[:]),
+		roaming:   true,
+	}
+}
+
+func (n *session) define(name string, s *statement) {
+	if n.statements == nil {
+		n.statements = make(map[string]*statement)
+	}
+	n.statements[name] = s
+}
+
+// run serves the session until the caller leaves or the instance drains.
+func (n *session) run() {
+	started := false
+	n.server.workers.do(func() { started = n.start() })
+	if !started {
+		return
+	}
+	defer n.abandon()
+	for {
+		kind, err := n.waitForMessage()
+		if err != nil {
+			n.leave(err)
+			return
+		}
+		var open bool
+		n.server.workers.do(func() { open = n.serve(kind) })
+		if !open {
+			return
+		}
+	}
+}
+
+// waitForMessage waits for the first byte of the next message.
+func (n *session) waitForMessage() (byte, error) {
+	var first [1]byte
+	for {
+		if n.server.Draining() && n.transaction == "" {
+			return 0, errDraining
+		}
+		_, err := n.conn.Read(first[:])
+		if err == nil {
+			return first[0], nil
+		}
+		if !isTimeout(err) {
+			return 0, err
+		}
+		// Drain wakes the read by a deadline that has passed. An open
+		// transaction goes on until the caller ends it.
+		_ = n.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// wake interrupts the wait for a message, so that the session sees a drain.
+func (n *session) wake() { _ = n.conn.SetReadDeadline(time.Unix(1, 0)) }
+
+var errDraining = errors.New("instance is draining")
+
+// leave tells the caller of a planned stop. Other ends need no words.
+func (n *session) leave(err error) {
+	if errors.Is(err, errDraining) {
+		n.send(fatal(shutdownState, "this instance is shutting down; connect again"))
+	}
+}
+
+// abandon ends a transaction that the caller left open.
+func (n *session) abandon() {
+	if n.transaction != "" {
+		n.server.config.Executor.Abandon(n.group, n.transaction)
+	}
+}
+
+// serve handles messages until nothing more has arrived. It returns false when
+// the session is over.
+func (n *session) serve(kind byte) bool {
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(n.conn)
+	defer func() {
+		r.Reset(nil)
+		readers.Put(r)
+	}()
+	b := &batch{session: n}
+	for {
+		open := n.serveMessage(r, kind, &b)
+		if !open {
+			return false
+		}
+		if r.Buffered() == 0 && b.empty() {
+			return true
+		}
+		next, err := n.nextKind(r)
+		if err != nil {
+			return false
+		}
+		kind = next
+	}
+}
+
+// nextKind reads the type of a message that belongs to what has begun.
+func (n *session) nextKind(r *bufio.Reader) (byte, error) {
+	if err := n.limitRead(); err != nil {
+		return 0, err
+	}
+	return r.ReadByte()
+}
+
+// limitRead bounds the wait for bytes that must follow. A caller that sends
+// half a message and stalls would otherwise hold a worker and a buffer for ever.
+func (n *session) limitRead() error {
+	return n.conn.SetReadDeadline(n.server.now().Now().Add(n.server.config.MessageTimeout))
+}
+
+func (n *session) serveMessage(r *bufio.Reader, kind byte, b **batch) bool {
+	if err := n.limitRead(); err != nil {
+		return false
+	}
+	f, err := readFrame(r, kind, n.server.config.MaxUnit)
+	if err != nil {
+		n.broken(err)
+		return false
+	}
+	if err := n.conn.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
+	switch kind {
+	case 'X':
+		return false
+	case 'Q':
+		return n.query(f)
+	case 'S':
+		done := *b
+		*b = &batch{session: n}
+		return n.sync(done)
+	case 'd', 'c', 'f':
+		// Copy data that was under way when the copy was refused.
+		return true
+	case 'P', 'B', 'D', 'E', 'C', 'H', 'F':
+		(*b).add(f, n.server.config.MaxUnit)
+		return true
+	default:
+		n.broken(errMalformed)
+		return false
+	}
+}
+
+// broken tells the caller that its bytes make no sense, and counts it. A caller
+// that only hung up is not counted.
+func (n *session) broken(err error) {
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	e := result.New(result.ProtocolViolation, "%v", err)
+	if errors.Is(err, errMessageTooLarge) {
+		e = result.New(result.StatementTooLarge, "at most %d bytes", n.server.config.MaxUnit)
+	}
+	n.server.config.Metrics.refused(e)
+	n.send(fatal(e.Code.SQLState(), e.Error()))
+}
+
+// query runs one simple query.
+func (n *session) query(f frame) bool {
+	var q pgproto3.Query
+	if err := q.Decode(f.body()); err != nil {
+		n.broken(err)
+		return false
+	}
+	if text, ok := tokenSetting(q.String); ok {
+		return n.setToken(text)
+	}
+	if n.transaction == "" && sessionSetting(q.String) {
+		return n.answerError(result.New(result.NotSupported, "SET outside of a transaction is not kept; use SET LOCAL"), false)
+	}
+	u := &execution.Unit{Messages: f.bytes}
+	return n.execute(u, q.String, nil)
+}
+
+// sync runs a batch.
+func (n *session) sync(b *batch) bool {
+	switch {
+	case b.failure != nil:
+		return n.answerError(b.failure, n.transaction != "")
+	case b.local():
+		return n.answerLocally(b)
+	}
+	u := &execution.Unit{
+		Messages:   append(b.messages, encodedSync...),
+		Shape:      string(b.shape),
+		Statements: b.statements,
+		Unnamed:    b.unnamed,
+	}
+	return n.execute(u, b.sql, b)
+}
+
+// execute sends a unit to the executor and passes its answer to the caller.
+func (n *session) execute(u *execution.Unit, sql string, b *batch) bool {
+	if n.aborted {
+		return n.answerAborted(u, sql)
+	}
+	t, err := parseTag(sql)
+	if err != nil {
+		return n.answerError(err, n.transaction != "")
+	}
+	n.fill(u, t, sql)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.setRunning(u.ID)
+	reply, err := n.server.config.Executor.Execute(ctx, u, n.write)
+	n.setRunning("")
+	if b != nil && (err != nil || reply.Failed) {
+		n.forget(b.defined)
+	}
+	if err != nil {
+		return n.answerError(err, n.transaction != "")
+	}
+	return n.answer(reply)
+}
+
+func (n *session) fill(u *execution.Unit, t tag, sql string) {
+	n.units++
+	u.ID = n.server.config.Instance + "-" + strconv.FormatUint(uint64(n.processID), 36) + "-" + strconv.FormatUint(n.units, 36)
+	u.Group = n.group
+	u.Class, u.Key = t.class, t.key
+	u.Token = n.token
+	u.Roaming = n.roaming
+	u.Transaction = n.transaction
+	u.Timeout = maxTimeout
+	u.Begins = hintBegins(sql)
+	u.Ends = hintEnds(sql)
+}
+
+// maxTimeout is the longest that a unit may take; classes set shorter ones.
+const maxTimeout = 10 * time.Minute
+
+// forget drops statements whose definition the member refused.
+func (n *session) forget(names []string) {
+	for _, name := range names {
+		delete(n.statements, name)
+	}
+}
+
+func (n *session) setRunning(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.running = id
+}
+
+// cancel stops the unit at work, if there is one.
+func (n *session) cancel() {
+	n.mu.Lock()
+	id := n.running
+	n.mu.Unlock()
+	if id != "" {
+		n.server.config.Executor.Cancel(n.group, id)
+	}
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
--- /dev/null
+++ b/internal/frontend/startup.go
@@ -0,0 +1,169 @@
+package frontend
+
+import (
+	"net"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// refusedEncryption is the answer to a request for TLS or GSS encryption, which
+// the instance leaves to the balancer in front of it.
+const refusedEncryption = 'N'
+
+// refuse tells a caller that was never registered why.
+func (s *Server) refuse(conn net.Conn, err error) {
+	e, _ := result.As(err)
+	s.config.Metrics.refused(e)
+	_ = conn.SetDeadline(s.now().Now().Add(s.config.StartupTimeout))
+	backend := pgproto3.NewBackend(conn, conn)
+	message, receiveErr := receiveStartup(conn, backend)
+	if receiveErr != nil {
+		return
+	}
+	if cancel, ok := message.(*pgproto3.CancelRequest); ok {
+		s.cancelRequest(cancel)
+		return
+	}
+	r := errorResponse(err)
+	r.Severity, r.SeverityUnlocalized = "FATAL", "FATAL"
+	_, _ = conn.Write(encode(r))
+}
+
+// start brings the session from accept to its first ReadyForQuery.
+func (n *session) start() bool {
+	deadline := n.server.now().Now().Add(n.server.config.StartupTimeout)
+	if err := n.conn.SetDeadline(deadline); err != nil {
+		return false
+	}
+	backend := pgproto3.NewBackend(n.conn, n.conn)
+	message, err := receiveStartup(n.conn, backend)
+	if err != nil {
+		n.broken(err)
+		return false
+	}
+	switch m := message.(type) {
+	case *pgproto3.CancelRequest:
+		n.server.cancelRequest(m)
+		return false
+	case *pgproto3.StartupMessage:
+		return n.admit(backend, m)
+	}
+	return false
+}
+
+// receiveStartup reads the start-up message, past requests for encryption.
+func receiveStartup(conn net.Conn, backend *pgproto3.Backend) (pgproto3.FrontendMessage, error) {
+	for {
+		m, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := conn.Write([]byte{refusedEncryption}); err != nil {
+				return nil, err
+			}
+		default:
+			return m, nil
+		}
+	}
+}
+
+func (s *Server) cancelRequest(m *pgproto3.CancelRequest) {
+	if len(m.SecretKey) != 4 {
+		return
+	}
+	secret := uint32(m.SecretKey[0])<<24 | uint32(m.SecretKey[1])<<16 | uint32(m.SecretKey[2])<<8 | uint32(m.SecretKey[3])
+	if m.ProcessID>>processIDBits != s.idPrefix && s.config.ForeignCancel != nil {
+		s.config.ForeignCancel(m.ProcessID, secret)
+		return
+	}
+	s.Cancel(m.ProcessID, secret)
+}
+
+// admit checks who the caller is and what it wants, and greets it.
+func (n *session) admit(backend *pgproto3.Backend, m *pgproto3.StartupMessage) bool {
+	n.group = m.Parameters["database"]
+	err := n.authenticate(backend, m)
+	if err == nil {
+		err = n.takeParameters(m.Parameters)
+	}
+	if err != nil {
+		n.refuseStartup(err)
+		return false
+	}
+	secret := []byte{byte(n.secret >> 24), byte(n.secret >> 16), byte(n.secret >> 8), byte(n.secret)}
+	greeting := encode(
+		&pgproto3.AuthenticationOk{},
+		&pgproto3.ParameterStatus{Name: "server_version", Value: serverVersion},
+		&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"},
+		&pgproto3.ParameterStatus{Name: "server_encoding", Value: "UTF8"},
+		&pgproto3.ParameterStatus{Name: "DateStyle", Value: "ISO, MDY"},
+		&pgproto3.ParameterStatus{Name: "integer_datetimes", Value: "on"},
+		&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"},
+		n.tokenStatus(),
+		&pgproto3.BackendKeyData{ProcessID: n.processID, SecretKey: secret},
+		&pgproto3.ReadyForQuery{TxStatus: statusIdle},
+	)
+	if n.write(greeting) != nil {
+		return false
+	}
+	if n.conn.SetDeadline(noDeadline) != nil {
+		return false
+	}
+	if n.server.Draining() {
+		n.wake()
+	}
+	return true
+}
+
+// serverVersion is what clients learn as the server's version.
+const serverVersion = "16.0 (topazrock)"
+
+func (n *session) refuseStartup(err error) {
+	if e, ok := result.As(err); ok {
+		n.server.config.Metrics.refused(e)
+	}
+	r := errorResponse(err)
+	r.Severity, r.SeverityUnlocalized = "FATAL", "FATAL"
+	if e, ok := result.As(err); ok && e.Code == result.AuthFailed {
+		// Drivers know PostgreSQL's own code for a wrong password.
+		r.Code = invalidPassword
+	}
+	n.send(r)
+}
+
+// invalidPassword is PostgreSQL's SQLSTATE invalid_password.
+const invalidPassword = "28P01"
+
+// takeParameters takes the session's token from the start-up parameters. It may
+// come as a parameter of its own or in options, as -c topazrock.token=....
+func (n *session) takeParameters(parameters map[string]string) error {
+	text, ok := parameters[TokenParameter]
+	if !ok {
+		text, ok = tokenInOptions(parameters["options"])
+	}
+	if !ok || text == "" {
+		return nil
+	}
+	t, err := n.checkToken(text)
+	if err != nil {
+		return err
+	}
+	n.token = t
+	n.roaming = false
+	return nil
+}
+
+func tokenInOptions(options string) (string, bool) {
+	const prefix = TokenParameter + "="
+	for _, field := range strings.Fields(options) {
+		field = strings.TrimPrefix(field, "-c")
+		if value, ok := strings.CutPrefix(field, prefix); ok {
+			return value, true
+		}
+	}
+	return "", false
+}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -67,7 +67,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return result.New(result.Draining, "the pool of %s is closed", p.cfg.Group)
+		return p.draining()
 	}
 	m := p.member(w.address)
 	if m.leaving {
@@ -76,7 +76,7 @@
 	if err := p.hopeless(m, w.deadline); err != nil {
 		return err
 	}
-	p.waiting.add(w)
+	p.waiting.Add(w)
 	p.dispatch()
 	return nil
 }
@@ -104,7 +104,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.member(w.address)
-	if !p.waiting.remove(w) {
+	if !p.waiting.Remove(w) {
 		g := <-w.granted
 		if g.err != nil {
 			return nil, g.err
@@ -133,6 +133,11 @@
 	return false
 }
 
+// draining returns the error for a pool that is closed.
+func (p *Limited) draining() *result.Error {
+	return result.New(result.Draining, "group %s", p.cfg.Group)
+}
+
 // full returns the error for a share of connections that is in use, or for a
 // member that takes no more.
 func (p *Limited) full(m *memberState) *result.Error {
--- a/internal/pool/dispatch.go
+++ b/internal/pool/dispatch.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/topazrock/topazrock/internal/result"
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/result"
+)
 
 // dispatch serves the waiters in order as far as the tables allow. It runs
 // under the lock after every change of them.
@@ -9,34 +13,44 @@
 // runs, or by a closing that makes room for one. Each covers one waiter, so
 // that ten waiters cause at most ten openings and one waiter only one.
 func (p *Limited) dispatch() {
-	covered := make(map[string]int)
-	rooms := 0
-	kept := p.waiting.waiters[:0]
+	defer func() { p.gauges.set(p.stats()) }()
+	if p.waiting.Len() == 0 {
+		return
+	}
+	c := coverage{openings: make(map[*memberState]int)}
 	now := p.cfg.Clock.Now()
-	for _, w := range p.waiting.waiters {
+	p.waiting.TakeWhere(p.waiting.Len(), func(w *waiter) bool {
 		m := p.member(w.address)
 		if e := m.takeIdle(); e != nil {
 			p.hand(w, e)
-			continue
-		}
-		kept = append(kept, w)
-		switch {
-		case covered[w.address] < m.opening:
-			covered[w.address]++
-		case p.opening >= p.cfg.MaxOpening || !m.mayOpen(now):
-			// The end of an opening or of the pause dispatches again.
-		case p.total() < p.limit:
-			p.startOpen(m)
-			covered[w.address]++
-		case rooms < p.limit-p.total()+p.closing:
-			rooms++
-		case p.makeRoom(m):
-			rooms++
+			return true
 		}
+		p.cover(m, &c, now)
+		return false
+	})
+}
+
+// coverage is what the waiters seen so far in one dispatch wait for.
+type coverage struct {
+	openings map[*memberState]int
+	rooms    int
+}
+
+// cover sees to it that a waiter for m waits for something that will end.
+func (p *Limited) cover(m *memberState, c *coverage, now time.Time) {
+	switch {
+	case c.openings[m] < m.opening:
+		c.openings[m]++
+	case p.opening >= p.cfg.MaxOpening || !m.mayOpen(now):
+		// The end of an opening or of the pause dispatches again.
+	case p.total() < p.limit:
+		p.startOpen(m)
+		c.openings[m]++
+	case c.rooms < p.limit-p.total()+p.closing:
+		c.rooms++
+	case p.makeRoom(m):
+		c.rooms++
 	}
-	clear(p.waiting.waiters[len(kept):])
-	p.waiting.waiters = kept
-	p.gauges.set(p.stats())
 }
 
 // hand gives an idle connection to a waiter.
@@ -95,7 +109,7 @@
 
 // refuseWaiters ends the wait of the first n waiters for a member.
 func (p *Limited) refuseWaiters(m *memberState, n int, err *result.Error) {
-	for _, w := range p.waiting.takeFor(m.address, n) {
+	for _, w := range p.waiting.TakeWhere(n, func(w *waiter) bool { return w.address == m.address }) {
 		w.granted <- grant{err: err}
 	}
 }
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -7,8 +7,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/topazrock/topazrock/internal/result"
 	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/waitlist"
 )
 
 // Limited is a Pool that never holds more connections than its limit.
@@ -25,7 +25,7 @@
 	limit    int
 	entries  map[*upstream.Conn]*entry
 	members  map[string]*memberState
-	waiting  queue
+	waiting  waitlist.List[*waiter]
 	arrivals uint64
 	inUse    int
 	opening  int
@@ -55,6 +55,7 @@
 		entries:    make(map[*upstream.Conn]*entry),
 		members:    make(map[string]*memberState),
 		changed:    make(chan struct{}),
+		waiting:    waitlist.New((*waiter).before),
 	}
 }
 
@@ -73,7 +74,7 @@
 		Opening: p.opening,
 		Probing: p.probing,
 		Closing: p.closing,
-		Waiting: len(p.waiting.waiters),
+		Waiting: p.waiting.Len(),
 	}
 }
 
@@ -132,7 +133,7 @@
 			continue
 		}
 		p.closeIdle(m, closedLeaving)
-		p.refuseWaiters(m, len(p.waiting.waiters), p.unreachable(m))
+		p.refuseWaiters(m, p.waiting.Len(), p.unreachable(m))
 	}
 	p.dispatch()
 }
@@ -158,10 +159,9 @@
 func (p *Limited) Close(ctx context.Context) error {
 	p.mu.Lock()
 	p.closed = true
-	for _, w := range p.waiting.waiters {
-		w.granted <- grant{err: result.New(result.Draining, "the pool of %s is closed", p.cfg.Group)}
+	for _, w := range p.waiting.TakeWhere(p.waiting.Len(), func(*waiter) bool { return true }) {
+		w.granted <- grant{err: p.draining()}
 	}
-	p.waiting.waiters = nil
 	for _, m := range p.members {
 		p.closeIdle(m, closedShutdown)
 	}
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -86,7 +86,7 @@
 	if m.refused {
 		return
 	}
-	refuse := len(p.waiting.waiters)
+	refuse := p.waiting.Len()
 	if m.inUse > 0 {
 		refuse = 1
 	}
--- /dev/null
+++ b/internal/routing/read.go
@@ -0,0 +1,73 @@
+// Package routing chooses the member that answers a read. It looks at one
+// snapshot of the group and does nothing else.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// Read states what a read needs of a replica.
+type Read struct {
+	// Required is the position that the replica must have reached.
+	Required logpos.Position
+	// NotBefore is the moment that the replica's data must be as fresh as; zero
+	// when Required alone is enough.
+	NotBefore time.Time
+	// FailureDomain is where the instance runs; its members are preferred.
+	FailureDomain string
+	// Exclude holds addresses that failed this read already.
+	Exclude map[string]bool
+	// Load tells how many statements of this instance run at a member.
+	Load func(address string) int
+}
+
+// Replica returns the replica that suits r best, or false when none may answer.
+// Less loaded replicas go first, then those of the own failure domain, then
+// chance decides.
+func Replica(s *group.Snapshot, r Read, random *rand.Rand) (group.MemberView, bool) {
+	var best group.MemberView
+	found := false
+	bestScore := 0
+	for _, m := range s.Members {
+		if !eligible(s, m, r) {
+			continue
+		}
+		score := score(m, r, random)
+		if !found || score < bestScore {
+			best, bestScore, found = m, score, true
+		}
+	}
+	return best, found
+}
+
+// scoreStep separates the ranks of a score: load, own failure domain, chance.
+const scoreStep = 16
+
+func score(m group.MemberView, r Read, random *rand.Rand) int {
+	s := r.Load(m.Address) * 2
+	if m.FailureDomain != r.FailureDomain {
+		s++
+	}
+	return s*scoreStep + random.IntN(scoreStep)
+}
+
+func eligible(s *group.Snapshot, m group.MemberView, r Read) bool {
+	st := m.Status
+	switch {
+	case m.Address == s.Primary, r.Exclude[m.Address], m.Leaving, !m.Failing.IsZero():
+		return false
+	case st.Role != member.RoleReplica:
+		return false
+	case st.Attached != s.Term || st.Entered != s.Term:
+		// A replica of another term may still hold a tail that was discarded.
+		return false
+	case st.Last.Position < r.Required:
+		return false
+	}
+	return r.NotBefore.IsZero() || !m.FreshAsOf.Before(r.NotBefore)
+}
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/inifile"
+)
+
+const (
+	maxSize         = 64 << 10
+	maxCallers      = 200_000
+	maxHomes        = 64
+	maxSecretLength = 1024
+
+	minStartupTimeout  = 100 * time.Millisecond
+	maxStartupTimeout  = 5 * time.Minute
+	minPlatformTimeout = 10 * time.Millisecond
+	maxPlatformTimeout = time.Minute
+)
+
+// schema is the one table of sections, keys, defaults and ranges.
+var schema = inifile.Schema{
+	MaxSize: maxSize,
+	Sections: []inifile.SectionRule{
+		{Kind: "instance", Required: true}, {Kind: "caller", Required: true}, {Kind: "peer", Required: true},
+		{Kind: "admin", Required: true}, {Kind: "platform", Required: true}, {Kind: "upstream", Required: true},
+		{Kind: "homes"}, {Kind: "log"},
+	},
+	Keys: []inifile.Key{
+		{Section: "instance", Name: "id", Kind: inifile.Name{}, Required: true,
+			Meaning: "Name of the instance, unique in the platform's instance list."},
+		{Section: "instance", Name: "failure_domain", Kind: inifile.Name{}, Required: true,
+			Meaning: "Failure domain that the instance stands in."},
+		{Section: "instance", Name: "region", Kind: inifile.Name{}, Required: true,
+			Meaning: "Region that the failure domain belongs to."},
+
+		{Section: "caller", Name: "address", Kind: inifile.Address{}, Required: true,
+			Meaning: "Where callers connect."},
+		{Section: "caller", Name: "max_callers", Kind: inifile.Int{Min: 1, Max: maxCallers}, Default: "5000",
+			Meaning: "How many caller connections may be open."},
+		{Section: "caller", Name: "startup_timeout", Kind: inifile.Duration{Min: minStartupTimeout, Max: maxStartupTimeout}, Default: "10s",
+			Meaning: "Time from accepting a caller's connection to the end of its authentication."},
+
+		{Section: "peer", Name: "address", Kind: inifile.Address{}, Required: true,
+			Meaning: "Where other instances connect."},
+
+		{Section: "admin", Name: "address", Kind: inifile.Address{}, Required: true,
+			Meaning: "Where the administration API, health and metrics are served."},
+		{Section: "admin", Name: "access_token", Kind: inifile.Text{Max: maxSecretLength}, Secret: true,
+			Meaning: "Token for calls that change something. Empty: such calls are accepted from loopback only."},
+
+		{Section: "platform", Name: "url", Kind: platformURL{}, Required: true,
+			Meaning: "Base URL of the platform."},
+		{Section: "platform", Name: "timeout", Kind: inifile.Duration{Min: minPlatformTimeout, Max: maxPlatformTimeout}, Default: "2s",
+			Meaning: "Time for one call to the platform, apart from a waiting watch."},
+
+		{Section: "upstream", Name: "user", Kind: requiredText, Required: true,
+			Meaning: "Account for connections to members."},
+		{Section: "upstream", Name: "password", Kind: inifile.Text{Max: maxSecretLength}, Secret: true,
+			Meaning: "Password of the account."},
+		{Section: "upstream", Name: "application_name", Kind: inifile.Text{Max: inifile.MaxNameLength}, Default: "topazrock",
+			Meaning: "Application name that members see."},
+
+		{Section: "homes", Name: "per_failure_domain", Kind: inifile.Int{Min: 1, Max: maxHomes}, Default: "1",
+			Meaning: "How many instances of each failure domain hold a group's connections."},
+
+		{Section: "log", Name: "level", Kind: inifile.Enum{"trace", "debug", "info", "warn", "error"}, Default: "info",
+			Meaning: "Least important level that is logged."},
+		{Section: "log", Name: "format", Kind: inifile.Enum{FormatText, FormatJSON}, Default: FormatText,
+			Meaning: "Form of a log line."},
+	},
+}
+
+// Key describes one key of the settings for the operators' pages.
+type Key struct {
+	Section  string
+	Name     string
+	Default  string
+	Required bool
+	Allowed  string
+	Meaning  string
+}
+
+// Keys lists every key in the order of the operators' page.
+func Keys() []Key {
+	keys := make([]Key, 0, len(schema.Keys))
+	for _, k := range schema.Keys {
+		keys = append(keys, Key{Section: k.Section, Name: k.Name, Default: k.Default,
+			Required: k.Required, Allowed: k.Kind.Allowed(), Meaning: k.Meaning})
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/topazrock/topazrock/internal/inifile"
+)
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, text)
+}
+
+// Parse checks settings. The error is inifile.Problems with every fault;
+// fileName is what they name as the file.
+func Parse(fileName string, text []byte) (*Settings, error) {
+	f := inifile.Read(&schema, fileName, text)
+	checkAddresses(f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return build(f), nil
+}
+
+func build(f *inifile.File) *Settings {
+	section := func(kind string) *inifile.Section { return f.First(&schema, kind) }
+	instance, caller, upstream := section("instance"), section("caller"), section("upstream")
+	return &Settings{
+		Instance: Instance{ID: instance.String("id"), FailureDomain: instance.String("failure_domain"),
+			Region: instance.String("region")},
+		Caller: Caller{Address: caller.String("address"), MaxCallers: caller.Int("max_callers"),
+			StartupTimeout: caller.Duration("startup_timeout")},
+		Peer:     Peer{Address: section("peer").String("address")},
+		Admin:    Admin{Address: section("admin").String("address"), AccessToken: section("admin").String("access_token")},
+		Platform: Platform{URL: section("platform").String("url"), Timeout: section("platform").Duration("timeout")},
+		Upstream: Upstream{User: upstream.String("user"), Password: upstream.String("password"),
+			ApplicationName: upstream.String("application_name")},
+		Homes: Homes{PerFailureDomain: section("homes").Int("per_failure_domain")},
+		Log:   Log{Level: section("log").String("level"), Format: section("log").String("format")},
+	}
+}
+
+// checkAddresses refuses two listeners at one address.
+func checkAddresses(f *inifile.File) {
+	owner := make(map[string]string)
+	for _, kind := range []string{"caller", "peer", "admin"} {
+		s := f.First(&schema, kind)
+		address := s.String("address")
+		if address == "" {
+			continue
+		}
+		if other, taken := owner[address]; taken {
+			f.Refuse(s, "address", "the address is taken by ["+other+"]", "an address of its own")
+		}
+		owner[address] = kind
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,79 @@
+// Package settings holds one instance's own settings: its name, where it
+// stands, its addresses and its accounts. They are read once at start; all
+// that operators change while instances run is in the service documents.
+package settings
+
+import "time"
+
+// Settings are the checked settings of one instance.
+type Settings struct {
+	Instance Instance
+	Caller   Caller
+	Peer     Peer
+	Admin    Admin
+	Platform Platform
+	Upstream Upstream
+	Homes    Homes
+	Log      Log
+}
+
+// Instance says who the instance is and where it stands.
+type Instance struct {
+	ID            string
+	FailureDomain string
+	Region        string
+}
+
+// Caller is the side that callers connect to.
+type Caller struct {
+	Address string
+	// MaxCallers bounds the open caller connections.
+	MaxCallers int
+	// StartupTimeout bounds the time from accept to the end of authentication.
+	StartupTimeout time.Duration
+}
+
+// Peer is the side that other instances connect to.
+type Peer struct {
+	Address string
+}
+
+// Admin is the administration API.
+type Admin struct {
+	Address string
+	// AccessToken is asked of calls that change something. Without one, such
+	// calls are accepted from loopback addresses only.
+	AccessToken string
+}
+
+// Platform is the platform's object API and instance list.
+type Platform struct {
+	URL string
+	// Timeout bounds one call, apart from a waiting watch.
+	Timeout time.Duration
+}
+
+// Upstream is the account that connections to members use.
+type Upstream struct {
+	User            string
+	Password        string
+	ApplicationName string
+}
+
+// Homes says how many instances hold a group's connections.
+type Homes struct {
+	// PerFailureDomain is the number of homes of a group in each failure domain.
+	PerFailureDomain int
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string
+	Format string
+}
+
+// Words of Log.Format.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
