Test confirmation, barriers and proved age under virtual time

Conclusion: confirmation costs one lag and at most three round trips at lags of 0, 5, 50 and 500 ms of virtual time; a replaced primary, an idle group's old reports and a discarded tail confirm nothing; a silent connection moves nothing.

--- /dev/null
+++ b/internal/group/watcher_test.go
@@ -0,0 +1,207 @@
+package group_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+func codeOf(err error) result.Code {
+	e, ok := result.As(err)
+	if !ok {
+		return 0
+	}
+	return e.Code
+}
+
+func TestSnapshotShowsThePrimaryAndItsReplicas(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		s := x.w.Snapshot()
+		is.Equal(s.Term, logpos.Term(1))
+		is.Equal(s.Primary, x.addresses[0])
+		is.True(time.Since(s.ConfirmedAt) < 150*time.Millisecond)
+		for i := 1; i < 3; i++ {
+			is.Equal(x.view(i).Status.Role, member.RoleReplica)
+			is.True(time.Since(x.view(i).FreshAsOf) < 200*time.Millisecond)
+		}
+	})
+}
+
+func TestConfirmCostsOneLagAndNotAPollInterval(t *testing.T) {
+	for _, lag := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
+		watched(t, 3, func(x *fixture) {
+			is := is.New(t)
+			for _, n := range x.nodes {
+				n.SetReplicationLag(lag)
+			}
+			x.after(time.Second)
+			mark := x.write(0)
+			start := time.Now()
+			is.NoErr(x.w.Confirm(x.within(2*time.Second), mark))
+			is.True(time.Since(start) <= lag+6*oneWay)
+		})
+	}
+}
+
+func TestBarriersThatWaitTogetherShareARound(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		want := x.write(0)
+		var wg sync.WaitGroup
+		start := time.Now()
+		for range 100 {
+			wg.Go(func() {
+				mark, err := x.w.Barrier(x.within(time.Second))
+				is.NoErr(err)
+				is.True(!mark.Less(want))
+			})
+		}
+		wg.Wait()
+		is.True(time.Since(start) <= 8*oneWay)
+	})
+}
+
+// A cut separates the primary from its replicas and from the promoter, but not
+// from us, and it goes on taking writes. The other side promotes a replica. A
+// write at the old primary must not be confirmed, nor a barrier pass, although
+// the old primary answers both.
+func TestReplacedPrimaryIsNeverConfirmed(t *testing.T) {
+	for name, seesReplicas := range map[string]bool{"replicas seen": true, "replicas away": false} {
+		t.Run(name, func(t *testing.T) {
+			watched(t, 3, func(x *fixture) {
+				is := is.New(t)
+				for i := 1; i < 3; i++ {
+					x.net.Cut(x.hosts[0], x.hosts[i])
+					if !seesReplicas {
+						x.net.Cut(watcherIP, x.hosts[i])
+					}
+				}
+				x.promote(2, 1, 2)
+				mark := x.write(0)
+				is.Equal(mark.Term, logpos.Term(1))
+				err := x.w.Confirm(x.within(time.Second), mark)
+				is.True(err != nil)
+				if seesReplicas {
+					is.Equal(codeOf(err), result.PrimaryReplaced)
+				} else {
+					is.Equal(codeOf(err), result.ConfirmTimeout)
+				}
+				got, err := x.w.Barrier(x.within(time.Second))
+				is.True(err != nil || got.Term == 2)
+			})
+		})
+	}
+}
+
+// The group is idle, so that every replica has long held the last position.
+// The replicas are cut off from us and another primary is promoted. A barrier
+// must not pass on what the replicas reported before it began.
+func TestBarrierNeedsReportsAskedForAfterIt(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		x.net.Cut(watcherIP, x.hosts[1])
+		x.net.Cut(watcherIP, x.hosts[2])
+		x.promote(2, 1, 2)
+		_, err := x.w.Barrier(x.within(300 * time.Millisecond))
+		is.Equal(codeOf(err), result.NoConfirmingReplica)
+		is.Equal(codeOf(err).Family(), result.FamilyDidNotRun)
+	})
+}
+
+// A replica carries a tail that the new primary does not have, and that is
+// longer than the new log. Its position alone would confirm writes that it does
+// not hold; only its attachment in the new term counts.
+func TestDiscardedTailConfirmsNothing(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		x.net.Cut(x.hosts[0], x.hosts[1])
+		x.net.Cut(x.hosts[0], x.hosts[2])
+		for range 20 {
+			x.write(0)
+		}
+		x.promote(2, 1, 2)
+		x.after(time.Second)
+		x.net.Cut(x.hosts[1], x.hosts[2])
+		mark := x.write(1)
+		is.True(x.nodes[0].Status().Last.Position > mark.Position)
+		err := x.w.Confirm(x.within(500*time.Millisecond), mark)
+		is.Equal(codeOf(err), result.ConfirmTimeout)
+	})
+}
+
+func TestMajorityOfFiveNeedsTwoReplicas(t *testing.T) {
+	watched(t, 5, func(x *fixture) {
+		is := is.New(t)
+		for i := 2; i < 5; i++ {
+			x.net.Cut(x.hosts[0], x.hosts[i])
+		}
+		x.after(100 * time.Millisecond)
+		mark := x.write(0)
+		is.Equal(codeOf(x.w.Confirm(x.within(300*time.Millisecond), mark)), result.ConfirmTimeout)
+		proved := x.view(1).FreshAsOf
+		x.after(500 * time.Millisecond)
+		is.Equal(x.view(1).FreshAsOf, proved)
+		x.net.Heal(x.hosts[0], x.hosts[2])
+		is.NoErr(x.w.Confirm(x.within(3*time.Second), mark))
+	})
+}
+
+// A replica lags one second behind a primary that is written to. Its age is at
+// least its lag; a replica that is cut off grows older and proves nothing new.
+func TestAgeIsNeverBelowTheLag(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		x.nodes[2].SetReplicationLag(time.Second)
+		for range 40 {
+			x.write(0)
+			x.after(50 * time.Millisecond)
+		}
+		age := time.Since(x.view(2).FreshAsOf)
+		is.True(age >= time.Second-50*time.Millisecond)
+		is.True(age < 1500*time.Millisecond)
+		is.True(time.Since(x.view(1).FreshAsOf) < 200*time.Millisecond)
+		x.net.Cut(x.hosts[0], x.hosts[1])
+		x.write(0)
+		x.after(2 * time.Second)
+		is.True(time.Since(x.view(1).FreshAsOf) > 1900*time.Millisecond)
+	})
+}
+
+// The connection that is kept to each member goes silent while new ones work.
+// A barrier must still pass in a fraction of a second, and nobody is suspected.
+func TestSilentConnectionIsReplacedAndMovesNothing(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		for _, h := range x.hosts {
+			x.net.Silence(watcherIP, h)
+		}
+		_, err := x.w.Barrier(x.within(500 * time.Millisecond))
+		is.NoErr(err)
+		for i := range 3 {
+			is.Equal(x.view(i).Failures, 0)
+		}
+	})
+}
+
+func TestKilledMemberIsSeenFailingAndComesBack(t *testing.T) {
+	watched(t, 3, func(x *fixture) {
+		is := is.New(t)
+		x.nodes[0].Kill()
+		x.after(160 * time.Millisecond)
+		v := x.view(0)
+		is.True(v.Failures >= 3)
+		is.True(time.Since(v.Failing) >= 100*time.Millisecond)
+		x.nodes[0].Stop()
+		is.NoErr(x.nodes[0].Start())
+		x.after(time.Second)
+		is.Equal(x.view(0).Failures, 0)
+		is.Equal(x.w.Snapshot().Primary, x.addresses[0])
+	})
+}
