Follow the instance list and name each group's homes

The last good list outlives an outage and a platform that lists nobody; the own instance counts itself in before it is listed. Homes come from a rendezvous hash in each failure domain, so a departure moves only the groups the instance was home to (500 groups, 30 instances in the test).

Run: go test -race ./internal/membership.

--- /dev/null
+++ b/internal/membership/members_test.go
@@ -0,0 +1,178 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// listAPI is a platform of which only the instance list is used.
+type listAPI struct {
+	platform.API
+	mu   sync.Mutex
+	list platform.Inventory
+	err  error
+}
+
+func (a *listAPI) Inventory(context.Context) (platform.Inventory, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list, a.err
+}
+
+func (a *listAPI) set(list platform.Inventory, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list, a.err = list, err
+}
+
+func fleet(n int) []platform.Instance {
+	domains := []string{"poa-a", "poa-b", "fln-c"}
+	var list []platform.Instance
+	for i := range n {
+		list = append(list, platform.Instance{ID: fmt.Sprintf("e%d", i), FailureDomain: domains[i%len(domains)],
+			PeerAddress: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	return list
+}
+
+func newMembers(api platform.API, self platform.Instance, perDomain int) *Members {
+	return New(Options{API: api, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 2)), Self: self, PerFailureDomain: perDomain})
+}
+
+func TestSelfIsLiveBeforeItIsListed(t *testing.T) {
+	is := is.New(t)
+	all := fleet(4)
+	m := newMembers(&listAPI{list: platform.Inventory{Instances: all[:3]}}, all[3], 2)
+	is.True(m.IsHome("orders"))
+	is.NoErr(m.Refresh(context.Background()))
+	is.Equal(len(m.Live()), 4)
+	is.Equal(len(m.Peers()), 3)
+	is.True(m.IsHome("orders"))
+	m.SetDraining()
+	is.True(m.Self().Leaving)
+	is.Equal(len(m.Live()), 3)
+	is.True(!m.IsHome("orders"))
+}
+
+// The platform lists an upstream as leaving. Within two seconds this instance
+// must know, so that the upstream gets no new work.
+func TestLeavingUpstreamIsKnownWithinTwoSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := fleet(3)
+		api := &listAPI{list: platform.Inventory{Instances: all}}
+		m := newMembers(api, all[0], 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		synctest.Wait()
+		for range 20 {
+			api.set(platform.Inventory{Instances: all, Upstreams: []platform.Upstream{{Address: "10.0.1.1:5432", Leaving: true}}}, nil)
+			time.Sleep(1500 * time.Millisecond)
+			is.True(m.Leaving("10.0.1.1:5432"))
+			is.True(!m.Leaving("10.0.1.2:5432"))
+			api.set(platform.Inventory{Instances: all}, nil)
+			time.Sleep(1500 * time.Millisecond)
+			is.True(!m.Leaving("10.0.1.1:5432"))
+		}
+		cancel()
+		<-done
+	})
+}
+
+// The platform goes down and comes back listing nobody, as after a restart.
+// Callers notice nothing: the last good list stays in use throughout, and with
+// it the homes of each group.
+func TestLastGoodListOutlivesAnOutage(t *testing.T) {
+	is := is.New(t)
+	all := fleet(6)
+	api := &listAPI{list: platform.Inventory{Instances: all, Upstreams: []platform.Upstream{{Address: "u", Leaving: true}}}}
+	m := newMembers(api, all[0], 1)
+	is.NoErr(m.Refresh(t.Context()))
+	before := m.Homes("orders")
+	api.set(platform.Inventory{}, platform.ErrUnavailable)
+	is.True(m.Refresh(t.Context()) != nil)
+	api.set(platform.Inventory{}, nil)
+	is.True(m.Refresh(t.Context()) != nil)
+	is.Equal(m.Homes("orders"), before)
+	is.True(m.Leaving("u"))
+}
+
+func TestHomesPerFailureDomain(t *testing.T) {
+	is := is.New(t)
+	all := fleet(8)
+	api := &listAPI{list: platform.Inventory{Instances: all}}
+	views := make([]*Members, len(all))
+	for i := range all {
+		views[i] = newMembers(api, all[i], 2)
+		is.NoErr(views[i].Refresh(t.Context()))
+	}
+	for g := range 50 {
+		group := fmt.Sprintf("group-%d", g)
+		homes := 0
+		for _, m := range views {
+			is.Equal(m.HomesRanked(group), views[0].HomesRanked(group))
+			is.Equal(m.Homes(group)[0].FailureDomain, m.Self().FailureDomain)
+			if m.IsHome(group) {
+				homes++
+				is.Equal(m.Homes(group)[0].ID, m.Self().ID)
+			}
+		}
+		is.Equal(homes, 6)
+	}
+}
+
+// One instance of thirty leaves. Only the groups it was home to move; all
+// others keep their homes, so a departure starts no wave of reconnections.
+func TestDepartureMovesOnlyItsOwnGroups(t *testing.T) {
+	is := is.New(t)
+	all := fleet(30)
+	before := newSnapshot(all[0], platform.Inventory{Instances: all}, 2)
+	after := newSnapshot(all[0], platform.Inventory{Instances: all[:29]}, 2)
+	for g := range 500 {
+		group := fmt.Sprintf("group-%d", g)
+		old := before.homesOf(group).ranked
+		moved := 0
+		for _, h := range after.homesOf(group).ranked {
+			if !contains(old, h.ID) {
+				moved++
+			}
+		}
+		if contains(old, all[29].ID) {
+			is.Equal(moved, 1)
+		} else {
+			is.Equal(moved, 0)
+		}
+	}
+}
+
+func contains(list []platform.Instance, id string) bool {
+	for _, i := range list {
+		if i.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSubscribersHearChangesOnly(t *testing.T) {
+	is := is.New(t)
+	all := fleet(3)
+	api := &listAPI{list: platform.Inventory{Instances: all}}
+	m := newMembers(api, all[0], 1)
+	calls := 0
+	m.Subscribe(func() { calls++ })
+	is.NoErr(m.Refresh(t.Context()))
+	is.NoErr(m.Refresh(t.Context()))
+	is.Equal(calls, 1)
+}
