--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/topazrock/topazrock/internal/adminclient"
 	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/settings"
 )
 
 // fileArgument is the name of a file on the command line.
@@ -58,7 +59,8 @@
 // check returns the kind of the text and its faults.
 func (c *checkCommand) check(text []byte) (string, error) {
 	if !isDocument(text) {
-		return kindSettings, invalid(c.root.env.CheckSettings(c.Args.File, text))
+		_, err := settings.Parse(c.Args.File, text)
+		return kindSettings, invalid(err)
 	}
 	name, err := serviceName(c.Args.File, text)
 	if err != nil || !c.Remote {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,8 +23,6 @@
 	User string
 	// Serve runs an entry instance from a settings file until ctx ends.
 	Serve func(ctx context.Context, settingsFile string) error
-	// CheckSettings checks the text of a settings file.
-	CheckSettings func(fileName string, text []byte) error
 }
 
 // Run runs one command and returns the exit code of the process.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -88,12 +88,11 @@
 	c.out.Reset()
 	c.errs.Reset()
 	return Run(context.Background(), Environment{
-		Args:          append([]string{"--api", c.address}, args...),
-		Stdin:         strings.NewReader(input),
-		Stdout:        &c.out,
-		Stderr:        &c.errs,
-		User:          "ana",
-		CheckSettings: func(string, []byte) error { return errors.New("settings.ini:1: unknown key") },
+		Args:   append([]string{"--api", c.address}, args...),
+		Stdin:  strings.NewReader(input),
+		Stdout: &c.out,
+		Stderr: &c.errs,
+		User:   "ana",
 	})
 }
 
@@ -197,8 +196,9 @@
 	faulty := writeFile(t, "faulty.ini", "[service]\nname = x\ncolour = red\n")
 	is.Equal(c.run("", "check", faulty), ExitInvalid)
 	is.True(strings.Contains(c.errs.String(), "faulty.ini:3"))
-	is.Equal(c.run("", "check", writeFile(t, "settings.ini", "[instance]\n")), ExitInvalid)
-	is.True(strings.Contains(c.errs.String(), "unknown key"))
+	is.Equal(c.run("", "check", "../../examples/instance.ini"), ExitOK)
+	is.Equal(c.run("", "check", writeFile(t, "settings.ini", "[instance]\ncolour = red\n")), ExitInvalid)
+	is.True(strings.Contains(c.errs.String(), "settings.ini:2"))
 }
 
 func TestEveryCommandHelpsWithAnExample(t *testing.T) {
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -17,7 +17,7 @@
 
 // options are those of every command that calls the API.
 type options struct {
-	API       string        `long:"api" env:"TOPAZROCK_API" default:"127.0.0.1:7433" description:"address of an instance's administration API" value-name:"HOST:PORT"`
+	API       string        `long:"api" env:"TOPAZROCK_API" default:"127.0.0.1:6434" description:"address of an instance's administration API" value-name:"HOST:PORT"`
 	TokenFile string        `long:"token-file" env:"TOPAZROCK_TOKEN_FILE" description:"file that holds the access token" value-name:"FILE"`
 	Operator  string        `long:"operator" env:"TOPAZROCK_OPERATOR" description:"author that the history shows (default: the account's name)" value-name:"NAME"`
 	Output    string        `long:"output" choice:"text" choice:"json" default:"text" description:"form of printed data"`
