Retry reads within the group's budget; retire groups and drain units of peers

Cause: a home that stops being one must let its open transactions end, and a draining home must finish the units of its peers.

Ruled out: a WaitGroup for the units in flight (units of open transactions still begin while the drain waits, which a WaitGroup does not allow).

Conclusion: the router keeps retired groups while transactions are open in them, and counts the units of peers.

--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -15,7 +15,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, g.Clock.Now().Add(min(u.Timeout, p.timeout)))
 	defer cancel()
-	g.Budget.Deposit()
+	g.Budget.Request()
 	reply, err := g.dispatch(ctx, u, p, partial)
 	if err != nil {
 		return nil, g.Metrics.refused(g.Group, err)
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -146,10 +146,14 @@
 	if err := json.Unmarshal(params, u); err != nil {
 		return nil, result.New(result.ProtocolViolation, "unit").WithCause(err)
 	}
-	g := r.Local(u.Group)
-	if g == nil && u.Transaction != "" {
-		return nil, result.New(result.TransactionLost, "this instance is no longer home to the group")
+	if !r.begin(u) {
+		return nil, result.New(result.NotReady, "this instance is draining")
+	}
+	defer r.finish()
+	if u.Transaction != "" {
+		return r.inTransaction(ctx, u, r.partialTo(ctx, u))
 	}
+	g := r.Local(u.Group)
 	if g == nil {
 		return nil, result.New(result.NotReady, "this instance is not home to group %s", u.Group)
 	}
@@ -183,9 +187,7 @@
 	if err := json.Unmarshal(params, &ref); err != nil {
 		return nil, err
 	}
-	if g := r.Local(ref.Group); g != nil {
-		g.Abandon(ref.Group, ref.ID)
-	}
+	r.Abandon(ref.Group, ref.ID)
 	return nil, nil
 }
 
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -8,13 +8,14 @@
 // unless the request's key proves otherwise. A connection belongs to one unit or
 // one transaction at a time.
 //
-// Lock order: transaction.mu, then transactions.mu or running.mu. The two table
-// locks are never held together, and none is held across I/O but transaction.mu,
+// Lock order: transaction.mu, then transactions.mu, running.mu or Group.randomMu.
+// The last three are never held together, and none is held across I/O but transaction.mu,
 // which no other transaction waits for.
 package executor
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,16 +25,9 @@
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/pool"
+	"github.com/topazrock/topazrock/internal/retry"
 )
 
-// RetryBudget says whether one more retry may be made now.
-type RetryBudget interface {
-	// Deposit counts a request, which earns a share of a retry.
-	Deposit()
-	// Withdraw takes one retry, or reports that the budget is spent.
-	Withdraw() bool
-}
-
 // Config is what a Group is made of.
 type Config struct {
 	// Group is the group's name, Instance the ID of this instance.
@@ -44,8 +38,9 @@
 	Tracker group.Tracker
 	Pool    pool.Pool
 	Gate    admission.Gate
-	Budget  RetryBudget
+	Budget  *retry.Budget
 	Clock   clock.Clock
+	// Random is used under the Group's own lock; nothing else may use it.
 	Random  *rand.Rand
 	Dialer  netio.Dialer
 	Logger  hclog.Logger
@@ -57,6 +52,8 @@
 	Config
 	transactions *transactions
 	running      *running
+	// randomMu guards Random.
+	randomMu sync.Mutex
 }
 
 // NewGroup returns a Group that is ready to run units.
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/retry"
 	"github.com/topazrock/topazrock/internal/routing"
 )
 
@@ -116,6 +117,8 @@
 	if n.maxAge > 0 {
 		r.NotBefore = g.Clock.Now().Add(-n.maxAge)
 	}
+	g.randomMu.Lock()
+	defer g.randomMu.Unlock()
 	return routing.Replica(g.Tracker.Snapshot(), r, g.Random)
 }
 
@@ -171,22 +174,26 @@
 	return err
 }
 
-// mayRetryRead decides on one more attempt. Reads on replicas are idempotent:
-// a replica refuses anything that writes.
+// mayRetryRead decides on one more attempt, and waits for its turn. Reads on
+// replicas are idempotent: a replica refuses anything that writes.
 func (g *Group) mayRetryRead(ctx context.Context, err error, attempt int) bool {
 	e, ok := result.As(err)
 	if !ok || ctx.Err() != nil || attempt >= maxReadAttempts {
 		return false
 	}
-	switch e.Code {
-	case result.ConnectionLost, result.StatementTimeout, result.UpstreamUnreachable:
-	default:
+	reason, ok := retryReasons[e.Code]
+	if !ok {
 		return false
 	}
-	if !g.Budget.Withdraw() {
-		g.Metrics.retryDenied(g.Group, e.Code)
-		return false
-	}
-	g.Metrics.retried(g.Group, e.Code)
-	return true
+	deadline, _ := ctx.Deadline()
+	failed := retry.Attempt{Number: attempt, Reason: reason, RetryAfter: e.RetryAfter, Deadline: deadline}
+	return g.Budget.Wait(ctx, failed) == nil
+}
+
+// retryReasons are the codes after which a read may go to another member.
+var retryReasons = map[result.Code]retry.Reason{
+	result.ConnectionLost:      retry.ConnectionLost,
+	result.StatementTimeout:    retry.Silent,
+	result.UpstreamUnreachable: retry.Unreachable,
+	result.TooManyConnections:  retry.Full,
 }
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -32,6 +32,14 @@
 
 	mu     sync.RWMutex
 	groups map[string]*Group
+	// retiring holds groups that this instance is no longer home to, while
+	// transactions are open in them.
+	retiring map[string]*Group
+	// draining refuses new units of peers; inFlight counts those at work.
+	draining bool
+	inFlight int
+	// idle is closed when draining and no unit of a peer is at work.
+	idle chan struct{}
 	// partials takes the pieces of large answers that peers send, by unit.
 	partials map[string]func([]byte) error
 }
@@ -45,6 +53,8 @@
 		caller:   c,
 		metrics:  m,
 		groups:   make(map[string]*Group),
+		retiring: make(map[string]*Group),
+		idle:     make(chan struct{}),
 		partials: make(map[string]func([]byte) error),
 	}
 }
@@ -56,11 +66,36 @@
 	r.groups[g.Group] = g
 }
 
-// Remove ends that. Transactions that are open go on until they end.
-func (r *Router) Remove(group string) {
+// Retire ends that for new units. Transactions that are open go on until they
+// end; Remove follows.
+func (r *Router) Retire(group string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.groups, group)
+	if g := r.groups[group]; g != nil {
+		r.retiring[group] = g
+		delete(r.groups, group)
+	}
+}
+
+// Remove drops a group that was retired.
+func (r *Router) Remove(g *Group) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.retiring[g.Group] == g {
+		delete(r.retiring, g.Group)
+	}
+}
+
+// owner returns the group of an open transaction of this instance.
+func (r *Router) owner(group, transaction string) *Group {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, g := range []*Group{r.groups[group], r.retiring[group]} {
+		if g != nil && g.transactions.find(transaction) != nil {
+			return g
+		}
+	}
+	return nil
 }
 
 // Local returns the group if this instance runs its units itself.
@@ -75,15 +110,24 @@
 	if owner, ok := transactionOwner(u.Transaction); ok && owner != r.self {
 		return r.forwardTo(ctx, owner, u, partial)
 	}
+	if u.Transaction != "" {
+		return r.inTransaction(ctx, u, partial)
+	}
 	if g := r.Local(u.Group); g != nil {
 		return g.Execute(ctx, u, partial)
 	}
-	if u.Transaction != "" {
-		return nil, result.New(result.TransactionLost, "this instance is no longer home to the group")
-	}
 	return r.forward(ctx, u, partial)
 }
 
+// inTransaction runs a unit of a transaction that is open on this instance.
+func (r *Router) inTransaction(ctx context.Context, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
+	g := r.owner(u.Group, u.Transaction)
+	if g == nil {
+		return nil, r.metrics.refused(u.Group, result.New(result.TransactionLost, "its connection is gone"))
+	}
+	return g.Execute(ctx, u, partial)
+}
+
 // transactionOwner returns the instance that a transaction's ID names.
 func transactionOwner(id string) (string, bool) {
 	owner, _, ok := strings.Cut(id, transactionSeparator)
@@ -97,7 +141,7 @@
 		r.notify(owner, methodAbandon, reference{Group: group, ID: transaction})
 		return
 	}
-	if g := r.Local(group); g != nil {
+	if g := r.owner(group, transaction); g != nil {
 		g.Abandon(group, transaction)
 	}
 }
@@ -114,3 +158,48 @@
 		}
 	}
 }
+
+// Drain refuses new units of peers, which then go to other homes, and returns
+// when those at work have ended or ctx has.
+func (r *Router) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.draining = true
+	r.noteIdle()
+	r.mu.Unlock()
+	select {
+	case <-r.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// begin counts a unit of a peer, or reports that it is not to be taken.
+func (r *Router) begin(u *execution.Unit) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining && u.Transaction == "" {
+		return false
+	}
+	r.inFlight++
+	return true
+}
+
+func (r *Router) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+	r.noteIdle()
+}
+
+// noteIdle closes idle once. The caller holds r.mu.
+func (r *Router) noteIdle() {
+	if !r.draining || r.inFlight > 0 {
+		return
+	}
+	select {
+	case <-r.idle:
+	default:
+		close(r.idle)
+	}
+}
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -147,11 +147,9 @@
 	ctx, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
 	defer cancel()
 	mark := logpos.Mark{Term: s.Entered, Position: s.Last.Position}
-	start := g.Clock.Now()
 	if err := g.Tracker.Confirm(ctx, mark); err != nil {
 		return logpos.Mark{}, err
 	}
-	g.Metrics.confirmed(g.Group, g.Clock.Now().Sub(start))
 	return mark, nil
 }
 
