Prove that a pool shares no connection and never passes its limit

Suspicion now covers connections opened up to a minute after the silent one: a pool that fills up opens them one by one, and each newer one would have cost a statement timeout.

--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -90,15 +90,22 @@
 	return m
 }
 
+// suspectWindow is how much later than the silent connection another one may
+// have been opened and still be taken for one of its age: a pool that fills up
+// opens its connections within such a time.
+const suspectWindow = time.Minute
+
 // Suspect implements Pool. Idle connections of that age are probed now, side by
-// side, so that one silent connection costs one probe and not one for each
-// request that would have met the next; those in use are probed on Release.
+// side: otherwise each request that meets the next silent one pays a statement
+// timeout. Those in use are probed on Release. Newer ones are left alone, because
+// a member that is only slow must not lose all its connections to late probes.
 func (p *Limited) Suspect(address string, opened time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.member(address)
+	newest := opened.Add(suspectWindow)
 	for _, e := range p.entries {
-		if e.member == m && !e.conn.Opened().After(opened) {
+		if e.member == m && !e.conn.Opened().After(newest) {
 			e.suspect = true
 		}
 	}
--- /dev/null
+++ b/internal/pool/machine_test.go
@@ -0,0 +1,203 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// machine drives a pool with random steps and holds what it must never do.
+type machine struct {
+	members *fakeMembers
+	pool    *Limited
+	held    []*upstream.Conn
+	// settled is the highest sum allowed: limits that were lowered count until
+	// Settle returned.
+	allowed int
+	got     chan *upstream.Conn
+	pending int
+}
+
+func (m *machine) acquire(t *rapid.T) {
+	address := m.address(t)
+	timeout := time.Duration(rapid.IntRange(1, 400).Draw(t, "timeout")) * time.Millisecond
+	m.pending++
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		c, _ := m.pool.Acquire(ctx, address)
+		m.got <- c
+	}()
+}
+
+func (m *machine) address(t *rapid.T) string {
+	return rapid.SampledFrom([]string{firstMember, secondMember}).Draw(t, "address")
+}
+
+func (m *machine) release(t *rapid.T) {
+	if len(m.held) == 0 {
+		t.Skip("nothing held")
+	}
+	i := rapid.IntRange(0, len(m.held)-1).Draw(t, "which")
+	c := m.held[i]
+	m.held = slices.Delete(m.held, i, i+1)
+	if rapid.Bool().Draw(t, "dirty") {
+		c.Spoil()
+	}
+	m.pool.Release(c)
+	// With waiters the connection may be in use again, and a second Release
+	// would be that of its new user.
+	if m.pending == 0 && rapid.Bool().Draw(t, "twice") {
+		m.pool.Release(c)
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	after(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) fault(t *rapid.T) {
+	address := m.address(t)
+	m.members.mu.Lock()
+	defer m.members.mu.Unlock()
+	switch rapid.IntRange(0, 2).Draw(t, "fault") {
+	case 0:
+		m.members.full[address] = !m.members.full[address]
+	case 1:
+		m.members.down[address] = !m.members.down[address]
+	case 2:
+		m.members.unconfirmed = !m.members.unconfirmed
+	}
+}
+
+func (m *machine) silence(t *rapid.T) {
+	if len(m.held) == 0 {
+		t.Skip("nothing held")
+	}
+	c := m.held[0]
+	m.members.mu.Lock()
+	m.members.silent[c] = true
+	m.members.mu.Unlock()
+	m.pool.Suspect(c.Address(), c.Opened())
+}
+
+func (m *machine) leave(t *rapid.T) {
+	var leaving []string
+	if rapid.Bool().Draw(t, "leaving") {
+		leaving = []string{m.address(t)}
+	}
+	m.pool.SetLeaving(leaving)
+}
+
+func (m *machine) setLimit(t *rapid.T) {
+	n := rapid.IntRange(0, 6).Draw(t, "limit")
+	m.allowed = max(m.allowed, n)
+	m.pool.SetLimit(n)
+}
+
+// check collects what was acquired and compares the pool with the members.
+func (m *machine) check(t *rapid.T) {
+	synctest.Wait()
+	for len(m.got) > 0 {
+		m.pending--
+		if c := <-m.got; c != nil {
+			if slices.Contains(m.held, c) {
+				t.Fatalf("one connection was handed out twice")
+			}
+			if !c.Clean() {
+				t.Fatalf("a connection that is not clean was handed out")
+			}
+			m.held = append(m.held, c)
+		}
+	}
+	s := m.pool.Stats()
+	if s.Total() <= s.Limit {
+		m.allowed = s.Limit
+	}
+	if sum := m.members.count(); sum > s.Total() {
+		t.Fatalf("members hold %d, the pool counts %+v", sum, s)
+	}
+	if s.Total() > m.allowed {
+		t.Fatalf("counted %+v, allowed %d", s, m.allowed)
+	}
+	if s.InUse != len(m.held) {
+		t.Fatalf("in use %d, held %d", s.InUse, len(m.held))
+	}
+}
+
+// finish releases all and closes the pool, which must end with nothing held.
+func (m *machine) finish(t *rapid.T) {
+	after(time.Second)
+	m.check(t)
+	if m.pending != 0 {
+		t.Fatalf("%d callers wait past their deadline", m.pending)
+	}
+	for _, c := range m.held {
+		m.pool.Release(c)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := m.pool.Close(ctx); err != nil {
+		t.Fatalf("close: %v, left %+v", err, m.pool.Stats())
+	}
+	if n := m.members.count(); n != 0 {
+		t.Fatalf("members still hold %d", n)
+	}
+}
+
+func TestPoolNeverPassesItsLimit(t *testing.T) {
+	// Random callers, faults of members, limits and leaving members. At no
+	// moment do the members hold more connections than the pool counts, nor the
+	// pool count more than its limit (the last one before a lowering that has
+	// not settled); no connection is ever in two hands.
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubble{t}, func(t *rapid.T) {
+			members := newFakeMembers()
+			m := &machine{members: members, pool: members.newPool(4), allowed: 4, got: make(chan *upstream.Conn, 1000)}
+			defer m.abandon()
+			t.Repeat(map[string]func(*rapid.T){
+				"acquire": m.acquire,
+				"release": m.release,
+				"pass":    m.pass,
+				"fault":   m.fault,
+				"silence": m.silence,
+				"leave":   m.leave,
+				"limit":   m.setLimit,
+				"":        m.check,
+			})
+			m.finish(t)
+		})
+	})
+}
+
+// bubble hides the methods of a test that must not be called in a bubble.
+type bubble struct{ testing.TB }
+
+// abandon ends the pool's goroutines, also after a failure.
+func (m *machine) abandon() {
+	m.pool.stop()
+	after(time.Minute)
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	members := newFakeMembers()
+	p := members.newPool(32)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c, err := p.Acquire(ctx, firstMember)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			p.Release(c)
+		}
+	})
+}
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -3,7 +3,9 @@
 import "github.com/topazrock/topazrock/internal/upstream"
 
 // Release implements Pool. A connection that is not in use is left alone: a
-// second Release would otherwise hand one connection to two transactions.
+// second Release would otherwise hand one connection to two transactions. A
+// second Release after the connection was handed out again cannot be told from
+// its new user's, so callers release once.
 func (p *Limited) Release(c *upstream.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
