Wire an instance: a write through one, a read through another

Cause: the parts stood side by side and no statement travelled from a caller to a member.

Ruled out: one set of parts for all groups (a group's home starts and ends with the membership, so each home owns its watcher, pool, gate and executor).

Conclusion: the thin path stands in memory. Documents are still fixed, and no failover runs yet.

--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -11,9 +11,9 @@
 	"github.com/topazrock/topazrock/internal/result"
 )
 
-// Homes tells which instances are home to a group, best first.
+// Homes tells which instances are home to a group, nearest first.
 type Homes interface {
-	HomesRanked(group string) []platform.Instance
+	Homes(group string) []platform.Instance
 	// FindInstance returns the instance of an ID.
 	FindInstance(id string) (platform.Instance, bool)
 }
@@ -152,7 +152,7 @@
 		g.Cancel(group, unitID)
 		return
 	}
-	for _, home := range r.homes.HomesRanked(group) {
+	for _, home := range r.homes.Homes(group) {
 		if home.ID != r.self {
 			r.notify(home.ID, methodCancel, reference{Group: group, ID: unitID})
 		}
--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -1,13 +1,10 @@
 package frontend
 
 import (
-	"encoding/base64"
-	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/result"
 	"github.com/xdg-go/scram"
 )
@@ -33,7 +30,7 @@
 	user, known := service.FindUser(m.Parameters["user"])
 	credentials := decoyCredentials
 	if known {
-		c, err := parseVerifier(user.Verifier)
+		c, err := document.ParseVerifier(user.Verifier)
 		if err != nil {
 			return result.New(result.AuthFailed, "user %q", user.Name).WithCause(err)
 		}
@@ -117,32 +114,3 @@
 	}
 	return string(r.Data), nil
 }
-
-// parseVerifier reads a verifier in the form that PostgreSQL stores:
-// SCRAM-SHA-256$iterations:salt$storedkey:serverkey, with base64 fields.
-func parseVerifier(text string) (scram.StoredCredentials, error) {
-	var c scram.StoredCredentials
-	parts := strings.Split(text, "$")
-	if len(parts) != 3 || parts[0] != mechanism {
-		return c, fmt.Errorf("verifier does not begin with %s", mechanism)
-	}
-	iterations, salt, ok1 := strings.Cut(parts[1], ":")
-	stored, serverKey, ok2 := strings.Cut(parts[2], ":")
-	if !ok1 || !ok2 {
-		return c, fmt.Errorf("verifier lacks a field")
-	}
-	var err error
-	if c.Iters, err = strconv.Atoi(iterations); err != nil {
-		return c, err
-	}
-	rawSalt, err := base64.StdEncoding.DecodeString(salt)
-	if err != nil {
-		return c, err
-	}
-	c.Salt = string(rawSalt)
-	if c.StoredKey, err = base64.StdEncoding.DecodeString(stored); err != nil {
-		return c, err
-	}
-	c.ServerKey, err = base64.StdEncoding.DecodeString(serverKey)
-	return c, err
-}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -165,6 +165,9 @@
 	}
 }
 
+// Close ends what serves sessions. Drain comes first.
+func (s *Server) Close() { s.workers.stop() }
+
 // Draining reports whether the server is shutting down.
 func (s *Server) Draining() bool {
 	s.mu.Lock()
--- a/internal/frontend/workers.go
+++ b/internal/frontend/workers.go
@@ -9,9 +9,16 @@
 // stack then belongs to a worker and not to each idle caller.
 type workers struct {
 	tasks chan func()
+	// quit ends the workers that have no task.
+	quit chan struct{}
 }
 
-func newWorkers() *workers { return &workers{tasks: make(chan func())} }
+func newWorkers() *workers {
+	return &workers{tasks: make(chan func()), quit: make(chan struct{})}
+}
+
+// stop ends the workers. No task may follow.
+func (w *workers) stop() { close(w.quit) }
 
 // do runs f on a worker and returns when f has ended.
 func (w *workers) do(f func()) {
@@ -38,6 +45,8 @@
 		case task = <-w.tasks:
 		case <-idle.C:
 			return
+		case <-w.quit:
+			return
 		}
 	}
 }
--- /dev/null
+++ b/internal/instance/bed_test.go
@@ -0,0 +1,179 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/settings"
+	"github.com/topazrock/topazrock/internal/standin/member"
+	"github.com/topazrock/topazrock/internal/standin/memnet"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+
+	"github.com/topazrock/topazrock/internal/netio"
+)
+
+const (
+	bedGroup    = "base-1"
+	bedPassword = "tagua"
+	callerHost  = "10.0.9.1"
+)
+
+// bed is a whole system in memory: one group of three members in three failure
+// domains, one instance in each, and the platform.
+type bed struct {
+	t         *testing.T
+	is        *is.I
+	net       *memnet.Network
+	nodes     []*member.Node
+	store     *standin.Store
+	instances []*Instance
+	stop      []context.CancelFunc
+	ended     []chan error
+}
+
+var bedDomains = []string{"poa-a", "poa-b", "fln-c"}
+
+func memberHost(i int) string      { return fmt.Sprintf("10.0.%d.1", i+1) }
+func memberAddress(i int) string   { return memberHost(i) + ":5432" }
+func instanceHost(i int) string    { return fmt.Sprintf("10.0.%d.2", i+1) }
+func instanceAddress(i int) string { return instanceHost(i) + ":6432" }
+
+// inBed runs f in a bubble of virtual time with a bed that has started.
+func inBed(t *testing.T, f func(b *bed)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bed{t: t, is: is.New(t), net: memnet.New(), store: standin.NewStore()}
+		b.startMembers()
+		b.startInstances()
+		time.Sleep(time.Second)
+		f(b)
+		for i := range b.instances {
+			b.stop[i]()
+			<-b.ended[i]
+		}
+		for _, n := range b.nodes {
+			n.Stop()
+		}
+	})
+}
+
+func (b *bed) startMembers() {
+	base := member.Options{ConnectDelay: 10 * time.Millisecond, ReplicationLag: 5 * time.Millisecond, ConnectionTotal: 35}
+	network := func(ip string) netio.Network { return b.net.Host(ip) }
+	nodes, err := member.StartGroup(base, network, memberAddress(0), memberAddress(1), memberAddress(2))
+	b.is.NoErr(err)
+	b.nodes = nodes
+}
+
+func (b *bed) startInstances() {
+	var list platform.Inventory
+	for i, d := range bedDomains {
+		list.Instances = append(list.Instances, platform.Instance{
+			ID: fmt.Sprintf("i%d", i), FailureDomain: d, PeerAddress: instanceHost(i) + ":7432",
+		})
+	}
+	b.store.SetInventory(list)
+	for i := range bedDomains {
+		b.startInstance(i)
+	}
+}
+
+func (b *bed) startInstance(i int) {
+	s := &settings.Settings{}
+	s.Instance = settings.Instance{ID: fmt.Sprintf("i%d", i), FailureDomain: bedDomains[i]}
+	s.Caller.Address = instanceAddress(i)
+	s.Peer.Address = instanceHost(i) + ":7432"
+	s.Homes.PerFailureDomain = 1
+	s.Upstream.User = "topazrock"
+	n := New(Options{
+		Settings: s,
+		Network:  b.net.Host(instanceHost(i)),
+		Clock:    clock.System{},
+		Seed:     1,
+		Platform: b.store,
+		Logger:   hclog.NewNullLogger(),
+		Registry: prometheus.NewRegistry(),
+	}, fixedDocuments{bedService()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	b.instances = append(b.instances, n)
+	b.stop = append(b.stop, cancel)
+	b.ended = append(b.ended, ended)
+}
+
+type fixedDocuments struct{ service *document.Service }
+
+func (f fixedDocuments) FindService(g string) (*document.Service, bool) {
+	_, ok := f.service.FindGroup(g)
+	return f.service, ok
+}
+func (f fixedDocuments) Services() []*document.Service { return []*document.Service{f.service} }
+func (f fixedDocuments) Ready() bool                   { return true }
+func (f fixedDocuments) OnChange(func())               {}
+
+func bedService() *document.Service {
+	verifier, err := document.NewVerifier(bedPassword)
+	if err != nil {
+		panic(err)
+	}
+	g := document.Group{Name: bedGroup, Connections: 35, Slots: 5}
+	for i, d := range bedDomains {
+		g.Members = append(g.Members, document.Member{Address: memberAddress(i), FailureDomain: d})
+	}
+	return &document.Service{
+		Name:   "base",
+		Groups: []document.Group{g},
+		Users:  []document.User{{Name: "clerk", Verifier: verifier}},
+		Limits: document.Limits{
+			StatementTimeout:       5 * time.Second,
+			RequestTimeout:         5 * time.Second,
+			ConfirmTimeout:         time.Second,
+			TransactionIdleTimeout: 30 * time.Second,
+			AnswerBuffer:           64 << 10,
+			MaxQueue:               100,
+		},
+		Reads: []document.ReadClass{
+			{Name: "pending-visits", MaxAge: 2 * time.Second, Priority: 5},
+			{Name: "application", Priority: 3},
+		},
+		Writes: []document.RequestClass{
+			{Name: "fee-payment", AtMostOnce: true, Priority: 1},
+			{Name: "note", Priority: 4},
+		},
+	}
+}
+
+// connect opens a caller's connection to instance i, with a token if not empty.
+func (b *bed) connect(i int, token string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig(fmt.Sprintf("postgres://clerk:%s@%s/%s?sslmode=disable", bedPassword, instanceAddress(i), bedGroup))
+	b.is.NoErr(err)
+	c.DialFunc = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return b.net.Host(callerHost).Dial(ctx, address)
+	}
+	c.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	if token != "" {
+		c.RuntimeParams["topazrock.token"] = token
+	}
+	return pgx.ConnectConfig(context.Background(), c)
+}
+
+func (b *bed) mustConnect(i int, token string) *pgx.Conn {
+	b.t.Helper()
+	c, err := b.connect(i, token)
+	b.is.NoErr(err)
+	b.t.Cleanup(func() {})
+	return c
+}
+
+func token(c *pgx.Conn) string { return c.PgConn().ParameterStatus("topazrock.token") }
--- /dev/null
+++ b/internal/instance/cancel.go
@@ -0,0 +1,48 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/topazrock/topazrock/internal/frontend"
+)
+
+// methodCancelCaller passes on a cancel request that reached another instance
+// than the caller's session.
+const methodCancelCaller = "caller.cancel"
+
+// processIDBits is how far a process ID is shifted to get its instance's part.
+const processIDBits = 16
+
+// cancelCaller names a caller's session.
+type cancelCaller struct {
+	ProcessID uint32 `json:"process_id"`
+	Secret    uint32 `json:"secret"`
+}
+
+func (n *Instance) registerCancel() {
+	n.peers.Handle(methodCancelCaller, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var c cancelCaller
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, err
+		}
+		n.frontend.Cancel(c.ProcessID, c.Secret)
+		return nil, nil
+	})
+}
+
+// forwardCancel sends a cancel request to the instances whose process IDs look
+// like this one: the balancer may hand a cancel to any instance.
+func (n *Instance) forwardCancel(processID, secret uint32) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, p := range n.members.Peers() {
+		if frontend.ProcessIDPrefix(p.ID) != processID>>processIDBits {
+			continue
+		}
+		err := n.client.Call(ctx, p.PeerAddress, methodCancelCaller, cancelCaller{ProcessID: processID, Secret: secret}, nil)
+		if err != nil {
+			n.options.Logger.Debug("Cancel request was not passed on.", "instance", p.ID, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,181 @@
+// Package instance wires one entry instance together and runs it: the callers'
+// side, the peers' side, the administration API, and a home for each group that
+// the instance holds connections to.
+//
+// Lock order: Instance.mu alone, held for map look-ups only.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/executor"
+	"github.com/topazrock/topazrock/internal/frontend"
+	"github.com/topazrock/topazrock/internal/member/pgcontrol"
+	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	options   Options
+	metrics   *metrics
+	control   *pgcontrol.Dialer
+	documents Documents
+	members   *membership.Members
+	peers     *peer.Server
+	client    *peer.Client
+	router    *executor.Router
+	frontend  *frontend.Server
+	// changed asks for a comparison of homes; it holds at most one request.
+	changed chan struct{}
+	// running counts the goroutines that Run waits for.
+	running sync.WaitGroup
+
+	mu     sync.Mutex
+	homeOf map[string]*home
+}
+
+// New builds an instance that does nothing before Run.
+func New(o Options, documents Documents) *Instance {
+	n := &Instance{
+		options:   o,
+		metrics:   newMetrics(o.Registry),
+		documents: documents,
+		changed:   make(chan struct{}, 1),
+		homeOf:    make(map[string]*home),
+	}
+	s := o.Settings
+	n.control = pgcontrol.NewDialer(o.Network, pgcontrol.Options{User: s.Upstream.User, Password: s.Upstream.Password})
+	n.members = membership.New(membership.Options{
+		API:              o.Platform,
+		Clock:            o.Clock,
+		Rand:             n.random("membership"),
+		Self:             n.self(),
+		PerFailureDomain: s.Homes.PerFailureDomain,
+		Log:              o.Logger,
+		Metrics:          n.metrics.membership,
+	})
+	n.peers = peer.NewServer(o.Logger)
+	n.client = peer.NewClient(s.Instance.ID, o.Network)
+	n.router = executor.NewRouter(s.Instance.ID, s.Peer.Address, homes{n.members}, n.client, n.metrics.executor)
+	n.router.Register(n.peers)
+	n.frontend = frontend.NewServer(frontend.Config{
+		Instance:       s.Instance.ID,
+		Directory:      documents,
+		Executor:       n.router,
+		Clock:          o.Clock,
+		Logger:         o.Logger,
+		Metrics:        n.metrics.frontend,
+		MaxCallers:     s.Caller.MaxCallers,
+		StartupTimeout: s.Caller.StartupTimeout,
+		ForeignCancel:  n.forwardCancel,
+	})
+	n.registerCancel()
+	return n
+}
+
+func (n *Instance) self() platform.Instance {
+	s := n.options.Settings
+	return platform.Instance{
+		ID:            s.Instance.ID,
+		FailureDomain: s.Instance.FailureDomain,
+		PeerAddress:   s.Peer.Address,
+		AdminAddress:  s.Admin.Address,
+	}
+}
+
+// Run serves until ctx ends, then shuts down gracefully. It returns an error
+// when the instance could not start.
+func (n *Instance) Run(ctx context.Context) error {
+	callers, peers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	// Parts outlive ctx: the drain still needs them.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	n.documents.OnChange(n.noteChange)
+	n.members.Subscribe(n.noteChange)
+	n.running.Go(func() { _ = n.members.Run(parts) })
+	n.running.Go(func() { n.runHomes(parts) })
+	n.running.Go(func() { _ = n.peers.Serve(peers) })
+	n.running.Go(func() { _ = n.frontend.Serve(callers) })
+	<-ctx.Done()
+	err = n.drain(callers)
+	n.shutdown(peers, stop)
+	return err
+}
+
+func (n *Instance) listen() (callers, peers net.Listener, err error) {
+	s := n.options.Settings
+	callers, err = n.options.Network.Listen(s.Caller.Address)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	peers, err = n.options.Network.Listen(s.Peer.Address)
+	if err != nil {
+		return nil, nil, errors.Join(fmt.Errorf("listen for peers: %w", err), callers.Close())
+	}
+	return callers, peers, nil
+}
+
+// drain finishes what is at work for callers and peers.
+func (n *Instance) drain(callers net.Listener) error {
+	n.options.Logger.Info("Drain begins.")
+	n.members.SetDraining()
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	// Callers that connect now are told to go elsewhere; the listener closes last.
+	err := n.frontend.Drain(ctx)
+	err = errors.Join(err, n.router.Drain(ctx))
+	callers.Close()
+	n.options.Logger.Info("Drain has ended.", "error", err)
+	return err
+}
+
+// shutdown gives everything back.
+func (n *Instance) shutdown(peers net.Listener, stop context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, h := range n.homesCopy() {
+		h.stop(ctx)
+	}
+	stop()
+	n.frontend.Close()
+	peers.Close()
+	n.peers.Close()
+	n.client.Close()
+	n.running.Wait()
+}
+
+func (n *Instance) home(group string) *home {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.homeOf[group]
+}
+
+func (n *Instance) homesCopy() map[string]*home {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make(map[string]*home, len(n.homeOf))
+	for name, h := range n.homeOf {
+		all[name] = h
+	}
+	return all
+}
+
+// service returns the document in force for a group; one without bounds when
+// the document was withdrawn while units were at work.
+func (n *Instance) service(group string) *document.Service {
+	s, ok := n.documents.FindService(group)
+	if !ok {
+		return &document.Service{}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/instance/metrics.go
@@ -0,0 +1,35 @@
+package instance
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/executor"
+	"github.com/topazrock/topazrock/internal/frontend"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/pool"
+	"github.com/topazrock/topazrock/internal/retry"
+)
+
+// metrics holds every part's metrics, registered once for the instance.
+type metrics struct {
+	admission  *admission.Metrics
+	executor   *executor.Metrics
+	frontend   *frontend.Metrics
+	group      *group.Metrics
+	membership *membership.Metrics
+	pool       *pool.Metrics
+	retry      *retry.Metrics
+}
+
+func newMetrics(r *prometheus.Registry) *metrics {
+	return &metrics{
+		admission:  admission.NewMetrics(r),
+		executor:   executor.NewMetrics(r),
+		frontend:   frontend.NewMetrics(r),
+		group:      group.NewMetrics(r),
+		membership: membership.NewMetrics(r),
+		pool:       pool.NewMetrics(r),
+		retry:      retry.NewMetrics(r),
+	}
+}
--- /dev/null
+++ b/internal/instance/options.go
@@ -0,0 +1,34 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/settings"
+)
+
+// Options are what New needs.
+type Options struct {
+	Settings *settings.Settings
+	Network  netio.Network
+	Clock    clock.Clock
+	// Seed starts every random source of the instance.
+	Seed     uint64
+	Platform platform.API
+	Logger   hclog.Logger
+	// Registry takes the instance's metrics.
+	Registry *prometheus.Registry
+}
+
+const (
+	// drainTimeout bounds the graceful shutdown. What is still at work then is
+	// cut off.
+	drainTimeout = 30 * time.Second
+	// retireTimeout bounds how long transactions stay open in a group that this
+	// instance is no longer home to.
+	retireTimeout = 30 * time.Second
+)
