Claim a term, fence a majority, promote the highest log, attach the rest

Cause: nobody else orders a promotion when a group's primary is lost or leaves.

Ruled out: a lease on the platform for each primary (an outage would stop writes), members that vote (they only have terms and positions), and a second choice of whom to promote within one term (a promotion whose answer was lost would leave two primaries in it).

Conclusion: the platform arbitrates terms by conditional update with a claim ID; times only decide when somebody tries.

--- /dev/null
+++ b/internal/failover/attacher.go
@@ -0,0 +1,105 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// attacher tells members that come back with an old term, or that were fenced
+// and left, to follow the primary. Every instance may do it at any time: the
+// calls are idempotent, carry the term, and name a primary that reported itself.
+type attacher struct {
+	c *Claimer
+	// detached is since when each member has been seen detached.
+	detached map[string]time.Time
+}
+
+func newAttacher(c *Claimer) *attacher {
+	return &attacher{c: c, detached: make(map[string]time.Time)}
+}
+
+// run attaches members until ctx ends.
+func (a *attacher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := a.c.View.Changes()
+		a.attachAll(ctx, a.due(a.c.Clock.Now(), a.c.View.Snapshot()))
+		a.c.pause(ctx, a.c.Settings.Reattach, changed)
+	}
+}
+
+// order is one member that is to follow.
+type order struct {
+	address string
+	term    logpos.Term
+	primary string
+}
+
+// due returns the members that have been detached for long enough. The wait is
+// staggered by rank, so that mostly one instance does the work.
+func (a *attacher) due(now time.Time, s *group.Snapshot) []order {
+	primary, known := s.Find(s.Primary)
+	healthy := known && answering(primary)
+	wait := a.c.Settings.Reattach + time.Duration(rank(a.c.Group, a.c.Self.ID, "", a.c.Instances()))*a.c.Settings.Stagger
+	var orders []order
+	for _, m := range s.Members {
+		if !healthy || m.Address == s.Primary || !answering(m) || !detached(m, s.Term) {
+			delete(a.detached, m.Address)
+			continue
+		}
+		since, seen := a.detached[m.Address]
+		if !seen {
+			a.detached[m.Address] = now
+			continue
+		}
+		if now.Sub(since) >= wait {
+			a.detached[m.Address] = now
+			orders = append(orders, order{address: m.Address, term: s.Term, primary: s.Primary})
+		}
+	}
+	return orders
+}
+
+// detached reports whether a member neither leads nor follows in the term.
+func detached(m group.MemberView, term logpos.Term) bool {
+	return m.Status.Entered < term || m.Status.Role == member.RoleFenced
+}
+
+func (a *attacher) attachAll(ctx context.Context, orders []order) {
+	var wg sync.WaitGroup
+	for _, o := range orders {
+		wg.Go(func() {
+			outcome := outcomeDone
+			if err := a.attach(ctx, o); err != nil {
+				outcome = outcomeAbandoned
+				a.c.log.Warn("Member was not attached.", "member", o.address, "term", o.term, "error", err)
+			}
+			a.c.Metrics.attaches.WithLabelValues(outcome).Inc()
+		})
+	}
+	wg.Wait()
+}
+
+// attach makes one member enter the term and follow.
+func (a *attacher) attach(ctx context.Context, o order) error {
+	ctx, cancel := context.WithTimeout(ctx, a.c.Settings.Call)
+	defer cancel()
+	control, err := a.c.Dialer.DialControl(ctx, o.address)
+	if err != nil {
+		return err
+	}
+	defer control.Close()
+	if _, err := control.EnterTerm(ctx, o.term); err != nil {
+		return err
+	}
+	ticket := a.c.View.Ask()
+	s, err := control.Follow(ctx, o.term, o.primary)
+	if err == nil {
+		a.c.View.Observe(o.address, ticket, s)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/failover/attempt.go
@@ -0,0 +1,204 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// attempt leads one claimed term: fence, choose, promote, attach, record.
+type attempt struct {
+	c     *Claimer
+	claim claim
+	term  logpos.Term
+	wards []*ward
+	// fenced takes each member's report once it has entered the term.
+	fenced chan fencing
+	// chosen is closed after target was set, once in the attempt's life, and
+	// led after the target has answered that it leads.
+	chosen chan struct{}
+	target string
+	led    chan struct{}
+	// end abandons the attempt with a reason.
+	end context.CancelCauseFunc
+}
+
+// fencing is a member that has entered the term, and its log's end. Until it is
+// told to lead or follow, its log cannot change any more.
+type fencing struct {
+	ward    *ward
+	status  member.Status
+	leaving bool
+}
+
+func newAttempt(c *Claimer, won claim, s *group.Snapshot) *attempt {
+	a := &attempt{
+		c: c, claim: won, term: won.record.Term,
+		fenced: make(chan fencing, len(s.Members)),
+		chosen: make(chan struct{}),
+		led:    make(chan struct{}),
+	}
+	for _, m := range s.Members {
+		a.wards = append(a.wards, &ward{a: a, address: m.Address, leaving: m.Leaving})
+	}
+	return a
+}
+
+// run leads the term and fills in the phases of gap. Its error says why the term
+// was left without a primary of this attempt's making.
+func (a *attempt) run(ctx context.Context, gap *Gap) error {
+	ctx, end := context.WithCancelCause(ctx)
+	a.end = end
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer end(nil)
+	limit, cancel := context.WithTimeout(ctx, a.c.Settings.Attempt)
+	defer cancel()
+	wg.Go(func() { a.watchTerm(limit) })
+	for _, w := range a.wards {
+		wg.Go(func() { w.tend(limit) })
+	}
+	start := a.c.Clock.Now()
+	if err := a.fenceAndChoose(limit); err != nil {
+		return err
+	}
+	gap.Primary = a.target
+	gap.Fence, start = a.lap(start)
+	select {
+	case <-a.led:
+	case <-limit.Done():
+		return context.Cause(limit)
+	}
+	a.c.at(StepPromoted)
+	gap.Promote, start = a.lap(start)
+	recorded := make(chan struct{})
+	wg.Go(func() {
+		defer close(recorded)
+		a.record(limit)
+	})
+	a.learn(limit)
+	gap.Learn, _ = a.lap(start)
+	a.c.at(StepLearned)
+	waitFor(limit, recorded)
+	return nil
+}
+
+// lap returns the time since start, and now.
+func (a *attempt) lap(start time.Time) (time.Duration, time.Time) {
+	now := a.c.Clock.Now()
+	return now.Sub(start), now
+}
+
+// fenceAndChoose waits for enough fenced members and names the one to promote.
+//
+// One attempt names one target and never another: if the answer to its
+// promotion is lost, it may lead already, and a second primary of one term would
+// acknowledge writes that the first does not have.
+func (a *attempt) fenceAndChoose(ctx context.Context) error {
+	candidates, err := a.gather(ctx)
+	if err != nil {
+		return err
+	}
+	a.c.at(StepFenced)
+	a.target = best(candidates).ward.address
+	close(a.chosen)
+	a.c.at(StepChosen)
+	return nil
+}
+
+// gather returns a majority of fenced members. While the primary leaves, it
+// first waits a little for a majority of members that stay; they hold all that
+// was acknowledged, so that the leaving one need not lead again.
+func (a *attempt) gather(ctx context.Context) ([]fencing, error) {
+	grace := a.c.Clock.NewTimer(a.c.Settings.SwitchGrace)
+	defer grace.Stop()
+	need := majority(len(a.wards))
+	planned := a.claim.record.Cause == CauseLeaving
+	var all, staying []fencing
+	for {
+		switch {
+		case len(staying) >= need:
+			return staying, nil
+		case len(all) >= need && !planned:
+			return all, nil
+		}
+		select {
+		case f := <-a.fenced:
+			all = append(all, f)
+			if planned && !f.leaving {
+				staying = append(staying, f)
+			}
+		case <-grace.C:
+			planned = false
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// watchTerm abandons the attempt once a higher term is seen.
+func (a *attempt) watchTerm(ctx context.Context) {
+	for {
+		changed := a.c.View.Changes()
+		if a.c.View.Snapshot().Term > a.term {
+			a.end(errReplaced)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// learn waits until the view has the new primary and enough replicas attached
+// to it for a write to be confirmed, or the new primary fails.
+func (a *attempt) learn(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := a.c.View.Changes()
+		s := a.c.View.Snapshot()
+		m, _ := s.Find(a.target)
+		if s.Term == a.term && s.Primary == a.target && !s.ConfirmedAt.IsZero() || m.Failures > 0 {
+			return
+		}
+		// An attachment is no change of the view, so look often for this while.
+		a.c.pause(ctx, learnPause, changed)
+	}
+}
+
+// learnPause is the time between two looks for an attached replica.
+const learnPause = 2 * time.Millisecond
+
+// record notes the primary in the group's object. It is for operators and for
+// the next claimer's log; no promise rests on it, so that a few tries will do.
+func (a *attempt) record(ctx context.Context) {
+	r := a.claim.record
+	r.Primary = a.target
+	value, err := r.encode()
+	if err != nil {
+		return
+	}
+	for range recordTries {
+		if a.recordOnce(ctx, value) {
+			a.c.at(StepRecorded)
+			return
+		}
+		a.c.pause(ctx, a.c.Settings.MinBackoff, nil)
+	}
+}
+
+// recordTries bounds the tries to record the primary.
+const recordTries = 3
+
+func (a *attempt) recordOnce(ctx context.Context, value []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, a.c.Settings.Platform)
+	defer cancel()
+	_, err := a.c.Platform.Put(ctx, platform.KindGroup, a.c.Group, value, a.claim.version)
+	return err == nil
+}
--- /dev/null
+++ b/internal/failover/claimer.go
@@ -0,0 +1,73 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// Claimer watches over one group's primary.
+type Claimer struct {
+	Config
+	log hclog.Logger
+}
+
+// New returns a Claimer; Run makes it work.
+func New(c Config) *Claimer {
+	if c.Settings == (Settings{}) {
+		c.Settings = DefaultSettings()
+	}
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics(nil)
+	}
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	if c.Witness == nil {
+		c.Witness = noWitness{}
+	}
+	if c.Instances == nil {
+		c.Instances = func() []platform.Instance { return []platform.Instance{c.Self} }
+	}
+	return &Claimer{Config: c, log: c.Logger.With("group", c.Group)}
+}
+
+// Run guards the primary and attaches members until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { newGuard(c).run(ctx) })
+	wg.Go(func() { newAttacher(c).run(ctx) })
+	wg.Wait()
+}
+
+// rank is this instance's place among the claimers of the snapshot's trouble.
+func (c *Claimer) rank(s *group.Snapshot) int {
+	m, _ := s.Find(s.Primary)
+	troubled := ""
+	if m.Failures > 0 {
+		troubled = m.FailureDomain
+	}
+	return rank(c.Group, c.Self.ID, troubled, c.Instances())
+}
+
+func (c *Claimer) at(step Step) {
+	if c.Hook != nil {
+		c.Hook(step)
+	}
+}
+
+// pause waits for d, a change, or the end of ctx. A nil channel never changes.
+func (c *Claimer) pause(ctx context.Context, d time.Duration, changed <-chan struct{}) {
+	t := c.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/failover/metrics.go
@@ -0,0 +1,61 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the measurements of all claimers of an instance.
+type Metrics struct {
+	phases   *prometheus.HistogramVec
+	claims   *prometheus.CounterVec
+	attaches *prometheus.CounterVec
+}
+
+// Outcomes of a claim, as the outcome label tells them.
+const (
+	outcomeWon         = "won"
+	outcomeLost        = "lost"
+	outcomeRefused     = "refused"
+	outcomeUnavailable = "unavailable"
+	outcomeRival       = "rival"
+	outcomeAbandoned   = "abandoned"
+	outcomeDone        = "done"
+)
+
+// NewMetrics registers the measurements with reg; nil registers nowhere.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		phases: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "topazrock_failover_phase_seconds",
+			Help:    "Time of each phase of a failover, in seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"phase"}),
+		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_failover_claims_total",
+			Help: "Claims of a term by cause and outcome.",
+		}, []string{"cause", "outcome"}),
+		attaches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_failover_attaches_total",
+			Help: "Detached members that were told to follow, by outcome.",
+		}, []string{"outcome"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.phases, m.claims, m.attaches)
+	}
+	return m
+}
+
+func (m *Metrics) observe(g Gap) {
+	for phase, d := range map[string]time.Duration{
+		"detect": g.Detect, "claim": g.Claim, "fence": g.Fence,
+		"promote": g.Promote, "learn": g.Learn, "total": g.Total(),
+	} {
+		m.phases.WithLabelValues(phase).Observe(d.Seconds())
+	}
+}
+
+func (m *Metrics) claim(c Cause, outcome string) {
+	m.claims.WithLabelValues(string(c), outcome).Inc()
+}
--- /dev/null
+++ b/internal/failover/peerwitness.go
@@ -0,0 +1,94 @@
+package failover
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// MethodTestify is the peer method that answers a Question with a Testimony.
+const MethodTestify = "failover.testify"
+
+// askedPerDomain is how many instances of each failure domain are asked. Two,
+// because one of them may be dead and still in the list.
+const askedPerDomain = 2
+
+// PeerWitness implements Witness over peer connections.
+type PeerWitness struct {
+	caller    peer.Caller
+	instances func() []platform.Instance
+	self      platform.Instance
+
+	mu   sync.Mutex // guards rand
+	rand *rand.Rand
+}
+
+// NewPeerWitness returns a Witness that asks instances of other failure domains
+// than that of self. It guards rand, which nothing else may use.
+func NewPeerWitness(c peer.Caller, self platform.Instance, instances func() []platform.Instance, r *rand.Rand) *PeerWitness {
+	return &PeerWitness{caller: c, self: self, instances: instances, rand: r}
+}
+
+// Ask implements Witness.
+func (w *PeerWitness) Ask(ctx context.Context, q Question) []Testimony {
+	asked := w.choose()
+	answers := make(chan Testimony, len(asked))
+	var wg sync.WaitGroup
+	for _, i := range asked {
+		wg.Go(func() {
+			var t Testimony
+			if w.caller.Call(ctx, i.PeerAddress, MethodTestify, q, &t) == nil {
+				t.FailureDomain = i.FailureDomain
+				answers <- t
+			}
+		})
+	}
+	wg.Wait()
+	close(answers)
+	var all []Testimony
+	for t := range answers {
+		all = append(all, t)
+	}
+	return all
+}
+
+// choose picks up to askedPerDomain instances of every other failure domain.
+func (w *PeerWitness) choose() []platform.Instance {
+	instances := w.instances()
+	w.mu.Lock()
+	order := w.rand.Perm(len(instances))
+	w.mu.Unlock()
+	taken := map[string]int{w.self.FailureDomain: askedPerDomain}
+	var chosen []platform.Instance
+	for _, k := range order {
+		i := instances[k]
+		if taken[i.FailureDomain] < askedPerDomain {
+			taken[i.FailureDomain]++
+			chosen = append(chosen, i)
+		}
+	}
+	return chosen
+}
+
+// ServeTestimony answers the questions of peers from the views of this
+// instance; views returns false for a group that it does not follow.
+func ServeTestimony(r peer.Registry, c clock.Clock, detect time.Duration, views func(group string) (View, bool)) {
+	r.Handle(MethodTestify, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var q Question
+		if err := json.Unmarshal(params, &q); err != nil {
+			return nil, fmt.Errorf("failover: question: %w", err)
+		}
+		v, ok := views(q.Group)
+		if !ok {
+			return Testimony{Opinion: OpinionNone}, nil
+		}
+		return Testimony{Opinion: opinionOf(c.Now(), v.Snapshot(), q, detect)}, nil
+	})
+}
--- /dev/null
+++ b/internal/failover/ward.go
@@ -0,0 +1,111 @@
+package failover
+
+import (
+	"context"
+	"errors"
+
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// ward is one member under an attempt, with one connection kept through it.
+type ward struct {
+	a       *attempt
+	address string
+	leaving bool
+	control member.Control
+}
+
+// call is one control call of the attempt's term.
+type call func(ctx context.Context, c member.Control) (member.Status, error)
+
+// tend fences the member, and then lets it lead or follow.
+func (w *ward) tend(ctx context.Context) {
+	defer w.disconnect()
+	s, err := w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
+		return c.EnterTerm(ctx, w.a.term)
+	})
+	if err != nil {
+		return
+	}
+	w.a.fenced <- fencing{ward: w, status: s, leaving: w.leaving}
+	if !waitFor(ctx, w.a.chosen) {
+		return
+	}
+	if w.address == w.a.target {
+		w.lead(ctx)
+	} else if waitFor(ctx, w.a.led) {
+		w.follow(ctx)
+	}
+}
+
+func (w *ward) lead(ctx context.Context) {
+	_, err := w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
+		return c.Promote(ctx, w.a.term)
+	})
+	if err == nil {
+		close(w.a.led)
+	}
+}
+
+func (w *ward) follow(ctx context.Context) {
+	// A member that cannot follow now is left to the attacher.
+	_, _ = w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
+		return c.Follow(ctx, w.a.term, w.a.target)
+	})
+}
+
+// persist calls until the member answers, the term has passed, or ctx ends. All
+// calls are idempotent within their term.
+func (w *ward) persist(ctx context.Context, f call) (member.Status, error) {
+	for {
+		s, err := w.try(ctx, f)
+		if err == nil {
+			return s, nil
+		}
+		if errors.Is(err, member.ErrTermPassed) {
+			w.a.end(errReplaced)
+			return member.Status{}, err
+		}
+		w.disconnect()
+		w.a.c.pause(ctx, w.a.c.Settings.Retry, nil)
+		if ctx.Err() != nil {
+			return member.Status{}, ctx.Err()
+		}
+	}
+}
+
+func (w *ward) try(ctx context.Context, f call) (member.Status, error) {
+	c := w.a.c
+	ctx, cancel := context.WithTimeout(ctx, c.Settings.Call)
+	defer cancel()
+	if w.control == nil {
+		control, err := c.Dialer.DialControl(ctx, w.address)
+		if err != nil {
+			return member.Status{}, err
+		}
+		w.control = control
+	}
+	ticket := c.View.Ask()
+	s, err := f(ctx, w.control)
+	if err == nil {
+		c.View.Observe(w.address, ticket, s)
+	}
+	return s, err
+}
+
+func (w *ward) disconnect() {
+	if w.control != nil {
+		_ = w.control.Close()
+		w.control = nil
+	}
+}
+
+// waitFor reports whether done was closed before ctx ended.
+func waitFor(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -37,8 +37,10 @@
 	attachedAt time.Time
 	// provenBy is the position that proved view.FreshAsOf.
 	provenBy logpos.Position
-	// doubted asks for a new connection; interrupt ends the call in flight.
+	// doubted asks for a new connection, at doubtedAt for the last time;
+	// interrupt ends the call in flight.
 	doubted   bool
+	doubtedAt time.Time
 	interrupt context.CancelFunc
 }
 
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -122,11 +122,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := w.find(address)
-	// Statements fail by the hundred when a member dies; one probe settles all.
-	if f == nil || w.clock.Now().Sub(f.view.SeenAt) < w.intervals.FastPoll {
+	if f == nil {
 		return
 	}
-	f.doubted = true
+	// Statements fail by the hundred when a member dies or is full; one new
+	// connection settles all, and more of them would only add to the load.
+	now := w.clock.Now()
+	if now.Sub(f.view.SeenAt) < w.intervals.FastPoll || now.Sub(f.doubtedAt) < w.intervals.Wait {
+		return
+	}
+	f.doubted, f.doubtedAt = true, now
 	if f.interrupt != nil {
 		f.interrupt()
 	}
