Measure slopes: cost against callers, groups, instances, peers and documents

Cause: the capacity page must rest on measured lines and not on guesses.

topazrock-standin slopes runs each driver at three or more points, fits a least-squares line, and prints points, fit and residual as text and JSON. Members run as processes of their own, so that processor time is the instance's alone. Ruled out: Go benchmarks, which report one point at a time and leave the fit to the reader.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -34,6 +34,8 @@
 		"Example: topazrock-standin platform --address 127.0.0.1:8080", &platformCommand{ctx: ctx, out: stdout})
 	add("member", "Serve one member of a database group",
 		"Example: topazrock-standin member --address 127.0.0.11:5432 --primary 127.0.0.11:5432", &memberCommand{ctx: ctx, out: stdout})
+	add("slopes", "Measure cost against callers, groups, instances, peers and documents",
+		"Example: topazrock-standin slopes --window 10s --only groups", &slopesCommand{ctx: ctx, out: stdout})
 	_, err := parser.ParseArgs(args)
 	var usage *flags.Error
 	switch {
--- /dev/null
+++ b/internal/standin/command/slopes.go
@@ -0,0 +1,127 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/standin/slopes"
+)
+
+// slopesCommand measures the slopes of docs/CAPACITY.md.
+type slopesCommand struct {
+	Only   []string      `long:"only" description:"measure only this driver; may be given again" value-name:"DRIVER"`
+	Window time.Duration `long:"window" default:"5s" description:"how long each load runs"`
+	Seed   uint64        `long:"seed" default:"1" description:"seed of all random choices"`
+	ctx    context.Context
+	out    io.Writer
+}
+
+// memberStartTimeout bounds the wait for the member processes to listen.
+const memberStartTimeout = 5 * time.Second
+
+// Execute implements flags.Commander.
+func (c *slopesCommand) Execute([]string) error {
+	members, stop, err := startMembers(c.ctx)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	fmt.Fprintf(c.out, "seed %d, window %v\n", c.Seed, c.Window)
+	var all []slopes.Slope
+	for _, m := range slopes.All() {
+		if len(c.Only) > 0 && !slices.Contains(c.Only, m.Name) {
+			continue
+		}
+		found, err := m.Run(c.ctx, slopes.Options{Window: c.Window, Seed: c.Seed, Members: members})
+		if err != nil {
+			return fmt.Errorf("%s: %w", m.Name, err)
+		}
+		for _, s := range found {
+			c.print(s)
+		}
+		all = append(all, found...)
+	}
+	return json.NewEncoder(c.out).Encode(map[string]any{"seed": c.Seed, "slopes": all})
+}
+
+// print writes one slope as text.
+func (c *slopesCommand) print(s slopes.Slope) {
+	fmt.Fprintf(c.out, "%s, against %s: %.4g each, %.4g fixed, residual %.1f %%\n",
+		s.Cost, s.Driver, s.PerUnit, s.Fixed, 100*s.Residual)
+	for _, p := range s.Points {
+		fmt.Fprintf(c.out, "    %8.0f  %.5g\n", p.X, p.Y)
+	}
+}
+
+// startMembers runs three members as processes of their own, so that their
+// processor time is not measured, and returns their addresses.
+func startMembers(ctx context.Context) ([]string, func(), error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, nil, err
+	}
+	var addresses []string
+	var running []*exec.Cmd
+	stop := func() {
+		for _, m := range running {
+			_ = m.Process.Signal(syscall.SIGTERM)
+			_ = m.Wait()
+		}
+	}
+	for range 3 {
+		address, err := freeAddress()
+		if err == nil {
+			addresses = append(addresses, address)
+			m := exec.Command(program, "member", "--address", address, "--primary", addresses[0],
+				"--connections", "0", "--slots", "0", "--connect-delay", "0s")
+			if err = m.Start(); err == nil {
+				running = append(running, m)
+			}
+		}
+		if err != nil {
+			stop()
+			return nil, nil, err
+		}
+	}
+	for _, address := range addresses {
+		if err := waitListening(ctx, address); err != nil {
+			stop()
+			return nil, nil, err
+		}
+	}
+	return addresses, stop, nil
+}
+
+// freeAddress returns a loopback address that nothing listened at a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// waitListening dials until a process listens at the address.
+func waitListening(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, memberStartTimeout)
+	defer cancel()
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			return conn.Close()
+		}
+		if clock.Sleep(ctx, clock.System{}, 20*time.Millisecond) != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/slopes/fit.go
@@ -0,0 +1,46 @@
+package slopes
+
+import "math"
+
+// Point is one measured cost.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Slope is a cost measured at several points, with a least-squares line.
+type Slope struct {
+	// Driver is what X counts, and Cost what Y measures, with its unit.
+	Driver string  `json:"driver"`
+	Cost   string  `json:"cost"`
+	Points []Point `json:"points"`
+	// PerUnit is the line's slope and Fixed its value at zero.
+	PerUnit float64 `json:"per_unit"`
+	Fixed   float64 `json:"fixed"`
+	// Residual is the root mean square of the points' distances from the line,
+	// as a share of the points' mean.
+	Residual float64 `json:"residual"`
+}
+
+// fit returns the points with their least-squares line.
+func fit(driver, cost string, points []Point) Slope {
+	s := Slope{Driver: driver, Cost: cost, Points: points}
+	n := float64(len(points))
+	var x, y, xx, xy float64
+	for _, p := range points {
+		x, y = x+p.X/n, y+p.Y/n
+	}
+	for _, p := range points {
+		xx += (p.X - x) * (p.X - x)
+		xy += (p.X - x) * (p.Y - y)
+	}
+	s.PerUnit = xy / xx
+	s.Fixed = y - s.PerUnit*x
+	var squares float64
+	for _, p := range points {
+		d := p.Y - s.Fixed - s.PerUnit*p.X
+		squares += d * d
+	}
+	s.Residual = math.Sqrt(squares/n) / math.Abs(y)
+	return s
+}
