Test failover in memory: kill, cuts, freeze, pause, tail, planned switch-over

Conclusion: in each test every acknowledged write is in the log of the one primary at the end; one cut link and 200 pauses of 75 ms moved nothing.

--- /dev/null
+++ b/internal/failover/failover_test.go
@@ -0,0 +1,211 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+)
+
+const seed = 7
+
+func TestHealthyGroupIsLeftAlone(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		x.after(time.Minute)
+		is.Equal(x.wantPrimary(1), 0)
+		is.Equal(len(x.store.Calls()), 0)
+		x.wantWritable(x.instances[1], "k")
+	})
+}
+
+// The primary's process is killed while three instances write. Callers see
+// errors for the gap, then writes go on at a replica; none of those that were
+// acknowledged may be missing there. The old primary comes back and follows.
+func TestKilledPrimaryIsReplaced(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		for _, i := range x.instances {
+			defer x.writer(i)()
+		}
+		x.after(200 * time.Millisecond)
+		x.nodes[0].Kill()
+		x.after(time.Second)
+		p := x.wantPrimary(2)
+		is.True(p != 0)
+		is.Equal(len(x.gaps), 1)
+		t.Logf("gap %+v", x.gaps[0])
+		is.True(x.gaps[0].Total() < 400*time.Millisecond)
+		for k, i := range x.instances {
+			x.wantWritable(i, "after-"+domain(k))
+		}
+		x.nodes[0].Stop()
+		is.NoErr(x.nodes[0].Start())
+		x.after(2 * time.Second)
+		x.wantAttached(0, 2)
+	})
+}
+
+// The primary's failure domain is cut off both ways. The primary there still
+// believes that it leads and takes writes, and the instance there sends them
+// and gets answers. It must acknowledge none that the other side does not have.
+func TestCutOffDomainIsReplaced(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		stop := x.writer(x.instances[0])
+		x.after(200 * time.Millisecond)
+		x.cutDomain(0, x.net.Cut)
+		x.after(20 * time.Millisecond)
+		acked := len(x.acked)
+		x.after(2 * time.Second)
+		is.Equal(len(x.acked), acked)
+		is.Equal(len(x.gaps), 1)
+		t.Logf("gap %+v", x.gaps[0])
+		x.wantWritable(x.instances[1], "while cut")
+		is.True(x.nodes[0].Status().Entered == 1)
+		stop()
+		x.cutDomain(0, x.net.Heal)
+		x.after(3 * time.Second)
+		is.True(x.wantPrimary(2) != 0)
+		x.wantAttached(0, 2)
+		x.wantWritable(x.instances[0], "healed")
+	})
+}
+
+// What the primary sends is lost, and what is sent to it arrives: it commits
+// writes and hears commands, but nobody hears it.
+func TestCutOneWayIsReplaced(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		defer x.writer(x.instances[1])()
+		x.after(100 * time.Millisecond)
+		for _, h := range x.allHosts() {
+			if h != x.hosts[0] {
+				x.net.CutOneWay(x.hosts[0], h)
+			}
+		}
+		x.after(2 * time.Second)
+		is.True(x.wantPrimary(2) != 0)
+		x.wantWritable(x.instances[1], "k")
+	})
+}
+
+// The primary's process stops and goes on ten seconds later, with a write of
+// before the stop still in its sockets. That write commits in the old term when
+// it thaws; it must never be acknowledged.
+func TestFrozenPrimaryConfirmsNothingWhenItThaws(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		x.net.Freeze(x.hosts[0])
+		frozen := make(chan error, 1)
+		go func() { frozen <- x.writeAt(x.instances[1], x.addresses[0], "frozen") }()
+		x.after(10 * time.Second)
+		is.True(x.wantPrimary(2) != 0)
+		is.True(<-frozen != nil)
+		x.net.Thaw(x.hosts[0])
+		is.True(x.writeAt(x.instances[1], x.addresses[0], "thawed") != nil)
+		x.after(2 * time.Second)
+		x.wantAttached(0, 2)
+		x.wantWritable(x.instances[2], "k")
+	})
+}
+
+// One link fails, that between one instance and the primary. Two domains see the
+// primary and one does not: nothing may move.
+func TestOneCutLinkMovesNothing(t *testing.T) {
+	for k := 1; k < 3; k++ {
+		inCluster(t, seed, func(x *cluster) {
+			x.net.Cut(x.instances[k].ip, x.hosts[0])
+			x.after(30 * time.Second)
+			x.wantPrimary(1)
+			x.wantWritable(x.instances[3-k], "k")
+		})
+	}
+}
+
+// The same after a failover: the cut instance never hears from the new primary
+// itself, and must not take its term for one without a primary.
+func TestOneCutLinkToANewPrimaryMovesNothing(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		x.nodes[0].Kill()
+		x.net.Cut(x.instances[0].ip, x.hosts[1])
+		x.net.Cut(x.instances[2].ip, x.hosts[2])
+		x.after(5 * time.Second)
+		term, _ := x.primaries()
+		x.after(30 * time.Second)
+		again, leading := x.primaries()
+		if again != term || len(leading) != 1 {
+			t.Errorf("term %d became %d, leading %v", term, again, leading)
+		}
+	})
+}
+
+// The primary stops for half the detection time, again and again. It is slow
+// and not lost: nobody is promoted.
+func TestPauseOfHalfTheDetectionTimePromotesNobody(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		for range 200 {
+			x.net.Freeze(x.hosts[0])
+			x.after(75 * time.Millisecond)
+			x.net.Thaw(x.hosts[0])
+			x.after(60 * time.Millisecond)
+		}
+		x.wantPrimary(1)
+		x.wantWritable(x.instances[1], "k")
+	})
+}
+
+// A replica carries a longer tail of an older term. The shorter log of the newer
+// term is worth more: the tail was never acknowledged, and must be dropped.
+func TestLongerTailOfAnOlderTermIsDiscarded(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		for k := 1; k < 3; k++ {
+			x.net.Cut(x.hosts[0], x.hosts[k])
+		}
+		for _, key := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
+			is.True(x.writeAt(x.instances[0], x.addresses[0], key) != nil)
+		}
+		x.nodes[0].Kill()
+		x.after(2 * time.Second)
+		p := x.wantPrimary(2)
+		x.wantWritable(x.instances[1], "kept")
+		x.nodes[0].Stop()
+		is.NoErr(x.nodes[0].Start())
+		for k := 1; k < 3; k++ {
+			x.net.Heal(x.hosts[0], x.hosts[k])
+		}
+		is.True(x.nodes[0].Status().Last.Position > x.nodes[p].Status().Last.Position)
+		x.nodes[p].Kill()
+		x.after(3 * time.Second)
+		is.Equal(x.wantPrimary(3), 3-p)
+		x.wantAttached(0, 3)
+		_, tail := x.nodes[0].Rows("kv")["t8"]
+		is.True(!tail)
+		is.Equal(x.nodes[0].Status().Last, x.nodes[3-p].Status().Last)
+	})
+}
+
+// The primary leaves, as planned. Another member leads within seconds, the old
+// one follows it, and no acknowledged write is lost.
+func TestLeavingPrimaryIsSwitchedOver(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(t)
+		for _, i := range x.instances {
+			defer x.writer(i)()
+		}
+		x.after(200 * time.Millisecond)
+		for _, i := range x.instances {
+			i.w.SetLeaving(x.addresses[:1])
+		}
+		x.after(time.Second)
+		is.True(x.wantPrimary(2) != 0)
+		x.wantAttached(0, 2)
+		x.wantWritable(x.instances[0], "k")
+		x.after(10 * time.Second)
+		term, _ := x.primaries()
+		is.Equal(term, logpos.Term(2))
+	})
+}
--- /dev/null
+++ b/internal/failover/fixture_test.go
@@ -0,0 +1,360 @@
+package failover_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/failover"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/member/pgcontrol"
+	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+	standin "github.com/topazrock/topazrock/internal/standin/member"
+	"github.com/topazrock/topazrock/internal/standin/memnet"
+	store "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+const (
+	oneWay        = time.Millisecond
+	platformDelay = 4 * time.Millisecond
+	connectDelay  = 10 * time.Millisecond
+	lag           = 5 * time.Millisecond
+)
+
+// instance is one entry instance: a watcher, a claimer and a peer server.
+type instance struct {
+	platform.Instance
+	ip      string
+	w       *group.Watcher
+	cancel  context.CancelFunc
+	done    chan struct{}
+	onStep  func(failover.Step)
+	caller  *peer.Client
+	server  *peer.Server
+	network *memnet.Host
+}
+
+// cluster is a group of three members and one instance in each of three failure
+// domains, under virtual time. Member i and instance i share domain i.
+type cluster struct {
+	t         *testing.T
+	seed      uint64
+	net       *memnet.Network
+	store     *store.Store
+	hosts     []string
+	addresses []string
+	nodes     []*standin.Node
+	instances []*instance
+
+	mu    sync.Mutex
+	gaps  []failover.Gap
+	acked []string
+}
+
+// inCluster runs f with a started cluster, and checks afterwards that every
+// acknowledged write is in the log of the primary.
+func inCluster(t *testing.T, seed uint64, f func(x *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		x := &cluster{t: t, seed: seed, net: memnet.New(), store: store.NewStore()}
+		defer x.stop()
+		x.start()
+		x.after(time.Second)
+		f(x)
+		x.checkAcked()
+	})
+}
+
+func (x *cluster) start() {
+	x.store.SetFaults(store.Faults{Delay: platformDelay})
+	for i := range 3 {
+		x.hosts = append(x.hosts, fmt.Sprintf("10.0.%d.1", i+1))
+		x.addresses = append(x.addresses, x.hosts[i]+":5432")
+		x.instances = append(x.instances, &instance{ip: fmt.Sprintf("10.0.%d.9", i+1), Instance: platform.Instance{
+			ID: fmt.Sprintf("i%d", i+1), FailureDomain: domain(i), PeerAddress: fmt.Sprintf("10.0.%d.9:7000", i+1)}})
+	}
+	all := x.allHosts()
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			x.net.SetLatency(a, b, oneWay)
+		}
+	}
+	nodes, err := standin.StartGroup(standin.Options{ConnectDelay: connectDelay, ReplicationLag: lag},
+		func(ip string) netio.Network { return x.net.Host(ip) }, x.addresses...)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.nodes = nodes
+	for _, i := range x.instances {
+		x.run(i)
+	}
+}
+
+func domain(i int) string { return string(rune('a' + i)) }
+
+func (x *cluster) allHosts() []string {
+	all := append([]string{}, x.hosts...)
+	for _, i := range x.instances {
+		all = append(all, i.ip)
+	}
+	return all
+}
+
+func (x *cluster) list() []platform.Instance {
+	var l []platform.Instance
+	for _, i := range x.instances {
+		l = append(l, i.Instance)
+	}
+	return l
+}
+
+// run starts an instance's parts.
+func (x *cluster) run(i *instance) {
+	i.network = x.net.Host(i.ip)
+	dialer := pgcontrol.NewDialer(i.network, pgcontrol.Options{User: "topazrock"})
+	var members []document.Member
+	for k, a := range x.addresses {
+		members = append(members, document.Member{Address: a, FailureDomain: domain(k)})
+	}
+	r := func(part uint64) *rand.Rand { return rand.New(rand.NewPCG(x.seed, part+uint64(i.ID[1]))) }
+	i.w = group.NewWatcher(group.Config{Group: "g", Members: members, Clock: clock.System{}, Rand: r(100), Dialer: dialer})
+	i.caller = peer.NewClient(i.ID, i.network)
+	i.server = peer.NewServer(hclog.NewNullLogger())
+	failover.ServeTestimony(i.server, clock.System{}, failover.DefaultSettings().Detect,
+		func(string) (failover.View, bool) { return i.w, true })
+	claimer := failover.New(failover.Config{
+		Group: "g", Self: i.Instance, Instances: x.list, View: i.w, Platform: x.store, Dialer: dialer,
+		Witness: failover.NewPeerWitness(i.caller, i.Instance, x.list, r(200)),
+		Clock:   clock.System{}, Rand: r(300),
+		OnFailover: x.noteGap,
+		Hook: func(s failover.Step) {
+			if i.onStep != nil {
+				i.onStep(s)
+			}
+		},
+	})
+	listener, err := i.network.Listen(i.PeerAddress)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel, i.done = cancel, make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { i.w.Run(ctx) })
+	wg.Go(func() { claimer.Run(ctx) })
+	wg.Go(func() { _ = i.server.Serve(listener) })
+	context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+		i.server.Close()
+		i.caller.Close()
+	})
+	go func() {
+		defer close(i.done)
+		wg.Wait()
+	}()
+}
+
+// die ends an instance as SIGKILL does. A step hook may call it.
+func (x *cluster) die(i *instance) {
+	x.net.Kill(i.ip)
+	i.cancel()
+}
+
+func (x *cluster) stop() {
+	for _, h := range x.allHosts() {
+		x.net.Thaw(h)
+	}
+	for _, i := range x.instances {
+		i.cancel()
+	}
+	for _, i := range x.instances {
+		<-i.done
+	}
+	for _, n := range x.nodes {
+		n.Stop()
+	}
+	synctest.Wait()
+}
+
+func (x *cluster) noteGap(g failover.Gap) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gaps = append(x.gaps, g)
+}
+
+// after lets virtual time pass.
+func (x *cluster) after(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+// cutDomain separates a failure domain from the two others, or heals it.
+func (x *cluster) cutDomain(i int, change func(a, b string)) {
+	for k := range 3 {
+		if k == i {
+			continue
+		}
+		for _, mine := range []string{x.hosts[i], x.instances[i].ip} {
+			for _, theirs := range []string{x.hosts[k], x.instances[k].ip} {
+				change(mine, theirs)
+			}
+		}
+	}
+}
+
+// errNoPrimary says that an instance knows no primary to write to.
+var errNoPrimary = errors.New("no primary known")
+
+// write runs one write through an instance as execution does: at the primary
+// that the instance knows, with the member's status behind it, then confirmed.
+// No error means that it was acknowledged.
+func (x *cluster) write(i *instance, key string) error {
+	s := i.w.Snapshot()
+	if s.Primary == "" {
+		return errNoPrimary
+	}
+	return x.writeAt(i, s.Primary, key)
+}
+
+func (x *cluster) writeAt(i *instance, address, key string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	mark, err := x.commit(ctx, i, address, key)
+	if err != nil {
+		return err
+	}
+	if err := i.w.Confirm(ctx, mark); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.acked = append(x.acked, key)
+	return nil
+}
+
+// commit writes a row at a member and returns the mark it reports behind it.
+func (x *cluster) commit(ctx context.Context, i *instance, address, key string) (logpos.Mark, error) {
+	cfg, err := pgconn.ParseConfig("host=h port=1 user=u password=p dbname=d sslmode=disable")
+	if err != nil {
+		return logpos.Mark{}, err
+	}
+	cfg.LookupFunc = func(_ context.Context, h string) ([]string, error) { return []string{h}, nil }
+	var raw net.Conn
+	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		if raw != nil {
+			return nil, errors.New("one dial is enough")
+		}
+		var err error
+		raw, err = i.network.Dial(ctx, address)
+		return raw, err
+	}
+	c, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return logpos.Mark{}, err
+	}
+	defer raw.Close()
+	if _, err := c.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('"+key+"', 'v')").ReadAll(); err != nil {
+		return logpos.Mark{}, err
+	}
+	results, err := c.Exec(ctx, pgcontrol.StatusStatement).ReadAll()
+	if err != nil {
+		return logpos.Mark{}, err
+	}
+	status, err := pgcontrol.ParseStatus(results[0].Rows[0])
+	if err != nil {
+		return logpos.Mark{}, err
+	}
+	return logpos.Mark{Term: status.Entered, Position: status.Last.Position}, nil
+}
+
+// writer writes through an instance until the returned function is called.
+func (x *cluster) writer(i *instance) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for k := 0; ctx.Err() == nil; k++ {
+			if x.write(i, fmt.Sprintf("%s-%d", i.ID, k)) != nil {
+				_ = clock.Sleep(ctx, clock.System{}, 5*time.Millisecond)
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// primaries returns the members that lead in the highest term any has entered.
+func (x *cluster) primaries() (logpos.Term, []int) {
+	var highest logpos.Term
+	var leading []int
+	for _, n := range x.nodes {
+		highest = max(highest, n.Status().Entered)
+	}
+	for k, n := range x.nodes {
+		if s := n.Status(); s.Role == member.RolePrimary && s.Entered == highest {
+			leading = append(leading, k)
+		}
+	}
+	return highest, leading
+}
+
+// wantPrimary checks that one member leads in the term, and returns it.
+func (x *cluster) wantPrimary(term logpos.Term) int {
+	x.t.Helper()
+	highest, leading := x.primaries()
+	if highest != term || len(leading) != 1 {
+		x.t.Fatalf("seed %d: term %d, leading %v; want term %d with one primary", x.seed, highest, leading, term)
+	}
+	return leading[0]
+}
+
+// wantWritable checks that a write through the instance is acknowledged.
+func (x *cluster) wantWritable(i *instance, key string) {
+	x.t.Helper()
+	if err := x.write(i, key); err != nil {
+		x.t.Fatalf("seed %d: write through %s: %v", x.seed, i.ID, err)
+	}
+}
+
+// wantAttached checks that the member follows the primary of the term.
+func (x *cluster) wantAttached(k int, term logpos.Term) {
+	x.t.Helper()
+	if s := x.nodes[k].Status(); s.Attached != term || s.Entered != term || s.Role != member.RoleReplica {
+		x.t.Fatalf("seed %d: member %d is %+v; want a replica attached in term %d", x.seed, k, s, term)
+	}
+}
+
+// checkAcked fails the test if the primary lacks an acknowledged write.
+func (x *cluster) checkAcked() {
+	x.t.Helper()
+	_, leading := x.primaries()
+	if len(leading) != 1 {
+		x.t.Errorf("seed %d: primaries at the end: %v", x.seed, leading)
+		return
+	}
+	rows := x.nodes[leading[0]].Rows("kv")
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, key := range x.acked {
+		if _, ok := rows[key]; !ok {
+			x.t.Errorf("seed %d: acknowledged write %s is lost", x.seed, key)
+		}
+	}
+}
