Keep documents in force and spread them

The document's version lives inside the stored value, apart from the platform's object version, so that a platform that began at zero again cannot make it fall; what it lost is stored again by conditional updates. Relays watch, a tree over the failure domain pushes, and a digest of one number a second repairs, with sums of 64 parts only where the numbers differ.

Ruled out: a digest that lists versions (some 100 KB a second with 5,000 documents), and each relay pushing to its whole failure domain.

Run: go test -race -count=15 ./internal/config.

--- /dev/null
+++ b/internal/config/adopt.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/topazrock/topazrock/internal/document"
+)
+
+// adopt puts a version in force if it is higher than the one in force and
+// passes its checks, and spreads it in that case.
+func (s *Store) adopt(name string, e Envelope, from Source) Arrival {
+	arrival := s.take(name, e)
+	s.metrics.arrivals.WithLabelValues(string(from), string(arrival)).Inc()
+	switch arrival {
+	case Adopted:
+		s.log.Info("Document in force.", "service", name, "version", e.Version, "by", e.By, "from", from)
+		s.spread(name)
+	case Lower:
+		s.log.Warn("Lower version ignored.", "service", name, "version", e.Version, "from", from)
+	case Diverged:
+		s.log.Error("Two changes carry the same version. The one in force stays.",
+			"service", name, "version", e.Version, "ignored", e.ID, "from", from)
+	}
+	return arrival
+}
+
+func (s *Store) take(name string, e Envelope) Arrival {
+	if arrival, done := s.judge(name, e.Change); done {
+		return arrival
+	}
+	service, err := parse(name, e.Text)
+	if err != nil {
+		s.refuse(name, e.Change, err)
+		return Invalid
+	}
+	s.adoption.Lock()
+	defer s.adoption.Unlock()
+	// Another version may have come in force while this one was parsed.
+	if arrival, done := s.judge(name, e.Change); done {
+		return arrival
+	}
+	a := Applied{Name: name, Envelope: e, Service: service}
+	s.mu.Lock()
+	s.table.put(a)
+	delete(s.refused, name)
+	s.mu.Unlock()
+	s.metrics.version.WithLabelValues(name).Set(float64(e.Version))
+	for _, f := range s.subscribers {
+		f(a)
+	}
+	return Adopted
+}
+
+// judge compares an arriving change with what is in force. done is false when
+// the change is higher and its text is worth checking.
+func (s *Store) judge(name string, c Change) (arrival Arrival, done bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	current := s.table.documents[name].Change
+	switch {
+	case c.Version < current.Version:
+		return Lower, true
+	case c.Version == current.Version && c.ID != current.ID:
+		return Diverged, true
+	case c.Version == current.Version:
+		return Known, true
+	case s.refused[name] == c:
+		return Invalid, true
+	default:
+		return Adopted, false
+	}
+}
+
+// parse checks a document's text under the name that it is stored by.
+func parse(name, text string) (*document.Service, error) {
+	service, err := document.Parse(name+".ini", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	if service.Name != name {
+		return nil, fmt.Errorf("%w: %s", errWrongName, service.Name)
+	}
+	return service, nil
+}
+
+// refuse remembers a version that did not pass its checks. What is in force
+// stays: a faulty text must not take a service down.
+func (s *Store) refuse(name string, c Change, err error) {
+	s.mu.Lock()
+	if s.refused[name].Version <= c.Version {
+		s.refused[name] = c
+	}
+	s.mu.Unlock()
+	s.log.Error("Document kept out.", "service", name, "version", c.Version, "error", err)
+}
--- /dev/null
+++ b/internal/config/handlers.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// register adds the store's handlers.
+func (s *Store) register() {
+	r := s.options.Registry
+	r.Handle(methodPush, func(_ context.Context, _ string, raw json.RawMessage) (any, error) {
+		p, err := decodeParams[pushParams](raw)
+		if err != nil {
+			return nil, err
+		}
+		s.receive(p.Documents, FromPush)
+		return pushReply{}, nil
+	})
+	r.Handle(methodDigest, func(_ context.Context, _ string, raw json.RawMessage) (any, error) {
+		p, err := decodeParams[digestParams](raw)
+		if err != nil {
+			return nil, err
+		}
+		return s.answerDigest(p), nil
+	})
+	r.Handle(methodCompare, func(_ context.Context, _ string, raw json.RawMessage) (any, error) {
+		p, err := decodeParams[compareParams](raw)
+		if err != nil {
+			return nil, err
+		}
+		return s.answerCompare(p), nil
+	})
+	r.Handle(methodVersions, func(context.Context, string, json.RawMessage) (any, error) {
+		return s.Versions(), nil
+	})
+}
+
+func decodeParams[T any](raw json.RawMessage) (T, error) {
+	var p T
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return p, result.New(result.BadAdminRequest, "malformed parameters").WithCause(err)
+	}
+	return p, nil
+}
+
+// receive adopts documents that a peer sent.
+func (s *Store) receive(list []wireDocument, from Source) {
+	for _, d := range list {
+		if d.Envelope.Version > 0 {
+			s.adopt(d.Name, d.Envelope, from)
+		}
+	}
+}
+
+func (s *Store) answerDigest(p digestParams) digestReply {
+	s.mu.RLock()
+	own := s.table.sums
+	s.mu.RUnlock()
+	if own.root() == p.Root {
+		// A peer that has the same documents is as good as one that was asked.
+		s.noteContact(peerContact, s.checkInformed())
+		return digestReply{}
+	}
+	return digestReply{Sums: own[:]}
+}
+
+// answerCompare returns what the caller lacks in the parts it asks about.
+func (s *Store) answerCompare(p compareParams) compareReply {
+	asked := make(map[int]bool, len(p.Buckets))
+	for _, b := range p.Buckets {
+		asked[b] = true
+	}
+	var reply compareReply
+	var names []string
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for name, a := range s.table.documents {
+		if asked[bucketOf(name)] && a.Version > p.Versions[name] {
+			names = append(names, name)
+		}
+	}
+	reply.Documents, reply.More = s.batch(names)
+	for name, version := range p.Versions {
+		if version > s.held(name) {
+			reply.Wanted = append(reply.Wanted, name)
+		}
+	}
+	return reply
+}
+
+// batch returns documents by name up to the bound of one message. The caller
+// holds mu.
+func (s *Store) batch(names []string) (list []wireDocument, more bool) {
+	size := 0
+	for _, name := range names {
+		a, ok := s.table.documents[name]
+		if !ok {
+			continue
+		}
+		if size += len(a.Text); size > maxBatch && len(list) > 0 {
+			return list, true
+		}
+		list = append(list, wireDocument{Name: name, Envelope: a.Envelope})
+	}
+	return list, false
+}
+
+// held returns the highest version that this instance needs no copy of: the
+// one in force, or a higher one that did not pass its checks here. The caller
+// holds mu.
+func (s *Store) held(name string) int64 {
+	return max(s.table.documents[name].Version, s.refused[name].Version)
+}
--- /dev/null
+++ b/internal/config/push.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// pushQueue bounds the versions that wait to be pushed. Past it a push is
+	// dropped; digests repair that.
+	pushQueue = 1024
+	// pushWorkers is how many versions are pushed at a time.
+	pushWorkers = 4
+	// pushTimeout bounds one push to one peer.
+	pushTimeout = 2 * time.Second
+)
+
+// spread queues a document for pushing to this instance's children.
+func (s *Store) spread(name string) {
+	select {
+	case s.pushes <- name:
+	default:
+		s.metrics.pushes.WithLabelValues("dropped").Inc()
+	}
+}
+
+// pushLoop pushes queued documents until ctx ends.
+func (s *Store) pushLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case name := <-s.pushes:
+			s.pushToChildren(ctx, name)
+		}
+	}
+}
+
+// pushToChildren pushes to all children at once, so that a dead one costs the
+// others nothing.
+func (s *Store) pushToChildren(ctx context.Context, name string) {
+	var calls sync.WaitGroup
+	for _, address := range s.contact.children(name) {
+		calls.Go(func() { s.push(ctx, address, []string{name}) })
+	}
+	calls.Wait()
+}
+
+// push sends the versions in force of some documents to one peer.
+func (s *Store) push(ctx context.Context, address string, names []string) {
+	s.mu.RLock()
+	list, _ := s.batch(names)
+	s.mu.RUnlock()
+	if len(list) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	err := s.options.Peers.Call(ctx, address, methodPush, pushParams{Documents: list}, &pushReply{})
+	if err != nil {
+		s.metrics.pushes.WithLabelValues("failed").Inc()
+		s.log.Debug("Push failed. A digest will repair it.", "peer", address, "error", err)
+		return
+	}
+	s.metrics.pushes.WithLabelValues("sent").Inc()
+}
--- /dev/null
+++ b/internal/config/read.go
@@ -0,0 +1,39 @@
+package config
+
+import (
+	"context"
+
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// Newest returns the highest version that the platform or this instance holds.
+// While the platform does not answer, that is the version in force here.
+func (s *Store) Newest(ctx context.Context, name string) (Applied, error) {
+	b, err := s.readBase(ctx, name)
+	if err != nil {
+		if a, ok := s.Current(name); ok {
+			return a, nil
+		}
+		return Applied{}, result.New(result.PlatformUnavailable, "document %s", name).WithCause(err)
+	}
+	if b.Version == 0 {
+		return Applied{}, result.New(result.NotFound, "document %s", name)
+	}
+	if a, ok := s.Current(name); ok && a.Change == b.Change {
+		return a, nil
+	}
+	service, err := parse(name, b.Text)
+	if err != nil {
+		s.log.Warn("Stored document does not pass its checks.", "service", name, "version", b.Version, "error", err)
+	}
+	return Applied{Name: name, Envelope: b.Envelope, Service: service}, nil
+}
+
+// History returns a document's changes, the newest first.
+func (s *Store) History(ctx context.Context, name string) ([]Change, error) {
+	a, err := s.Newest(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return a.changes(), nil
+}
--- /dev/null
+++ b/internal/config/source.go
@@ -0,0 +1,29 @@
+package config
+
+// Source tells where a version came from; it is a metric label.
+type Source string
+
+// Sources of versions.
+const (
+	FromPlatform Source = "platform"
+	FromPush     Source = "push"
+	FromDigest   Source = "digest"
+	FromApply    Source = "apply"
+)
+
+// Arrival tells what became of a version that arrived; it is a metric label.
+type Arrival string
+
+// Arrivals.
+const (
+	// Adopted: the version is in force now.
+	Adopted Arrival = "adopted"
+	// Known: the version was in force already.
+	Known Arrival = "known"
+	// Lower: a higher version is in force.
+	Lower Arrival = "lower"
+	// Diverged: another change with the same version is in force.
+	Diverged Arrival = "diverged"
+	// Invalid: the document did not pass its checks.
+	Invalid Arrival = "invalid"
+)
--- /dev/null
+++ b/internal/config/spread_test.go
@@ -0,0 +1,221 @@
+package config
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/platform"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	for _, n := range []int{1, 3, 8, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, n)
+			defer f.stop()
+			is.Equal(f.apply(f.nodes[0], "orders", 2, 0).Version, int64(1))
+			f.all("orders", 1, 2*time.Second)
+			is.Equal(f.apply(f.nodes[n-1], "orders", 3, 1).Version, int64(2))
+			f.all("orders", 2, time.Second)
+			time.Sleep(digestBeat)
+			for _, node := range f.nodes {
+				a, g, ok := node.FindGroup("orders-1")
+				is.True(ok)
+				is.Equal(a.Version, int64(2))
+				is.Equal(g.Slots, 3)
+				is.True(node.Ready())
+			}
+		})
+	}
+}
+
+// A failure domain is cut off from the platform and from all other instances
+// while a document changes. It goes on with the version it has. When the cut
+// heals, its instances have the new version within seconds.
+func TestCutOffDomainCatchesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 8)
+		defer f.stop()
+		f.apply(f.nodes[0], "orders", 2, 0)
+		f.all("orders", 1, 2*time.Second)
+		f.cutDomain("fln-c", true)
+		f.apply(f.nodes[0], "orders", 3, 1)
+		time.Sleep(time.Minute)
+		is.Equal(f.versions("orders"), []int64{2, 2, 1, 2, 2, 1, 2, 2})
+		is.True(f.nodes[2].Ready())
+		f.cutDomain("fln-c", false)
+		f.all("orders", 2, 5*time.Second)
+	})
+}
+
+// A failure domain loses the platform alone; other instances still reach it.
+// A change made elsewhere comes to it through its peers' digests.
+func TestDomainWithoutPlatformLearnsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		defer f.stop()
+		f.apply(f.nodes[0], "orders", 2, 0)
+		f.all("orders", 1, 2*time.Second)
+		for _, i := range []int{2, 5} {
+			f.nodes[i].gate.cut()
+		}
+		f.apply(f.nodes[0], "orders", 3, 1)
+		f.all("orders", 2, 10*time.Second)
+	})
+}
+
+// An instance restarts while the platform is down. It has no documents and
+// cannot read the instance list; its peers still list it, so that their
+// digests reach it, and it becomes ready with what they have.
+func TestRestartDuringOutageTakesDocumentsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 8)
+		defer f.stop()
+		f.apply(f.nodes[0], "orders", 2, 0)
+		f.apply(f.nodes[0], "orders", 3, 1)
+		f.all("orders", 2, 2*time.Second)
+		f.platform.SetFaults(standin.Faults{Outage: true})
+		f.nodes[4].stop()
+		f.nodes[4] = f.start(4)
+		is.True(!f.nodes[4].Ready())
+		f.all("orders", 2, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		is.True(f.nodes[4].Ready())
+	})
+}
+
+// An instance starts while the platform is down and no peer knows it. With a
+// seed in its settings it takes the documents from there; without one it says
+// that it is not ready and keeps trying until the platform answers.
+func TestStartDuringOutage(t *testing.T) {
+	for _, seeds := range [][]string{{"10.0.0.0:1"}, nil} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 3)
+			defer f.stop()
+			f.apply(f.nodes[0], "orders", 2, 0)
+			f.platform.SetFaults(standin.Faults{Outage: true})
+			f.inventory.Instances = append(f.inventory.Instances, platform.Instance{ID: "new", FailureDomain: "poa-a", PeerAddress: "10.0.0.9:1"})
+			f.seeds = seeds
+			fresh := f.start(3)
+			defer fresh.stop()
+			time.Sleep(20 * time.Second)
+			is.Equal(fresh.Ready(), seeds != nil)
+			f.platform.SetFaults(standin.Faults{})
+			time.Sleep(10 * time.Second)
+			is.True(fresh.Ready())
+		})
+	}
+}
+
+// A watch asks for a revision that the platform has compacted away. The relay
+// lists again and misses nothing.
+func TestCompactedWatchListsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		n := f.nodes[0]
+		f.apply(n, "orders", 2, 0)
+		time.Sleep(time.Second)
+		n.gate.cut()
+		other := newFleetOn(t, f)
+		defer other.stop()
+		other.apply(other.nodes[0], "orders", 3, 1)
+		other.apply(other.nodes[0], "stock", 3, 0)
+		f.platform.Compact(platform.KindService)
+		n.gate.heal()
+		f.all("orders", 2, 5*time.Second)
+		f.all("stock", 1, time.Second)
+	})
+}
+
+// The platform loses its store and begins at zero again, first empty and then
+// with an old version. No instance goes back: the version in force stays, and
+// is stored again so that a new instance gets it.
+func TestPlatformRestartedAtZero(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3)
+		defer f.stop()
+		for v := range int64(5) {
+			f.apply(f.nodes[0], "orders", 2+int(v), v)
+		}
+		f.all("orders", 5, 2*time.Second)
+		empty := standin.NewStore()
+		empty.SetInventory(f.inventory)
+		old := Envelope{Change: Change{Version: 2, ID: "old", By: "ana"}, Text: text("orders", 3)}
+		value, err := old.encode()
+		is.NoErr(err)
+		_, err = empty.Put(t.Context(), platform.KindService, "orders", value, 0)
+		is.NoErr(err)
+		f.platform.replace(empty)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(f.versions("orders"), []int64{5, 5, 5})
+		}
+		b, err := f.nodes[0].readBase(t.Context(), "orders")
+		is.NoErr(err)
+		is.Equal(b.Version, int64(5))
+		f.nodes[1].stop()
+		f.nodes[1] = f.start(1)
+		f.all("orders", 5, 2*time.Second)
+		is.Equal(f.apply(f.nodes[1], "orders", 9, 5).Version, int64(6))
+		f.all("orders", 6, 2*time.Second)
+	})
+}
+
+// Pushes are lost on the way. Instances that hold no watch get the change from
+// a digest instead, seconds later.
+func TestLostPushIsRepairedByDigest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetWith(t, 24, 1)
+		defer f.stop()
+		f.apply(f.nodes[0], "orders", 2, 0)
+		f.all("orders", 1, 10*time.Second)
+		f.net.set(f.net.lose, methodPush, true)
+		f.apply(f.nodes[0], "orders", 3, 1)
+		took := f.all("orders", 2, 20*time.Second)
+		is.True(took > 50*time.Millisecond)
+		f.net.set(f.net.lose, methodPush, false)
+		f.apply(f.nodes[0], "orders", 4, 2)
+		f.all("orders", 3, 50*time.Millisecond)
+	})
+}
+
+// A peer sends a document that does not parse, one of another service's name,
+// and a lower version. None of them comes in force, each is counted, and the
+// service goes on with what it has.
+func TestBadDocumentFromPeerIsKeptOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3)
+		defer f.stop()
+		f.apply(f.nodes[0], "orders", 2, 0)
+		f.apply(f.nodes[0], "orders", 3, 1)
+		f.all("orders", 2, 2*time.Second)
+		s := f.nodes[1].Store
+		is.Equal(s.adopt("orders", Envelope{Change: Change{Version: 3, ID: "x"}, Text: "[service"}, FromPush), Invalid)
+		is.Equal(s.adopt("orders", Envelope{Change: Change{Version: 3, ID: "y"}, Text: text("stock", 1)}, FromPush), Invalid)
+		is.Equal(s.adopt("orders", Envelope{Change: Change{Version: 1, ID: "z"}, Text: text("orders", 1)}, FromPush), Lower)
+		is.Equal(s.adopt("orders", Envelope{Change: Change{Version: 2, ID: "z"}, Text: text("orders", 1)}, FromPush), Diverged)
+		time.Sleep(10 * time.Second)
+		is.Equal(f.versions("orders"), []int64{2, 2, 2})
+		is.Equal(f.apply(f.nodes[2], "orders", 4, 2).Version, int64(3))
+		f.all("orders", 3, 5*time.Second)
+	})
+}
+
+// newFleetOn starts one more instance on the platform of another fleet.
+func newFleetOn(t *testing.T, f *fleet) *fleet {
+	g := &fleet{t: t, platform: f.platform, net: newNetwork(), relays: f.relays,
+		inventory: platform.Inventory{Instances: []platform.Instance{{ID: "other", FailureDomain: "far", PeerAddress: "10.9.0.1:1"}}}}
+	g.nodes = append(g.nodes, g.start(0))
+	return g
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/topazrock/topazrock/internal/document"
+)
+
+// Store holds the documents in force. It may be used by many goroutines.
+type Store struct {
+	options Options
+	log     hclog.Logger
+	metrics *Metrics
+	contact contacts
+	pushes  chan string
+
+	// adoption orders adoptions and what subscribers see of them.
+	adoption    sync.Mutex
+	subscribers []func(Applied)
+
+	// mu guards the tables below.
+	mu    sync.RWMutex
+	table table
+	// refused holds the newest version of each document that did not pass its
+	// checks, so that it is neither checked nor asked for again.
+	refused map[string]Change
+	sync    progress
+	pending []*pending
+	settled map[string]Outcome
+
+	// randMu guards the random source, which is not safe for concurrent use.
+	randMu sync.Mutex
+}
+
+// New returns a store without documents and registers its handlers.
+func New(o Options) *Store {
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(nil)
+	}
+	if o.Relays == 0 {
+		o.Relays = DefaultRelays
+	}
+	s := &Store{
+		options: o,
+		log:     o.Log.Named("config"),
+		metrics: o.Metrics,
+		pushes:  make(chan string, pushQueue),
+		table:   newTable(),
+		refused: make(map[string]Change),
+		settled: make(map[string]Outcome),
+	}
+	s.contact.fleet, s.contact.relayCount = o.Fleet, o.Relays
+	s.contact.refresh()
+	o.Fleet.Subscribe(s.contact.refresh)
+	s.register()
+	return s
+}
+
+// Current returns the document of a name that is in force.
+func (s *Store) Current(name string) (Applied, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a, ok := s.table.documents[name]
+	return a, ok
+}
+
+// All returns the documents in force, ordered by name.
+func (s *Store) All() []Applied {
+	s.mu.RLock()
+	list := slices.Collect(maps.Values(s.table.documents))
+	s.mu.RUnlock()
+	slices.SortFunc(list, func(a, b Applied) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// FindGroup returns a group and the document that declares it.
+func (s *Store) FindGroup(group string) (Applied, document.Group, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	owners := s.table.owners[group]
+	if len(owners) == 0 {
+		return Applied{}, document.Group{}, false
+	}
+	a := s.table.documents[owners[0]]
+	g, ok := a.Service.FindGroup(group)
+	return a, g, ok
+}
+
+// Versions returns the version in force of each document.
+func (s *Store) Versions() map[string]int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	versions := make(map[string]int64, len(s.table.documents))
+	for name, a := range s.table.documents {
+		versions[name] = a.Version
+	}
+	return versions
+}
+
+// Subscribe calls f for each document in force, and then for each version that
+// comes in force, in the order of the versions. f must not block.
+func (s *Store) Subscribe(f func(Applied)) {
+	s.adoption.Lock()
+	defer s.adoption.Unlock()
+	s.subscribers = append(s.subscribers, f)
+	for _, a := range s.All() {
+		f(a)
+	}
+}
--- /dev/null
+++ b/internal/config/watch.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+const (
+	// unlisted is the revision of a watch that must list first.
+	unlisted = -1
+	// relayBeat is how often an instance that is no relay looks whether it has
+	// become one.
+	relayBeat = time.Second
+	// firstBackoff and lastBackoff bound the wait after a failed call.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 3 * time.Second
+)
+
+// watcher follows the platform's documents.
+type watcher struct {
+	store    *Store
+	revision int64
+	backoff  time.Duration
+}
+
+// watchLoop follows the platform while this instance is a relay, and lists
+// once while nobody else has told it anything.
+func (s *Store) watchLoop(ctx context.Context) {
+	w := &watcher{store: s, revision: unlisted}
+	for ctx.Err() == nil {
+		if !s.contact.isRelay() && s.informed() {
+			s.noteContact(platformContact, errNotRelay)
+			w.revision = unlisted
+			_ = clock.Sleep(ctx, s.options.Clock, s.jittered(relayBeat))
+			continue
+		}
+		w.step(ctx)
+	}
+}
+
+// step lists or watches once and waits after a failure. After any failure it
+// lists again: the platform may have restarted with older revisions, and may
+// since have passed the one that the watch would resume from.
+func (w *watcher) step(ctx context.Context) {
+	err := w.follow(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		w.backoff = firstBackoff
+		return
+	}
+	w.revision = unlisted
+	w.store.metrics.watches.WithLabelValues("failed").Inc()
+	w.store.log.Debug("Watch failed.", "error", err)
+	_ = clock.Sleep(ctx, w.store.options.Clock, w.store.jittered(max(w.backoff, firstBackoff)))
+	w.backoff = min(2*max(w.backoff, firstBackoff), lastBackoff)
+}
+
+func (w *watcher) follow(ctx context.Context) error {
+	if w.revision == unlisted {
+		return w.list(ctx)
+	}
+	objects, revision, err := w.store.options.API.Watch(ctx, platform.KindService, w.revision)
+	if err != nil {
+		return err
+	}
+	w.store.metrics.watches.WithLabelValues("answered").Inc()
+	if w.take(objects) || revision < w.revision {
+		w.revision = unlisted
+		return nil
+	}
+	w.revision = revision
+	return nil
+}
+
+// list reads all documents and brings back what the platform has lost.
+func (w *watcher) list(ctx context.Context) error {
+	objects, revision, err := w.store.options.API.List(ctx, platform.KindService)
+	w.store.noteContact(platformContact, err)
+	if err != nil {
+		return err
+	}
+	w.store.metrics.watches.WithLabelValues("listed").Inc()
+	w.take(objects)
+	if w.store.restore(ctx, objects) {
+		return clock.Sleep(ctx, w.store.options.Clock, w.store.jittered(restorePause))
+	}
+	w.revision = revision
+	return nil
+}
+
+// take adopts stored documents and reports whether one of them was lower than
+// what is in force.
+func (w *watcher) take(objects []platform.Object) (lower bool) {
+	for _, o := range objects {
+		e, err := decodeObject(o)
+		if err != nil {
+			w.store.metrics.arrivals.WithLabelValues(string(FromPlatform), string(Invalid)).Inc()
+			w.store.log.Error("Stored value kept out.", "service", o.Name, "error", err)
+			continue
+		}
+		if e.Version > 0 && w.store.adopt(o.Name, e, FromPlatform) == Lower {
+			lower = true
+		}
+	}
+	return lower
+}
