--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -44,6 +44,8 @@
 		f.apply(f.nodes[0], "orders", 2, 0)
 		f.all("orders", 1, 2*time.Second)
 		f.cutDomain("fln-c", true)
+		// Watches that were waiting end now, and not after the change below.
+		synctest.Wait()
 		f.apply(f.nodes[0], "orders", 3, 1)
 		time.Sleep(time.Minute)
 		is.Equal(f.versions("orders"), []int64{2, 2, 1, 2, 2, 1, 2, 2})
@@ -64,6 +66,7 @@
 		for _, i := range []int{2, 5} {
 			f.nodes[i].gate.cut()
 		}
+		synctest.Wait()
 		f.apply(f.nodes[0], "orders", 3, 1)
 		f.all("orders", 2, 10*time.Second)
 	})
@@ -124,6 +127,7 @@
 		f.apply(n, "orders", 2, 0)
 		time.Sleep(time.Second)
 		n.gate.cut()
+		synctest.Wait()
 		other := newFleetOn(t, f)
 		defer other.stop()
 		other.apply(other.nodes[0], "orders", 3, 1)
