--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -13,7 +13,7 @@
 
 func TestHealthyGroupIsLeftAlone(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		x.after(time.Minute)
 		is.Equal(x.wantPrimary(1), 0)
 		is.Equal(len(x.store.Calls()), 0)
@@ -26,7 +26,7 @@
 // acknowledged may be missing there. The old primary comes back and follows.
 func TestKilledPrimaryIsReplaced(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		for _, i := range x.instances {
 			defer x.writer(i)()
 		}
@@ -36,7 +36,7 @@
 		p := x.wantPrimary(2)
 		is.True(p != 0)
 		is.Equal(len(x.gaps), 1)
-		t.Logf("gap %+v", x.gaps[0])
+		x.t.Logf("gap %+v", x.gaps[0])
 		is.True(x.gaps[0].Total() < 400*time.Millisecond)
 		for k, i := range x.instances {
 			x.wantWritable(i, "after-"+domain(k))
@@ -53,7 +53,7 @@
 // and gets answers. It must acknowledge none that the other side does not have.
 func TestCutOffDomainIsReplaced(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		stop := x.writer(x.instances[0])
 		x.after(200 * time.Millisecond)
 		x.cutDomain(0, x.net.Cut)
@@ -62,7 +62,7 @@
 		x.after(2 * time.Second)
 		is.Equal(len(x.acked), acked)
 		is.Equal(len(x.gaps), 1)
-		t.Logf("gap %+v", x.gaps[0])
+		x.t.Logf("gap %+v", x.gaps[0])
 		x.wantWritable(x.instances[1], "while cut")
 		is.True(x.nodes[0].Status().Entered == 1)
 		stop()
@@ -78,7 +78,7 @@
 // writes and hears commands, but nobody hears it.
 func TestCutOneWayIsReplaced(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		defer x.writer(x.instances[1])()
 		x.after(100 * time.Millisecond)
 		for _, h := range x.allHosts() {
@@ -97,7 +97,7 @@
 // it thaws; it must never be acknowledged.
 func TestFrozenPrimaryConfirmsNothingWhenItThaws(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		x.net.Freeze(x.hosts[0])
 		frozen := make(chan error, 1)
 		go func() { frozen <- x.writeAt(x.instances[1], x.addresses[0], "frozen") }()
@@ -137,7 +137,7 @@
 		x.after(30 * time.Second)
 		again, leading := x.primaries()
 		if again != term || len(leading) != 1 {
-			t.Errorf("term %d became %d, leading %v", term, again, leading)
+			x.t.Errorf("term %d became %d, leading %v", term, again, leading)
 		}
 	})
 }
@@ -161,7 +161,7 @@
 // term is worth more: the tail was never acknowledged, and must be dropped.
 func TestLongerTailOfAnOlderTermIsDiscarded(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		for k := 1; k < 3; k++ {
 			x.net.Cut(x.hosts[0], x.hosts[k])
 		}
@@ -192,7 +192,7 @@
 // one follows it, and no acknowledged write is lost.
 func TestLeavingPrimaryIsSwitchedOver(t *testing.T) {
 	inCluster(t, seed, func(x *cluster) {
-		is := is.New(t)
+		is := is.New(x.t)
 		for _, i := range x.instances {
 			defer x.writer(i)()
 		}
@@ -209,3 +209,43 @@
 		is.Equal(term, logpos.Term(2))
 	})
 }
+
+// A failure domain with one replica is cut off. The instance there loses sight
+// of the primary and of everybody who could object. It must not promote its
+// replica: the others still have a majority and go on acknowledging.
+func TestMinorityDomainPromotesNobody(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(x.t)
+		defer x.writer(x.instances[0])()
+		x.cutDomain(2, x.net.Cut)
+		x.after(10 * time.Second)
+		is.Equal(x.wantPrimary(1), 0)
+		is.True(x.write(x.instances[2], "minority") != nil)
+		before := len(x.acked)
+		x.after(time.Second)
+		is.True(len(x.acked) > before)
+		x.cutDomain(2, x.net.Heal)
+		x.after(3 * time.Second)
+		is.Equal(x.wantPrimary(1), 0)
+		x.wantWritable(x.instances[2], "healed")
+	})
+}
+
+// One replica is a second behind, so that the other alone holds what was
+// acknowledged last. The primary is killed. Whichever replica answers first, the
+// one that holds more must be promoted.
+func TestReplicaFarBehindIsNotPromoted(t *testing.T) {
+	for behind := 1; behind < 3; behind++ {
+		inCluster(t, seed, func(x *cluster) {
+			x.nodes[behind].SetReplicationLag(time.Second)
+			stop := x.writer(x.instances[3-behind])
+			x.after(2 * time.Second)
+			x.nodes[0].Kill()
+			stop()
+			x.after(2 * time.Second)
+			if p := x.wantPrimary(2); p != 3-behind {
+				x.t.Errorf("member %d was promoted", p)
+			}
+		})
+	}
+}
--- a/internal/group/intervals.go
+++ b/internal/group/intervals.go
@@ -8,7 +8,7 @@
 	PrimaryPoll time.Duration
 	// ReplicaPoll is the time between two reports of a replica nobody waits for.
 	ReplicaPoll time.Duration
-	// FastPoll replaces both while the term has no primary that answers.
+	// FastPoll replaces both while no write could be confirmed in the term.
 	FastPoll time.Duration
 	// Probe bounds a status call, and a probe on a new connection from its dial
 	// to its report. Failing probes start this far apart.
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -45,7 +45,7 @@
 	switch {
 	case wanted && attached(f.view.Status, f.w.term) && !f.idle:
 		return question{wait: true, position: position, bound: f.w.intervals.Wait}
-	case wanted || f.w.leaderless():
+	case wanted || f.w.unsettled():
 		status.delay = f.until(f.w.intervals.FastPoll)
 	default:
 		status.delay = f.until(f.spread(f.w.intervals.ReplicaPoll))
@@ -76,8 +76,9 @@
 	return d + time.Duration(pollSpread*f.w.rand.Float64()*float64(d))
 }
 
-// leaderless reports whether the term has no primary that answers.
-func (w *Watcher) leaderless() bool {
+// unsettled reports whether writes are impossible: the term has no primary that
+// answers, or too few replicas have reported themselves attached in it.
+func (w *Watcher) unsettled() bool {
 	f := w.find(w.primary)
-	return f == nil || f.view.Failures > 0
+	return f == nil || f.view.Failures > 0 || w.confirmedAt().IsZero()
 }
--- a/internal/group/watcher_test.go
+++ b/internal/group/watcher_test.go
@@ -22,7 +22,7 @@
 
 func TestSnapshotShowsThePrimaryAndItsReplicas(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		s := x.w.Snapshot()
 		is.Equal(s.Term, logpos.Term(1))
 		is.Equal(s.Primary, x.addresses[0])
@@ -37,7 +37,7 @@
 func TestConfirmCostsOneLagAndNotAPollInterval(t *testing.T) {
 	for _, lag := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
 		watched(t, 3, func(x *fixture) {
-			is := is.New(t)
+			is := is.New(x.t)
 			for _, n := range x.nodes {
 				n.SetReplicationLag(lag)
 			}
@@ -52,7 +52,7 @@
 
 func TestBarriersThatWaitTogetherShareARound(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		want := x.write(0)
 		var wg sync.WaitGroup
 		start := time.Now()
@@ -76,7 +76,7 @@
 	for name, seesReplicas := range map[string]bool{"replicas seen": true, "replicas away": false} {
 		t.Run(name, func(t *testing.T) {
 			watched(t, 3, func(x *fixture) {
-				is := is.New(t)
+				is := is.New(x.t)
 				for i := 1; i < 3; i++ {
 					x.net.Cut(x.hosts[0], x.hosts[i])
 					if !seesReplicas {
@@ -105,7 +105,7 @@
 // must not pass on what the replicas reported before it began.
 func TestBarrierNeedsReportsAskedForAfterIt(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		x.net.Cut(watcherIP, x.hosts[1])
 		x.net.Cut(watcherIP, x.hosts[2])
 		x.promote(2, 1, 2)
@@ -120,7 +120,7 @@
 // not hold; only its attachment in the new term counts.
 func TestDiscardedTailConfirmsNothing(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		x.net.Cut(x.hosts[0], x.hosts[1])
 		x.net.Cut(x.hosts[0], x.hosts[2])
 		for range 20 {
@@ -138,7 +138,7 @@
 
 func TestMajorityOfFiveNeedsTwoReplicas(t *testing.T) {
 	watched(t, 5, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		for i := 2; i < 5; i++ {
 			x.net.Cut(x.hosts[0], x.hosts[i])
 		}
@@ -157,7 +157,7 @@
 // least its lag; a replica that is cut off grows older and proves nothing new.
 func TestAgeIsNeverBelowTheLag(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		x.nodes[2].SetReplicationLag(time.Second)
 		for range 40 {
 			x.write(0)
@@ -178,7 +178,7 @@
 // A barrier must still pass in a fraction of a second, and nobody is suspected.
 func TestSilentConnectionIsReplacedAndMovesNothing(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		for _, h := range x.hosts {
 			x.net.Silence(watcherIP, h)
 		}
@@ -192,7 +192,7 @@
 
 func TestKilledMemberIsSeenFailingAndComesBack(t *testing.T) {
 	watched(t, 3, func(x *fixture) {
-		is := is.New(t)
+		is := is.New(x.t)
 		x.nodes[0].Kill()
 		x.after(160 * time.Millisecond)
 		v := x.view(0)
