Add the demo and the bench: roaming callers, faults, a final check

Whether a promise holds shows only at the callers: real clients whose sessions roam with and without their token, a ledger of what each was told, and a look at the group at the end. Everything runs in one process over loopback TCP; latency and cuts are borrowed from the in-memory network, which already had them. A writer at a steady beat on many connections measures the failover gap, since a caller whose write hangs must not hide that others work again. The gap is split by the hooks of the stand-ins.

--- /dev/null
+++ b/internal/standin/bench/bench.go
@@ -0,0 +1,163 @@
+// Package bench drives real PostgreSQL clients whose sessions roam between the
+// entry instances, places faults, and checks what the callers were told against
+// what the group holds at the end.
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// Fault names what happens half way through a run.
+type Fault string
+
+// Faults that a run can place.
+const (
+	FaultNone         Fault = "none"
+	FaultPrimaryKill  Fault = "primary-kill"
+	FaultPrimaryCut   Fault = "primary-cut"
+	FaultPlatformDown Fault = "platform-down"
+	FaultReplicaLag   Fault = "replica-lag"
+)
+
+const (
+	// farBehind is the lag of the one slow replica of FaultReplicaLag.
+	farBehind = time.Minute
+	// warmUp is how long the fleet runs before the load begins.
+	warmUp = time.Second
+	// betweenFaults is how long a whole group rests before the next fault.
+	betweenFaults = time.Second
+	// gapTimeout bounds the wait for writes to work again.
+	gapTimeout = 20 * time.Second
+	// statementCost is how long a member works on a statement.
+	statementCost = 500 * time.Microsecond
+	// faultGroup is the group whose primary is lost.
+	faultGroup = 0
+)
+
+// Config sets up one run.
+type Config struct {
+	Profile  string
+	Duration time.Duration
+	Seed     uint64
+	Fault    Fault
+	// Repeat is how often the primary is lost, one after the other.
+	Repeat int
+	// Sessions is the number of callers, and Think their mean pause.
+	Sessions int
+	Think    time.Duration
+	// Lag is the replication lag of every replica.
+	Lag time.Duration
+	// Say takes what happens in plain words; Logs the instances' logs.
+	Say, Logs io.Writer
+	// small is the demo's size: one group and an instance in each domain.
+	small bool
+}
+
+// ErrBadConfig says that a profile or fault is not known.
+var ErrBadConfig = errors.New("unknown profile or fault")
+
+// bench is one run.
+type bench struct {
+	*fleet
+	config Config
+	ledger *ledger
+	others *recent
+	line   timeline
+	gaps   []gap
+}
+
+// Run runs one bench and returns its report.
+func Run(ctx context.Context, c Config) (*Report, error) {
+	p, ok := profiles[c.Profile]
+	switch c.Fault {
+	case FaultNone, FaultPrimaryKill, FaultPrimaryCut, FaultPlatformDown, FaultReplicaLag:
+	default:
+		ok = false
+	}
+	if !ok {
+		return nil, fmt.Errorf("%w: %q, %q", ErrBadConfig, c.Profile, c.Fault)
+	}
+	if c.small {
+		p.groups, p.instances = 1, len(p.domains)
+	}
+	f, err := startFleet(p, c.Lag, statementCost, c.Seed, c.Logs)
+	defer f.close()
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{fleet: f, config: c, ledger: newLedger(), others: &recent{groups: map[int][]entry{}}}
+	return b.run(ctx)
+}
+
+func (b *bench) run(ctx context.Context) (*Report, error) {
+	b.say("Started the platform, %d groups of %d members and %d instances in %d failure domains (seed %d).",
+		b.profile.groups, len(b.profile.domains), b.profile.instances, len(b.profile.domains), b.config.Seed)
+	b.watch()
+	pause(ctx, warmUp)
+	b.say("%d callers begin; they roam between the instances.", b.config.Sessions)
+	began := time.Now()
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var callers sync.WaitGroup
+	for i := range b.config.Sessions {
+		s := b.session(i)
+		callers.Go(func() { s.run(load, b.config.Think) })
+	}
+	pause(ctx, b.config.Duration/2)
+	err := b.placeFaults(ctx)
+	pause(ctx, b.config.Duration/2)
+	stop()
+	callers.Wait()
+	took := time.Since(began)
+	b.say("The callers have ended; now every acknowledged write is looked for.")
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return b.report(took), err
+}
+
+func (b *bench) session(i int) *session {
+	return &session{
+		bench: b,
+		rng:   rand.New(rand.NewPCG(b.config.Seed, uint64(i))),
+		id:    fmt.Sprintf("caller-%d", i),
+		group: i % b.profile.groups,
+	}
+}
+
+// watch hooks the timeline to the platform and to the members of the group
+// whose primary is lost.
+func (b *bench) watch() {
+	b.store.SetHook(b.line.platformPoint)
+	majority := len(b.nodes[faultGroup])/2 + 1
+	for i, n := range b.nodes[faultGroup] {
+		n.SetHook(b.line.memberPoint(b.members[faultGroup][i], majority))
+	}
+}
+
+// dial opens a caller's connection to an entry instance.
+func (b *bench) dial(ctx context.Context, entry, group int, token string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
+		b.profile.user, password, b.entries[entry], b.profile.groupName(group)))
+	if err != nil {
+		return nil, err
+	}
+	network := b.wan.host(callerHost)
+	c.DialFunc = func(ctx context.Context, _, address string) (net.Conn, error) { return network.Dial(ctx, address) }
+	c.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	if token != "" {
+		c.RuntimeParams[tokenParameter] = token
+	}
+	return pgx.ConnectConfig(ctx, c)
+}
+
+func (b *bench) say(format string, args ...any) { fmt.Fprintf(b.config.Say, format+"\n", args...) }
--- /dev/null
+++ b/internal/standin/bench/demo.go
@@ -0,0 +1,29 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Sizes of the demo.
+const (
+	demoDuration = 20 * time.Second
+	demoSessions = 24
+	demoThink    = 20 * time.Millisecond
+	demoLag      = 20 * time.Millisecond
+)
+
+// Demo runs one group, three instances and roaming callers, kills the primary
+// half way, and tells in plain words what happened.
+func Demo(ctx context.Context, seed uint64, out, logs io.Writer) (*Report, error) {
+	r, err := Run(ctx, Config{
+		Profile: ProfileLigacaoSul, Duration: demoDuration, Seed: seed, Fault: FaultPrimaryKill,
+		Sessions: demoSessions, Think: demoThink, Lag: demoLag, Say: out, Logs: logs, small: true,
+	})
+	if r != nil {
+		fmt.Fprint(out, r.Words())
+	}
+	return r, err
+}
--- /dev/null
+++ b/internal/standin/bench/fleet.go
@@ -0,0 +1,306 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/instance"
+	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/platform/httpclient"
+	"github.com/topazrock/topazrock/internal/settings"
+	"github.com/topazrock/topazrock/internal/standin/member"
+	"github.com/topazrock/topazrock/internal/standin/memnet"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+const (
+	platformHost = "127.0.0.2"
+	callerHost   = "127.0.0.3"
+	// Hosts of a failure domain begin at its number times this.
+	hostsPerDomain = 40
+	// firstEntryHost is where a domain's instances begin within its hosts.
+	firstEntryHost = 20
+
+	platformTimeout = 2 * time.Second
+	startupTimeout  = 5 * time.Second
+	maxCallers      = 20_000
+)
+
+// fleet is the whole system in one process: the platform, the members of all
+// groups and the entry instances, each on a loopback address of its own.
+type fleet struct {
+	profile profile
+	wan     *wan
+	store   *standin.Store
+	nodes   [][]*member.Node
+	// members, entries and peers are addresses.
+	members [][]string
+	entries []string
+	domains map[string]string
+	closers []func()
+}
+
+func host(address string) string {
+	ip, _, _ := net.SplitHostPort(address)
+	return ip
+}
+
+func domainHost(domain, i int) string {
+	return fmt.Sprintf("127.0.0.%d", (domain+1)*hostsPerDomain+i)
+}
+
+// hosts returns all hosts of a failure domain.
+func (f *fleet) hosts(domain string) []string {
+	var all []string
+	for ip, d := range f.domains {
+		if d == domain {
+			all = append(all, ip)
+		}
+	}
+	return all
+}
+
+// freeAddress returns an address with a port that nobody uses now.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// startFleet starts everything. The caller closes the fleet also on an error.
+func startFleet(p profile, lag, cost time.Duration, seed uint64, logs io.Writer) (*fleet, error) {
+	f := &fleet{profile: p, wan: &wan{memnet.New()}, store: standin.NewStore(), domains: map[string]string{}}
+	for d, name := range p.domains {
+		for g := range p.groups {
+			f.domains[domainHost(d, g)] = name
+		}
+		for i := d; i < p.instances; i += len(p.domains) {
+			f.domains[domainHost(d, firstEntryHost+i)] = name
+		}
+	}
+	f.setLatencies()
+	if err := f.startMembers(lag, cost); err != nil {
+		return f, err
+	}
+	url, err := f.startPlatform()
+	if err != nil {
+		return f, err
+	}
+	return f, f.startInstances(url, seed, logs)
+}
+
+func (f *fleet) setLatencies() {
+	var all []string
+	for _, d := range f.profile.domains {
+		for _, other := range f.profile.domains {
+			if d != other {
+				f.wan.place(f.hosts(d), f.hosts(other), f.profile.between)
+			}
+		}
+		all = append(all, f.hosts(d)...)
+	}
+	f.wan.place(all, []string{platformHost}, f.profile.between)
+	f.wan.place(all, []string{callerHost}, f.profile.toClients)
+}
+
+// startMembers starts the groups; group g has its primary in domain g.
+func (f *fleet) startMembers(lag, cost time.Duration) error {
+	base := member.Options{
+		ConnectionTotal: f.profile.connections,
+		Slots:           f.profile.slots,
+		ConnectDelay:    connectDelay,
+		ReplicationLag:  lag,
+		StatementCost:   cost,
+	}
+	for g := range f.profile.groups {
+		var addresses []string
+		for i := range f.profile.domains {
+			address, err := freeAddress(domainHost((g+i)%len(f.profile.domains), g))
+			if err != nil {
+				return err
+			}
+			addresses = append(addresses, address)
+		}
+		nodes, err := member.StartGroup(base, f.wan.host, addresses...)
+		if err != nil {
+			return err
+		}
+		f.nodes, f.members = append(f.nodes, nodes), append(f.members, addresses)
+		for _, n := range nodes {
+			f.closers = append(f.closers, n.Stop)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startPlatform() (url string, err error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(platformHost, "0"))
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: standin.Handler(f.store)}
+	go func() { _ = server.Serve(l) }()
+	f.closers = append(f.closers, func() { _ = server.Close() })
+	return "http://" + l.Addr().String(), nil
+}
+
+func (f *fleet) startInstances(url string, seed uint64, logs io.Writer) error {
+	text := f.profile.rewrite(f.members, func(ip string) string { return f.domains[ip] })
+	service, err := document.Parse(f.profile.service+".ini", []byte(text))
+	if err != nil {
+		return err
+	}
+	var inventory platform.Inventory
+	var all []*settings.Settings
+	for i := range f.profile.instances {
+		s, err := f.settings(i, url)
+		if err != nil {
+			return err
+		}
+		all = append(all, s)
+		inventory.Instances = append(inventory.Instances, platform.Instance{
+			ID: s.Instance.ID, FailureDomain: s.Instance.FailureDomain,
+			PeerAddress: s.Peer.Address, AdminAddress: s.Admin.Address,
+		})
+	}
+	f.store.SetInventory(inventory)
+	for i, s := range all {
+		f.startInstance(s, seed+uint64(i), service, logs)
+	}
+	return nil
+}
+
+// settings makes the settings of instance i on addresses of its own.
+func (f *fleet) settings(i int, url string) (*settings.Settings, error) {
+	domain := i % len(f.profile.domains)
+	ip := domainHost(domain, firstEntryHost+i)
+	var addresses [3]string
+	for j := range addresses {
+		address, err := freeAddress(ip)
+		if err != nil {
+			return nil, err
+		}
+		addresses[j] = address
+	}
+	f.entries = append(f.entries, addresses[0])
+	s := &settings.Settings{}
+	s.Instance = settings.Instance{
+		ID:            fmt.Sprintf("entry-%s-%d", f.profile.domains[domain], i),
+		FailureDomain: f.profile.domains[domain],
+		Region:        f.profile.region,
+	}
+	s.Caller = settings.Caller{Address: addresses[0], MaxCallers: maxCallers, StartupTimeout: startupTimeout}
+	s.Peer.Address, s.Admin.Address = addresses[1], addresses[2]
+	s.Platform = settings.Platform{URL: url, Timeout: platformTimeout}
+	s.Upstream = settings.Upstream{User: "topazrock", ApplicationName: "topazrock"}
+	s.Homes.PerFailureDomain = 1
+	return s, nil
+}
+
+func (f *fleet) startInstance(s *settings.Settings, seed uint64, service *document.Service, logs io.Writer) {
+	network := f.wan.host(host(s.Caller.Address))
+	n := instance.New(instance.Options{
+		Settings: s,
+		Network:  network,
+		Clock:    clock.System{},
+		Seed:     seed,
+		Platform: httpclient.New(s.Platform.URL, network, s.Platform.Timeout),
+		Logger:   hclog.New(&hclog.LoggerOptions{Name: s.Instance.ID, Output: logs, Level: hclog.Info}),
+		Registry: prometheus.NewRegistry(),
+	}, fixedDocuments{service})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			fmt.Fprintln(logs, "instance ended:", err)
+		}
+	}()
+	f.closers = append(f.closers, func() {
+		cancel()
+		<-done
+	})
+}
+
+// close stops the instances first, then the rest.
+func (f *fleet) close() {
+	for _, c := range slices.Backward(f.closers) {
+		c()
+	}
+}
+
+// primary returns the index of a group's primary: the one of the highest term.
+func (f *fleet) primary(group int) int {
+	best, term := 0, -1
+	for i, n := range f.nodes[group] {
+		if s := n.Status(); s.Role == "primary" && int(s.Entered) > term {
+			best, term = i, int(s.Entered)
+		}
+	}
+	return best
+}
+
+// whole reports whether all members of a group follow one primary.
+func (f *fleet) whole(group int) bool {
+	first := f.nodes[group][f.primary(group)].Status()
+	for _, n := range f.nodes[group] {
+		if s := n.Status(); s.Attached != first.Entered || s.Entered != first.Entered {
+			return false
+		}
+	}
+	return true
+}
+
+var errNotWhole = errors.New("the group did not become whole again")
+
+// awaitWhole waits until all members of a group follow one primary.
+func (f *fleet) awaitWhole(ctx context.Context, group int) error {
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	defer cancel()
+	for !f.whole(group) {
+		if ctx.Err() != nil {
+			return errNotWhole
+		}
+		pause(ctx, wholePoll)
+	}
+	return nil
+}
+
+const (
+	connectDelay = 10 * time.Millisecond
+	wholeTimeout = 30 * time.Second
+	wholePoll    = 10 * time.Millisecond
+)
+
+// fixedDocuments holds one service document that does not change.
+type fixedDocuments struct{ service *document.Service }
+
+// FindService implements instance.Documents.
+func (d fixedDocuments) FindService(group string) (*document.Service, bool) {
+	_, ok := d.service.FindGroup(group)
+	return d.service, ok
+}
+
+// Services implements instance.Documents.
+func (d fixedDocuments) Services() []*document.Service { return []*document.Service{d.service} }
+
+// Ready implements instance.Documents.
+func (fixedDocuments) Ready() bool { return true }
+
+// OnChange implements instance.Documents.
+func (fixedDocuments) OnChange(func()) {}
+
+var _ netio.Network = (*wanHost)(nil)
--- /dev/null
+++ b/internal/standin/bench/report.go
@@ -0,0 +1,167 @@
+package bench
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"time"
+
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+var errNoWrites = errors.New("writes did not work again in time")
+
+// Report is the outcome of one run. Its JSON form is the last line of output.
+type Report struct {
+	Profile          string           `json:"profile"`
+	Fault            Fault            `json:"fault"`
+	Seed             uint64           `json:"seed"`
+	DurationS        float64          `json:"duration_s"`
+	LagMS            float64          `json:"lag_ms"`
+	StatementsPerS   float64          `json:"statements_per_s"`
+	Reads            int              `json:"reads"`
+	ReplicaReadShare float64          `json:"replica_read_share"`
+	WritesAcked      int              `json:"writes_acked"`
+	AckedLost        int              `json:"acked_lost"`
+	StaleOwnReads    int              `json:"stale_own_reads"`
+	StaleFreshReads  int              `json:"stale_fresh_reads"`
+	WrongAnswers     int              `json:"wrong_answers"`
+	FailoverGapMS    *float64         `json:"failover_gap_ms"`
+	RefusedDidNotRun int              `json:"refused_did_not_run"`
+	RefusedButRan    int              `json:"refused_but_ran"`
+	OutcomeUnknown   int              `json:"outcome_unknown"`
+	Refusals         map[string]int   `json:"refusals"`
+	Gaps             *GapReport       `json:"gaps,omitempty"`
+	Classes          map[string]Class `json:"classes"`
+	// ConnectionsHighest is the highest sum that any member saw.
+	ConnectionsHighest int `json:"connections_highest"`
+	ConnectionsTotal   int `json:"connections_total"`
+	// PlatformCalls is calls a second by kind.
+	PlatformCalls map[standin.Call]float64 `json:"platform_calls_per_s"`
+}
+
+// Class holds the latencies of one class.
+type Class struct {
+	Count  int64   `json:"count"`
+	P50MS  float64 `json:"p50_ms"`
+	P99MS  float64 `json:"p99_ms"`
+	P999MS float64 `json:"p999_ms"`
+}
+
+// GapReport sums up the failover gaps.
+type GapReport struct {
+	Count int     `json:"count"`
+	P50MS float64 `json:"p50_ms"`
+	P99MS float64 `json:"p99_ms"`
+	MaxMS float64 `json:"max_ms"`
+	// Split gives the median and the 99th percentile of each step.
+	Split map[string][2]float64 `json:"split_p50_p99_ms"`
+}
+
+// Failed reports whether a promise was broken: an acknowledged write is gone, a
+// session missed its own write, or a refused write ran.
+func (r *Report) Failed() bool {
+	return r.AckedLost+r.StaleOwnReads+r.StaleFreshReads+r.RefusedButRan+r.WrongAnswers > 0
+}
+
+// Write writes the report as one line of JSON.
+func (r *Report) Write(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
+
+func (b *bench) report(took time.Duration) *Report {
+	r := &Report{
+		Profile: b.config.Profile, Fault: b.config.Fault, Seed: b.config.Seed,
+		DurationS: round(took.Seconds()), LagMS: milliseconds(b.config.Lag),
+		Classes: map[string]Class{}, PlatformCalls: map[standin.Call]float64{},
+		ConnectionsTotal: b.profile.connections,
+	}
+	for g, nodes := range b.nodes {
+		lost, ran := b.ledger.check(g, nodes[b.primary(g)].Rows("kv"))
+		r.AckedLost += lost
+		r.RefusedButRan += ran
+	}
+	b.addReads(r)
+	b.addLedger(r, took)
+	for call, count := range b.store.Calls() {
+		r.PlatformCalls[call] = round(float64(count) / took.Seconds())
+	}
+	if len(b.gaps) > 0 {
+		r.Gaps = gapReport(b.gaps)
+		r.FailoverGapMS = &r.Gaps.P50MS
+	}
+	return r
+}
+
+func (b *bench) addReads(r *Report) {
+	primary, replica := 0, 0
+	for _, nodes := range b.nodes {
+		for _, n := range nodes {
+			reads := n.Reads()
+			primary, replica = primary+reads.Primary, replica+reads.Replica
+			r.ConnectionsHighest = max(r.ConnectionsHighest, n.Connections().Highest)
+		}
+	}
+	if sum := primary + replica; sum > 0 {
+		r.ReplicaReadShare = math.Round(float64(replica)/float64(sum)*1e4) / 1e4
+	}
+}
+
+func (b *bench) addLedger(r *Report, took time.Duration) {
+	l := b.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Reads, r.WritesAcked = l.reads, len(l.acked)
+	r.StaleOwnReads, r.StaleFreshReads, r.WrongAnswers = l.staleOwn, l.staleFresh, l.wrong
+	r.RefusedDidNotRun, r.OutcomeUnknown, r.Refusals = len(l.refused), l.unknown, l.refusals
+	r.StatementsPerS = round(float64(l.reads+len(l.acked)) / took.Seconds())
+	for name, h := range l.latencies {
+		r.Classes[name] = Class{
+			Count:  h.TotalCount(),
+			P50MS:  float64(h.ValueAtQuantile(50)) / 1000,
+			P99MS:  float64(h.ValueAtQuantile(99)) / 1000,
+			P999MS: float64(h.ValueAtQuantile(99.9)) / 1000,
+		}
+	}
+}
+
+func gapReport(gaps []gap) *GapReport {
+	var totals []time.Duration
+	split := map[string][]time.Duration{}
+	for _, g := range gaps {
+		totals = append(totals, g.total)
+		for step, d := range g.split {
+			split[step] = append(split[step], d)
+		}
+	}
+	r := &GapReport{
+		Count: len(gaps), P50MS: quantile(totals, 0.5), P99MS: quantile(totals, 0.99),
+		MaxMS: milliseconds(slices.Max(totals)), Split: map[string][2]float64{},
+	}
+	for step, d := range split {
+		r.Split[step] = [2]float64{quantile(d, 0.5), quantile(d, 0.99)}
+	}
+	return r
+}
+
+// quantile returns the smallest value that a share q of all values does not pass.
+func quantile(values []time.Duration, q float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	i := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return milliseconds(sorted[max(i, 0)])
+}
+
+func milliseconds(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
+
+func round(v float64) float64 { return math.Round(v*100) / 100 }
+
+// Words says the report's outcome in plain words.
+func (r *Report) Words() string {
+	return fmt.Sprintf(`Reads answered:                 %d, %.1f %% of them by replicas
+Writes acknowledged:            %d, of which %d are lost
+Reads that missed an own write: %d
+Refused, and did not run:       %d
+Outcome unknown to the caller:  %d
+`, r.Reads, r.ReplicaReadShare*100, r.WritesAcked, r.AckedLost, r.StaleOwnReads, r.RefusedDidNotRun, r.OutcomeUnknown)
+}
--- /dev/null
+++ b/internal/standin/command/bench.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/standin/bench"
+)
+
+var errPromiseBroken = errors.New("a promise was broken; see the report")
+
+// demoCommand runs the demo.
+type demoCommand struct {
+	Seed uint64 `long:"seed" default:"1" description:"seed of every random choice"`
+	Logs bool   `long:"logs" description:"show the instances' logs on the error output"`
+	environment
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	r, err := bench.Demo(c.ctx, c.Seed, c.out, c.logs(c.Logs))
+	return c.finish(r, err)
+}
+
+// benchCommand runs a profile under load, with a fault half way.
+type benchCommand struct {
+	Profile  string        `long:"profile" required:"true" choice:"ligacao-sul" choice:"lentes" description:"whose places, sizes and mix"`
+	Duration time.Duration `long:"duration" default:"20s" description:"how long the load runs"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of every random choice"`
+	Fault    string        `long:"fault" default:"none" choice:"none" choice:"primary-kill" choice:"primary-cut" choice:"platform-down" choice:"replica-lag" description:"what happens half way"`
+	Repeat   int           `long:"repeat" default:"1" description:"how often the primary is lost"`
+	Sessions int           `long:"sessions" default:"48" description:"number of callers"`
+	Think    time.Duration `long:"think" default:"100ms" description:"mean pause of a caller between requests"`
+	Lag      time.Duration `long:"lag" default:"50ms" description:"replication lag of every replica"`
+	Logs     bool          `long:"logs" description:"show the instances' logs on the error output"`
+	environment
+}
+
+// Execute implements flags.Commander.
+func (c *benchCommand) Execute([]string) error {
+	r, err := bench.Run(c.ctx, bench.Config{
+		Profile: c.Profile, Duration: c.Duration, Seed: c.Seed, Fault: bench.Fault(c.Fault), Repeat: c.Repeat,
+		Sessions: c.Sessions, Think: c.Think, Lag: c.Lag, Say: c.out, Logs: c.logs(c.Logs),
+	})
+	return c.finish(r, err)
+}
+
+// environment is what every command gets from Run.
+type environment struct {
+	ctx      context.Context
+	out, err io.Writer
+}
+
+func (e environment) logs(show bool) io.Writer {
+	if show {
+		return e.err
+	}
+	return io.Discard
+}
+
+// finish writes the report as the last line, and fails when a promise was broken.
+func (e environment) finish(r *bench.Report, err error) error {
+	if r == nil {
+		return err
+	}
+	if err := r.Write(e.out); err != nil {
+		return err
+	}
+	if err == nil && r.Failed() {
+		return errPromiseBroken
+	}
+	return err
+}
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -24,6 +24,7 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	env := environment{ctx: ctx, out: stdout, err: stderr}
 	parser := flags.NewNamedParser("topazrock-standin", flags.HelpFlag|flags.PassDoubleDash)
 	add := func(name, short, long string, c flags.Commander) {
 		if _, err := parser.AddCommand(name, short, long, c); err != nil {
@@ -31,9 +32,14 @@
 		}
 	}
 	add("platform", "Serve the platform's API",
-		"Example: topazrock-standin platform --address 127.0.0.1:8080", &platformCommand{ctx: ctx, out: stdout})
+		"Example: topazrock-standin platform --address 127.0.0.1:8080", &platformCommand{environment: env})
 	add("member", "Serve one member of a database group",
-		"Example: topazrock-standin member --address 127.0.0.11:5432 --primary 127.0.0.11:5432", &memberCommand{ctx: ctx, out: stdout})
+		"Example: topazrock-standin member --address 127.0.0.11:5432 --primary 127.0.0.11:5432", &memberCommand{environment: env})
+	add("demo", "Run the whole system in one process and kill a primary",
+		"Exits with 1 when a promise was broken. Example: topazrock-standin demo", &demoCommand{environment: env})
+	add("bench", "Run a profile under load, with a fault half way",
+		"The last line is one JSON object. Exits with 1 when a promise was broken. "+
+			"Example: topazrock-standin bench --profile lentes --fault primary-kill", &benchCommand{environment: env})
 	add("slopes", "Measure cost against callers, groups, instances, peers and documents",
 		"Example: topazrock-standin slopes --window 10s --only groups", &slopesCommand{ctx: ctx, out: stdout})
 	_, err := parser.ParseArgs(args)
--- a/internal/standin/command/member.go
+++ b/internal/standin/command/member.go
@@ -1,9 +1,7 @@
 package command
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/netio"
@@ -19,8 +17,7 @@
 	ConnectDelay  time.Duration `long:"connect-delay" default:"10ms" description:"set-up time of a connection"`
 	Lag           time.Duration `long:"lag" default:"0s" description:"replication lag"`
 	StatementCost time.Duration `long:"statement-cost" default:"0s" description:"how long a statement holds its slot"`
-	ctx           context.Context
-	out           io.Writer
+	environment
 }
 
 // Execute implements flags.Commander.
--- a/internal/standin/command/platform.go
+++ b/internal/standin/command/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
@@ -14,8 +13,7 @@
 // platformCommand serves the platform until SIGTERM.
 type platformCommand struct {
 	Address string `long:"address" default:"127.0.0.1:8080" description:"IP address and port to listen at"`
-	ctx     context.Context
-	out     io.Writer
+	environment
 }
 
 // Execute implements flags.Commander.
--- a/internal/standin/member/connections.go
+++ b/internal/standin/member/connections.go
@@ -45,3 +45,13 @@
 		n.counts.Open--
 	}
 }
+
+// Reads counts the look-ups of rows that a node answered, by its role.
+type Reads struct{ Primary, Replica int }
+
+// Reads returns the counts of this moment.
+func (n *Node) Reads() Reads {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reads
+}
--- a/internal/standin/member/execute.go
+++ b/internal/standin/member/execute.go
@@ -83,7 +83,7 @@
 
 func (s *session) get(st *statement, args []string) *answer {
 	key := st.pairs[0].key.value(args)
-	value, ok := s.node.get(s.tx, row{st.table.name, key})
+	value, ok := s.node.lookUp(s.tx, row{st.table.name, key})
 	if !ok {
 		return rowsAnswer(st.columns)
 	}
--- a/internal/standin/member/node.go
+++ b/internal/standin/member/node.go
@@ -56,6 +56,7 @@
 	sessions   map[uint32]*session
 	nextPID    uint32
 	counts     Connections
+	reads      Reads
 }
 
 // New returns a node that is not started.
--- a/internal/standin/member/transaction.go
+++ b/internal/standin/member/transaction.go
@@ -37,6 +37,18 @@
 	t.writes[w.Row] = w
 }
 
+// lookUp reads a row for a client.
+func (n *Node) lookUp(t *transaction, r row) (string, bool) {
+	n.mu.Lock()
+	if n.role == member.RolePrimary {
+		n.reads.Primary++
+	} else {
+		n.reads.Replica++
+	}
+	n.mu.Unlock()
+	return n.get(t, r)
+}
+
 // get reads a row as the transaction sees it.
 func (n *Node) get(t *transaction, r row) (string, bool) {
 	if w, ok := t.writes[r]; ok {
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -127,48 +127,77 @@
 		return nil, err
 	}
 	n := h.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.roundTrip(ctx, h.ip, to); err != nil {
+		return nil, err
+	}
+	if h.life != n.lives[h.ip] {
+		return nil, opError("dial", syscall.ENETDOWN)
+	}
+	l := n.listeners[address]
+	if l == nil {
+		return nil, opError("dial", syscall.ECONNREFUSED)
+	}
+	dialled, accepted := n.pair(h.ip, l.address)
+	// A frozen process does not accept, but its kernel completes the connection.
+	l.backlog = append(l.backlog, accepted)
+	n.changed.Broadcast()
+	return dialled, nil
+}
+
+// Pair returns the two ends of a connection between two hosts, after a round
+// trip. It lets another network borrow the latency and the faults of this one.
+func (n *Network) Pair(ctx context.Context, from, address string) (dialled, accepted net.Conn, err error) {
+	to, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.roundTrip(ctx, from, to); err != nil {
+		return nil, nil, err
+	}
+	dialled, accepted = n.pair(from, address)
+	return dialled, accepted, nil
+}
+
+// roundTrip waits as long as a connection's set-up takes. Caller holds the mutex.
+func (n *Network) roundTrip(ctx context.Context, from, to string) error {
 	stop := context.AfterFunc(ctx, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.changed.Broadcast()
 	})
 	defer stop()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	there, back := link{h.ip, to}, link{to, h.ip}
+	there, back := link{from, to}, link{to, from}
 	arrival := time.Now().Add(n.latency[there] + n.latency[back])
 	for {
 		switch {
 		case ctx.Err() != nil:
-			return nil, opError("dial", ctx.Err())
-		case h.life != n.lives[h.ip]:
-			return nil, opError("dial", syscall.ENETDOWN)
-		case n.cut[there] || n.cut[back] || n.frozen[h.ip]:
+			return opError("dial", ctx.Err())
+		case n.cut[there] || n.cut[back] || n.frozen[from]:
 			n.changed.Wait()
 		case time.Now().Before(arrival):
 			waitUntil(n.changed, arrival)
-		case n.listeners[address] == nil:
-			return nil, opError("dial", syscall.ECONNREFUSED)
 		default:
-			return n.connect(h.ip, n.listeners[address]), nil
+			return nil
 		}
 	}
 }
 
-// connect makes a connection to a listener and returns the dialling end. A
-// frozen process does not accept, but its kernel completes the connection.
-func (n *Network) connect(from string, l *listener) net.Conn {
+// pair makes the two ends of a connection. Caller holds the mutex.
+func (n *Network) pair(from, address string) (dialled, accepted *conn) {
 	n.nextPort++
-	dialled := &conn{net: n, local: tcpAddr(net.JoinHostPort(from, fmt.Sprint(n.nextPort))), remote: tcpAddr(l.address)}
-	accepted := &conn{net: n, local: dialled.remote, remote: dialled.local}
-	there, back := newPipe(n, link{from, l.host}), newPipe(n, link{l.host, from})
+	dialled = &conn{net: n, local: tcpAddr(net.JoinHostPort(from, fmt.Sprint(n.nextPort))), remote: tcpAddr(address)}
+	accepted = &conn{net: n, local: dialled.remote, remote: dialled.local}
+	to := dialled.remote.IP.String()
+	there, back := newPipe(n, link{from, to}), newPipe(n, link{to, from})
 	dialled.in, dialled.out = back, there
 	accepted.in, accepted.out = there, back
 	n.conns[dialled] = struct{}{}
 	n.conns[accepted] = struct{}{}
-	l.backlog = append(l.backlog, accepted)
-	n.changed.Broadcast()
-	return dialled
+	return dialled, accepted
 }
 
 func tcpAddr(address string) *net.TCPAddr {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// SetHook calls f at put.before and put.after_before_answer.
+// SetHook calls f at KIND.put.before and KIND.put.after_before_answer.
 func (s *Store) SetHook(f func(point string)) { s.hook.Store(&f) }
 
 // SetFaults replaces the switches.
@@ -151,12 +151,12 @@
 	if err := s.begin(ctx, CallPut); err != nil {
 		return platform.Object{}, err
 	}
-	s.at("put.before")
+	s.at(string(kind) + ".put.before")
 	o, lost, err := s.store(kind, name, value, ifVersion)
 	if err != nil {
 		return platform.Object{}, err
 	}
-	s.at("put.after_before_answer")
+	s.at(string(kind) + ".put.after_before_answer")
 	if lost || ctx.Err() != nil {
 		return platform.Object{}, platform.ErrOutcomeUnknown
 	}
