Cut a caller off after a failed write; prove the path with pgx and lib/pq

Cause: TestCallerThatReadsNothing was red: "not true: err == nil || !isTimeout(err)". A write to a caller that took nothing timed out half way through a message, and the session went on and wrote the error of that very failure behind it. The caller read a corrupt stream and its connection lived on.

Ruled out: the in-memory network's close (its end of stream arrived once the connection was closed).

Conclusion: the first failed write closes the caller's connection.

--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -69,7 +69,13 @@
 		return err
 	}
 	_, err := n.conn.Write(bytes)
-	if err != nil && isTimeout(err) {
+	if err == nil {
+		return nil
+	}
+	// Part of a message may have gone out. Anything written behind it, such as
+	// the error of this very failure, would be read as the rest of that message.
+	n.conn.Close()
+	if isTimeout(err) {
 		n.server.config.Metrics.stalledWrites.Inc()
 	}
 	return err
--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
@@ -40,6 +41,7 @@
 	instances []*Instance
 	stop      []context.CancelFunc
 	ended     []chan error
+	callers   []*pgx.Conn
 }
 
 var bedDomains = []string{"poa-a", "poa-b", "fln-c"}
@@ -56,17 +58,24 @@
 		b.startMembers()
 		b.startInstances()
 		time.Sleep(time.Second)
+		defer b.close()
 		f(b)
-		for i := range b.instances {
-			b.stop[i]()
-			<-b.ended[i]
-		}
-		for _, n := range b.nodes {
-			n.Stop()
-		}
 	})
 }
 
+func (b *bed) close() {
+	for _, c := range b.callers {
+		c.Close(context.Background())
+	}
+	for i := range b.instances {
+		b.stop[i]()
+		<-b.ended[i]
+	}
+	for _, n := range b.nodes {
+		n.Stop()
+	}
+}
+
 func (b *bed) startMembers() {
 	base := member.Options{ConnectDelay: 10 * time.Millisecond, ReplicationLag: 5 * time.Millisecond, ConnectionTotal: 35}
 	network := func(ip string) netio.Network { return b.net.Host(ip) }
@@ -154,8 +163,8 @@
 	}
 }
 
-// connect opens a caller's connection to instance i, with a token if not empty.
-func (b *bed) connect(i int, token string) (*pgx.Conn, error) {
+// config returns a caller's settings for instance i, with a token if not empty.
+func (b *bed) config(i int, token string) *pgx.ConnConfig {
 	c, err := pgx.ParseConfig(fmt.Sprintf("postgres://clerk:%s@%s/%s?sslmode=disable", bedPassword, instanceAddress(i), bedGroup))
 	b.is.NoErr(err)
 	c.DialFunc = func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -165,15 +174,59 @@
 	if token != "" {
 		c.RuntimeParams["topazrock.token"] = token
 	}
-	return pgx.ConnectConfig(context.Background(), c)
+	return c
 }
 
+// mustConnect opens a caller's connection that is closed with the bed.
 func (b *bed) mustConnect(i int, token string) *pgx.Conn {
 	b.t.Helper()
-	c, err := b.connect(i, token)
+	c, err := pgx.ConnectConfig(context.Background(), b.config(i, token))
 	b.is.NoErr(err)
-	b.t.Cleanup(func() {})
+	b.callers = append(b.callers, c)
 	return c
 }
 
 func token(c *pgx.Conn) string { return c.PgConn().ParameterStatus("topazrock.token") }
+
+func (b *bed) exec(c *pgx.Conn, sql string, arguments ...any) {
+	b.t.Helper()
+	_, err := c.Exec(context.Background(), sql, arguments...)
+	b.is.NoErr(err)
+}
+
+// count returns the rows that the group holds, as the primary sees it.
+func (b *bed) count(c *pgx.Conn) int {
+	b.t.Helper()
+	var n int
+	b.is.NoErr(c.QueryRow(context.Background(), "SELECT count(*) FROM kv").Scan(&n))
+	return n
+}
+
+// cancelThrough sends the cancel request of c's session to instance i.
+func (b *bed) cancelThrough(i int, c *pgx.Conn) {
+	conn, err := b.net.Host(callerHost).Dial(context.Background(), instanceAddress(i))
+	b.is.NoErr(err)
+	defer conn.Close()
+	request := pgproto3.CancelRequest{ProcessID: c.PgConn().PID(), SecretKey: c.PgConn().SecretKey()}
+	bytes, err := request.Encode(nil)
+	b.is.NoErr(err)
+	_, err = conn.Write(bytes)
+	b.is.NoErr(err)
+	time.Sleep(time.Millisecond)
+}
+
+func encodedQuery(sql string) []byte {
+	bytes, _ := (&pgproto3.Query{String: sql}).Encode(nil)
+	return bytes
+}
+
+// bedDialer lets lib/pq reach the bed.
+type bedDialer struct{ b *bed }
+
+func (d bedDialer) Dial(_, address string) (net.Conn, error) {
+	return d.b.net.Host(callerHost).Dial(context.Background(), address)
+}
+
+func (d bedDialer) DialTimeout(_, address string, _ time.Duration) (net.Conn, error) {
+	return d.Dial("", address)
+}
--- a/internal/standin/member/lexer.go
+++ b/internal/standin/member/lexer.go
@@ -34,6 +34,9 @@
 				return nil, false
 			}
 			i += end + 4
+		case strings.HasPrefix(sql[i:], "--"):
+			rest, _, _ := strings.Cut(sql[i:], "\n")
+			i += len(rest)
 		case c == '\'':
 			text, size, ok := lexText(sql[i:])
 			if !ok {
