--- a/internal/group/watcher_test.go
+++ b/internal/group/watcher_test.go
@@ -126,11 +126,14 @@
 		for range 20 {
 			x.write(0)
 		}
-		x.promote(2, 1, 2)
+		x.promote(2, 1, 2, 0)
 		x.after(time.Second)
 		x.net.Cut(x.hosts[1], x.hosts[2])
 		mark := x.write(1)
-		is.True(x.nodes[0].Status().Last.Position > mark.Position)
+		tail := x.nodes[0].Status()
+		is.Equal(tail.Role, member.RoleReplica)
+		is.Equal(tail.Entered, mark.Term)
+		is.True(tail.Last.Position > mark.Position)
 		err := x.w.Confirm(x.within(500*time.Millisecond), mark)
 		is.Equal(codeOf(err), result.ConfirmTimeout)
 	})
