Divide a group's connections and slots among its homes

A ledger of seats on the platform: one for each failure domain and two in reserve, each lowered by its holder alone, after it closed. Ruled out: leases that end by time, because a frozen holder keeps its connections open past any lease; loans that only peers know of, because a lender that restarts has forgotten them; the instance list as proof that a holder is gone, because it lags and is wrong during a cut.

--- /dev/null
+++ b/internal/shares/seating.go
@@ -0,0 +1,271 @@
+package shares
+
+import (
+	"context"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// suspicion is what is known of a holder that seems to have vanished.
+type suspicion struct {
+	seat  string
+	epoch int64
+	mark  string
+	since time.Time
+}
+
+// seat sees to it that the ledger is laid out and that this instance has a
+// seat. It returns false when there is reason to come back soon.
+func (m *Manager) seat(ctx context.Context) bool {
+	if m.allocated().Document > m.ledger.Document {
+		m.change(ctx, changeLayout, m.layOut)
+	}
+	m.change(ctx, changeSweep, m.sweep)
+	mine := m.ledger.seatOf(m.self)
+	switch {
+	case mine == nil && m.Seated():
+		return m.retire(ctx)
+	case mine != nil && mine.Mark != nil:
+		m.change(ctx, changeContest, m.contest)
+	}
+	if mine != nil && (mine.FailureDomain != "" || m.store.pending != nil) {
+		return true
+	}
+	if mine == nil {
+		m.setClaiming()
+	}
+	if !m.change(ctx, changeTake, m.takeFree) && !m.doubtful {
+		m.succeed(ctx)
+	}
+	if m.ledger.seatOf(m.self) != nil {
+		return true
+	}
+	if !m.doubtful {
+		m.setSeated(false)
+	}
+	return false
+}
+
+// sweep frees the seats of earlier holders at this instance's address.
+func (m *Manager) sweep(l *Ledger) bool {
+	swept := false
+	for i := range l.Seats {
+		if s := &l.Seats[i]; s.Holder.precedes(m.self) {
+			s.give(nil)
+			swept = true
+		}
+	}
+	return swept
+}
+
+// contest removes the mark on this instance's seat.
+func (m *Manager) contest(l *Ledger) bool {
+	s := l.seatOf(m.self)
+	if s == nil || s.Mark == nil {
+		return false
+	}
+	s.Mark = nil
+	return true
+}
+
+// layOut applies the allocation of the service document to the ledger. Only a
+// newer document counts, so an instance that still has an old one changes nothing.
+func (m *Manager) layOut(l *Ledger) bool {
+	a := m.allocated()
+	if a.Document <= l.Document {
+		return false
+	}
+	if err := l.relayout(a, m.cfg.Control, m.cfg.ReserveSeats); err != nil {
+		m.log.Error("Cannot divide the total.", "group", m.cfg.Group, "error", err)
+		return false
+	}
+	return true
+}
+
+// retire closes what is left of a lost seat before another one is taken.
+func (m *Manager) retire(ctx context.Context) bool {
+	if m.settle(ctx) != nil {
+		return false
+	}
+	m.setSeated(false)
+	m.notify()
+	return false
+}
+
+// takeFree takes the free seat of the failure domain, or else a reserve seat.
+// From a reserve seat it moves to the domain's seat.
+func (m *Manager) takeFree(l *Ledger) bool {
+	mine := l.seatOf(m.self)
+	for i := range l.Seats {
+		s := &l.Seats[i]
+		if s.free() && s.FailureDomain == m.self.FailureDomain {
+			return m.moveTo(l, mine, s)
+		}
+	}
+	if mine != nil {
+		return false
+	}
+	for i := range l.Seats {
+		s := &l.Seats[i]
+		if s.free() && s.FailureDomain == "" {
+			return m.moveTo(l, nil, s)
+		}
+	}
+	return false
+}
+
+// moveTo takes a seat, and frees the one held before in the same update. The
+// new seat is made no smaller than the old one, whose connections stay open.
+func (m *Manager) moveTo(l *Ledger, from, to *Seat) bool {
+	if from != nil {
+		left := from.Size.Min(from.Target)
+		if !left.Within(to.Size) {
+			return false
+		}
+		to.Size = to.Size.Plus(from.Size.Minus(left))
+		from.Size = left
+		from.give(nil)
+	}
+	self := m.self
+	to.give(&self)
+	return true
+}
+
+// succeed looks for a seat whose holder is gone.
+func (m *Manager) succeed(ctx context.Context) {
+	if s := m.ledger.seat(m.suspicion.seat); s == nil || s.Epoch != m.suspicion.epoch {
+		m.suspicion = suspicion{}
+	}
+	for _, s := range m.ledger.Seats {
+		if s.free() || s.Holder.same(m.self) || !m.wants(s) {
+			continue
+		}
+		switch m.ask(ctx, s) {
+		case holderGone:
+			m.takeOver(ctx, s, changeProved)
+			return
+		case holderSilent:
+			if m.agedOut(ctx, s) {
+				m.takeOver(ctx, s, changeAgedOut)
+				return
+			}
+		case holderAlive:
+			m.trust(s)
+		}
+	}
+}
+
+// wants reports whether a held seat would be better than what this instance has.
+func (m *Manager) wants(s Seat) bool {
+	if s.FailureDomain != "" {
+		return s.FailureDomain == m.self.FailureDomain
+	}
+	return m.ledger.seatOf(m.self) == nil
+}
+
+// verdict is what a call to a holder's address showed.
+type verdict int
+
+const (
+	holderSilent verdict = iota
+	holderAlive
+	holderGone
+)
+
+// ask calls a holder's address. An answer by another process proves that the
+// holder ended, for only one process at a time takes calls at an address, and
+// with its end the system closed its connections. The holder itself may say
+// that it has closed all.
+func (m *Manager) ask(ctx context.Context, s Seat) verdict {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout/4)
+	defer cancel()
+	var reply HolderReply
+	err := m.cfg.Peers.Call(ctx, s.Holder.Address, MethodHolder, HolderRequest{Group: m.cfg.Group}, &reply)
+	switch {
+	case err != nil || reply.Incarnation == "":
+		m.failed("peer", err)
+		return holderSilent
+	case reply.Incarnation != s.Holder.Incarnation || !reply.Holds:
+		return holderGone
+	default:
+		return holderAlive
+	}
+}
+
+// takeOver takes a seat from a holder that is gone, if it is still the same
+// holder's.
+func (m *Manager) takeOver(ctx context.Context, gone Seat, kind string) {
+	m.suspicion = suspicion{}
+	if m.ledger.seatOf(m.self) == nil {
+		m.setClaiming()
+	}
+	m.change(ctx, kind, func(l *Ledger) bool {
+		s := l.seat(gone.Name)
+		if s == nil || s.Epoch != gone.Epoch || (kind == changeAgedOut && s.Mark == nil) {
+			return false
+		}
+		return m.moveTo(l, l.seatOf(m.self), s)
+	})
+}
+
+// trust ends the suspicion against a holder that answered.
+func (m *Manager) trust(s Seat) {
+	if m.suspicion.seat == s.Name {
+		m.suspicion = suspicion{}
+	}
+}
+
+// agedOut reports whether a silent holder's seat may be taken without proof. It
+// follows one seat at a time. The wait is measured here, from when this process
+// first saw the mark stored, and starts again when the holder removes it.
+func (m *Manager) agedOut(ctx context.Context, s Seat) bool {
+	if s.Holder.FailureDomain != m.self.FailureDomain || m.listed(ctx, s.Holder.Instance) {
+		m.trust(s)
+		return false
+	}
+	if m.suspicion.seat != "" && m.suspicion.seat != s.Name {
+		return false
+	}
+	if s.Mark == nil {
+		m.mark(ctx, s)
+		return false
+	}
+	if m.suspicion.mark != s.Mark.ID {
+		m.suspicion = suspicion{seat: s.Name, epoch: s.Epoch, mark: s.Mark.ID, since: m.cfg.Clock.Now()}
+	}
+	return m.cfg.Clock.Now().Sub(m.suspicion.since) >= m.cfg.AgeOut
+}
+
+// mark writes on a seat that its holder seems to have vanished.
+func (m *Manager) mark(ctx context.Context, s Seat) {
+	id := m.store.newID()
+	m.change(ctx, changeMark, func(l *Ledger) bool {
+		held := l.seat(s.Name)
+		if held == nil || held.Epoch != s.Epoch || held.Mark != nil {
+			return false
+		}
+		held.Mark = &Mark{ID: id, By: m.self.Instance}
+		return true
+	})
+}
+
+// listed reports whether the platform lists an instance; without an answer it
+// counts as listed.
+func (m *Manager) listed(ctx context.Context, instance string) bool {
+	inventory, err := m.cfg.Platform.Inventory(ctx)
+	if err != nil {
+		m.failed("platform", err)
+		return true
+	}
+	return inList(inventory, instance)
+}
+
+func inList(inventory platform.Inventory, instance string) bool {
+	for _, i := range inventory.Instances {
+		if i.ID == instance {
+			return true
+		}
+	}
+	return false
+}
