--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	network := b.wan.host(callerHost)
+	network := b.network(callerHost)
 	c.DialFunc = func(ctx context.Context, _, address string) (net.Conn, error) { return network.Dial(ctx, address) }
 	c.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	if token != "" {
--- a/internal/standin/bench/fleet.go
+++ b/internal/standin/bench/fleet.go
@@ -42,6 +42,7 @@
 type fleet struct {
 	profile profile
 	wan     *wan
+	network func(ip string) netio.Network
 	store   *standin.Store
 	nodes   [][]*member.Node
 	// members, entries and peers are addresses.
@@ -81,8 +82,13 @@
 }
 
 // startFleet starts everything. The caller closes the fleet also on an error.
+// A profile without latency gets the plain loopback network, which costs less.
 func startFleet(p profile, lag, cost time.Duration, seed uint64, logs io.Writer) (*fleet, error) {
 	f := &fleet{profile: p, wan: &wan{memnet.New()}, store: standin.NewStore(), domains: map[string]string{}}
+	f.network = f.wan.host
+	if p.between == 0 {
+		f.network = func(string) netio.Network { return netio.TCP{} }
+	}
 	for d, name := range p.domains {
 		for g := range p.groups {
 			f.domains[domainHost(d, g)] = name
@@ -134,7 +140,7 @@
 			}
 			addresses = append(addresses, address)
 		}
-		nodes, err := member.StartGroup(base, f.wan.host, addresses...)
+		nodes, err := member.StartGroup(base, f.network, addresses...)
 		if err != nil {
 			return err
 		}
@@ -211,7 +217,7 @@
 }
 
 func (f *fleet) startInstance(s *settings.Settings, seed uint64, service *document.Service, logs io.Writer) {
-	network := f.wan.host(host(s.Caller.Address))
+	network := f.network(host(s.Caller.Address))
 	n := instance.New(instance.Options{
 		Settings: s,
 		Network:  network,
--- a/internal/standin/bench/profile.go
+++ b/internal/standin/bench/profile.go
@@ -105,32 +105,35 @@
 	return sum
 }
 
-// rewrite returns the shipped document with the members of this run and no
-// more groups than it has.
+// rewrite returns the shipped document with the members and sizes of this run,
+// and no more groups than it has.
 func (p profile) rewrite(members [][]string, domain func(ip string) string) string {
-	var out []string
-	group := -1
+	var out strings.Builder
+	group, inGroup := -1, false
 	for line := range strings.Lines(p.document) {
 		if strings.HasPrefix(line, "[") {
-			if strings.HasPrefix(line, "[group") {
+			inGroup = strings.HasPrefix(line, "[group ")
+			if inGroup {
 				group++
-			} else if group >= 0 {
-				group = -2
 			}
 		}
-		switch {
-		case group >= len(members):
+		switch name, _, _ := strings.Cut(line, " "); {
+		case inGroup && group >= len(members):
 			continue
-		case group >= 0 && strings.HasPrefix(line, "members"):
+		case inGroup && name == "members":
 			var list []string
 			for _, address := range members[group] {
 				list = append(list, domain(host(address))+"/"+address)
 			}
 			line = fmt.Sprintf("members = %s\n", strings.Join(list, ", "))
+		case inGroup && name == "connections":
+			line = fmt.Sprintf("connections = %d\n", p.connections)
+		case inGroup && name == "slots":
+			line = fmt.Sprintf("slots = %d\n", p.slots)
 		}
-		out = append(out, line)
+		out.WriteString(line)
 	}
-	return strings.Join(out, "")
+	return out.String()
 }
 
 // groupName returns the name of a group in the shipped document.
