Serve: documents from the store, failover, administration API, real processes

Cause: the thin path used fixed documents, had no failover and ran in tests only.

Ruled out: parts of the instance that end with the process's context (a drain still needs homes, peers and documents, so parts outlive it).

--- a/cmd/topazrock/main.go
+++ b/cmd/topazrock/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/topazrock/topazrock/internal/cli"
+	"github.com/topazrock/topazrock/internal/instance"
 )
 
 func main() {
@@ -21,6 +22,7 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		User:   accountName(),
+		Serve:  instance.Serve,
 	}))
 }
 
--- /dev/null
+++ b/internal/instance/administration.go
@@ -0,0 +1,155 @@
+package instance
+
+import (
+	"context"
+	"strings"
+
+	"github.com/topazrock/topazrock/internal/adminapi"
+	"github.com/topazrock/topazrock/internal/build"
+	"github.com/topazrock/topazrock/internal/config"
+	"github.com/topazrock/topazrock/internal/group"
+)
+
+// newAdmin builds the administration API over the instance's parts.
+func (n *Instance) newAdmin() *adminapi.Server {
+	s := n.options.Settings
+	identity := adminapi.Identity{
+		ID:            s.Instance.ID,
+		FailureDomain: s.Instance.FailureDomain,
+		Build:         build.Version(),
+	}
+	stored := adminDocuments{n.store}
+	parts := adminapi.Parts{
+		Identity:  identity,
+		Documents: stored,
+		Fleet:     adminapi.NewPeerFleet(identity, n.options.Platform, n.client, stored),
+		Groups:    adminGroups{n},
+		Pools:     adminPools{n},
+		Peers:     adminPeers{n},
+		Lifecycle: adminLifecycle{n},
+		Metrics:   n.options.Registry,
+	}
+	c := adminapi.Config{Address: s.Admin.Address, Token: s.Admin.AccessToken}
+	return adminapi.New(c, parts, n.options.Network, n.options.Clock, n.options.Logger)
+}
+
+// adminDocuments shows the store of documents to the administration API.
+type adminDocuments struct{ store *config.Store }
+
+// List implements adminapi.Documents.
+func (d adminDocuments) List() []adminapi.DocumentInfo {
+	var list []adminapi.DocumentInfo
+	for _, a := range d.store.All() {
+		list = append(list, adminapi.DocumentInfo{Name: a.Name, Version: a.Version})
+	}
+	return list
+}
+
+// Get implements adminapi.Documents.
+func (d adminDocuments) Get(ctx context.Context, name string) (adminapi.Document, error) {
+	a, err := d.store.Newest(ctx, name)
+	if err != nil {
+		return adminapi.Document{}, err
+	}
+	return adminapi.Document{Name: a.Name, Version: a.Version, By: a.By, At: a.At, Text: a.Text}, nil
+}
+
+// Check implements adminapi.Documents.
+func (d adminDocuments) Check(name, text string) error { return d.store.Check(name, text) }
+
+// Apply implements adminapi.Documents.
+func (d adminDocuments) Apply(ctx context.Context, name, text string, ifVersion int64, by string) (adminapi.Outcome, error) {
+	o, err := d.store.Apply(ctx, name, text, ifVersion, by)
+	if err != nil {
+		return adminapi.Outcome{}, err
+	}
+	return adminapi.Outcome{State: adminapi.ApplyState(o.State), Version: o.Version, By: o.By}, nil
+}
+
+// History implements adminapi.Documents.
+func (d adminDocuments) History(ctx context.Context, name string) ([]adminapi.Change, error) {
+	changes, err := d.store.History(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	var list []adminapi.Change
+	for _, c := range changes {
+		list = append(list, adminapi.Change{Version: c.Version, By: c.By, At: c.At})
+	}
+	return list, nil
+}
+
+type adminGroups struct{ instance *Instance }
+
+// Snapshots implements adminapi.Groups.
+func (g adminGroups) Snapshots() []*group.Snapshot {
+	var all []*group.Snapshot
+	for _, h := range g.instance.homesCopy() {
+		all = append(all, h.watcher.Snapshot())
+	}
+	return all
+}
+
+type adminPools struct{ instance *Instance }
+
+// Pools implements adminapi.Pools.
+func (p adminPools) Pools() []adminapi.PoolView {
+	var all []adminapi.PoolView
+	for name, h := range p.instance.homesCopy() {
+		s := h.pool.Stats()
+		all = append(all, adminapi.PoolView{
+			Group: name,
+			Total: h.group.Connections,
+			Share: s.Limit,
+			InUse: s.InUse,
+			Idle:  s.Idle,
+		})
+	}
+	return all
+}
+
+type adminPeers struct{ instance *Instance }
+
+// Peers implements adminapi.Peers.
+func (p adminPeers) Peers() []adminapi.PeerView {
+	var all []adminapi.PeerView
+	for _, i := range p.instance.members.Peers() {
+		all = append(all, adminapi.PeerView{
+			ID:            i.ID,
+			FailureDomain: i.FailureDomain,
+			Address:       i.PeerAddress,
+			Connected:     p.instance.client.Connected(i.PeerAddress),
+			Leaving:       i.Leaving,
+		})
+	}
+	return all
+}
+
+type adminLifecycle struct{ instance *Instance }
+
+// Ready implements adminapi.Lifecycle.
+func (l adminLifecycle) Ready() (bool, []string) {
+	var reasons []string
+	if !l.instance.documents.Ready() {
+		reasons = append(reasons, "no service document is known yet")
+	}
+	if l.instance.frontend.Draining() {
+		reasons = append(reasons, "draining")
+	}
+	var unled []string
+	for name, h := range l.instance.homesCopy() {
+		if h.watcher.Snapshot().Term == 0 {
+			unled = append(unled, name)
+		}
+	}
+	if len(unled) > 0 {
+		reasons = append(reasons, "no member of a group was reached yet: "+strings.Join(unled, ", "))
+	}
+	return len(reasons) == 0, reasons
+}
+
+// Drain implements adminapi.Lifecycle.
+func (l adminLifecycle) Drain() { l.instance.stopOnce() }
+
+// Draining implements adminapi.Lifecycle.
+func (l adminLifecycle) Draining() bool { return l.instance.frontend.Draining() }
--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/settings"
@@ -58,11 +60,20 @@
 		b.startMembers()
 		b.startInstances()
 		time.Sleep(time.Second)
+		b.apply(bedDocument(), 0)
+		time.Sleep(time.Second)
 		defer b.close()
 		f(b)
 	})
 }
 
+func (b *bed) apply(text string, version int64) {
+	b.t.Helper()
+	o, err := b.instances[0].store.Apply(context.Background(), "base", text, version, "operator")
+	b.is.NoErr(err)
+	b.is.Equal(o.State, config.Accepted)
+}
+
 func (b *bed) close() {
 	for _, c := range b.callers {
 		c.Close(context.Background())
@@ -112,7 +123,7 @@
 		Platform: b.store,
 		Logger:   hclog.NewNullLogger(),
 		Registry: prometheus.NewRegistry(),
-	}, fixedDocuments{bedService()})
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(ctx) }()
@@ -121,46 +132,48 @@
 	b.ended = append(b.ended, ended)
 }
 
-type fixedDocuments struct{ service *document.Service }
-
-func (f fixedDocuments) FindService(g string) (*document.Service, bool) {
-	_, ok := f.service.FindGroup(g)
-	return f.service, ok
-}
-func (f fixedDocuments) Services() []*document.Service { return []*document.Service{f.service} }
-func (f fixedDocuments) Ready() bool                   { return true }
-func (f fixedDocuments) OnChange(func())               {}
-
-func bedService() *document.Service {
+// bedDocument is the service document of the bed's one service.
+func bedDocument() string {
 	verifier, err := document.NewVerifier(bedPassword)
 	if err != nil {
 		panic(err)
 	}
-	g := document.Group{Name: bedGroup, Connections: 35, Slots: 5}
+	var members []string
 	for i, d := range bedDomains {
-		g.Members = append(g.Members, document.Member{Address: memberAddress(i), FailureDomain: d})
-	}
-	return &document.Service{
-		Name:   "base",
-		Groups: []document.Group{g},
-		Users:  []document.User{{Name: "clerk", Verifier: verifier}},
-		Limits: document.Limits{
-			StatementTimeout:       5 * time.Second,
-			RequestTimeout:         5 * time.Second,
-			ConfirmTimeout:         time.Second,
-			TransactionIdleTimeout: 30 * time.Second,
-			AnswerBuffer:           64 << 10,
-			MaxQueue:               100,
-		},
-		Reads: []document.ReadClass{
-			{Name: "pending-visits", MaxAge: 2 * time.Second, Priority: 5},
-			{Name: "application", Priority: 3},
-		},
-		Writes: []document.RequestClass{
-			{Name: "fee-payment", AtMostOnce: true, Priority: 1},
-			{Name: "note", Priority: 4},
-		},
+		members = append(members, d+"/"+memberAddress(i))
 	}
+	return fmt.Sprintf(`
+[service]
+name = base
+
+[group %s]
+members = %s
+connections = 35
+slots = 5
+
+[user clerk]
+verifier = %s
+
+[limits]
+request_timeout = 5s
+statement_timeout = 5s
+confirm_timeout = 1s
+
+[read pending-visits]
+max_age = 2s
+priority = 5
+
+[read application]
+priority = 3
+
+[request fee-payment]
+repeat = never
+priority = 1
+
+[request note]
+repeat = allowed
+priority = 4
+`, bedGroup, strings.Join(members, ", "), verifier)
 }
 
 // config returns a caller's settings for instance i, with a token if not empty.
--- /dev/null
+++ b/internal/instance/failover.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/failover"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// newClaimer builds the claimer of a group that this instance is home to.
+func (n *Instance) newClaimer(g document.Group, w *group.Watcher) *failover.Claimer {
+	instances := func() []platform.Instance { return n.members.Homes(g.Name) }
+	return failover.New(failover.Config{
+		Group:      g.Name,
+		Self:       n.self(),
+		Instances:  instances,
+		View:       w,
+		Platform:   n.options.Platform,
+		Dialer:     n.control,
+		Witness:    failover.NewPeerWitness(n.client, n.self(), instances, n.random("witness/"+g.Name)),
+		Clock:      n.options.Clock,
+		Rand:       n.random("failover/" + g.Name),
+		Logger:     n.options.Logger,
+		Metrics:    n.metrics.failover,
+		OnFailover: n.options.OnFailover,
+	})
+}
+
+// serveTestimony answers peers that ask what this instance sees of a primary.
+func (n *Instance) serveTestimony() {
+	detect := failover.DefaultSettings().Detect
+	failover.ServeTestimony(n.peers, n.options.Clock, detect, func(name string) (failover.View, bool) {
+		h := n.home(name)
+		if h == nil {
+			return nil, false
+		}
+		return h.watcher, true
+	})
+}
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -7,6 +7,7 @@
 	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/executor"
+	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/retry"
@@ -19,6 +20,7 @@
 	watcher  *group.Watcher
 	pool     *pool.Limited
 	gate     *admission.Controller
+	claimer  *failover.Claimer
 	executor *executor.Group
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
@@ -36,6 +38,7 @@
 		Logger:  n.options.Logger,
 		Metrics: n.metrics.group,
 	})
+	h.claimer = n.newClaimer(g, h.watcher)
 	h.pool = pool.New(pool.Config{
 		Group:   g.Name,
 		Clock:   n.options.Clock,
@@ -93,6 +96,7 @@
 func (h *home) start(ctx context.Context) {
 	ctx, h.cancel = context.WithCancel(ctx)
 	h.run(func() { h.watcher.Run(ctx) })
+	h.run(func() { h.claimer.Run(ctx) })
 	h.run(func() { h.executor.Run(ctx) })
 }
 
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -59,7 +59,7 @@
 // wantedGroups returns the groups that this instance should be home to.
 func (n *Instance) wantedGroups() map[string]document.Group {
 	wanted := make(map[string]document.Group)
-	for _, s := range n.documents.Services() {
+	for _, s := range n.documents.services() {
 		for _, g := range s.Groups {
 			if n.members.IsHome(g.Name) {
 				wanted[g.Name] = g
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -12,6 +12,8 @@
 	"net"
 	"sync"
 
+	"github.com/topazrock/topazrock/internal/adminapi"
+	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/executor"
 	"github.com/topazrock/topazrock/internal/frontend"
@@ -26,14 +28,19 @@
 	options   Options
 	metrics   *metrics
 	control   *pgcontrol.Dialer
-	documents Documents
+	store     *config.Store
+	documents documents
 	members   *membership.Members
 	peers     *peer.Server
 	client    *peer.Client
 	router    *executor.Router
 	frontend  *frontend.Server
+	admin     *adminapi.Server
 	// changed asks for a comparison of homes; it holds at most one request.
 	changed chan struct{}
+	// stop is closed when an operator asks for a drain.
+	stop     chan struct{}
+	stopOnce func()
 	// running counts the goroutines that Run waits for.
 	running sync.WaitGroup
 
@@ -42,14 +49,21 @@
 }
 
 // New builds an instance that does nothing before Run.
-func New(o Options, documents Documents) *Instance {
+func New(o Options) *Instance {
 	n := &Instance{
-		options:   o,
-		metrics:   newMetrics(o.Registry),
-		documents: documents,
-		changed:   make(chan struct{}, 1),
-		homeOf:    make(map[string]*home),
+		options: o,
+		metrics: newMetrics(o.Registry),
+		changed: make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		homeOf:  make(map[string]*home),
 	}
+	n.stopOnce = sync.OnceFunc(func() { close(n.stop) })
+	n.build()
+	return n
+}
+
+func (n *Instance) build() {
+	o := n.options
 	s := o.Settings
 	n.control = pgcontrol.NewDialer(o.Network, pgcontrol.Options{User: s.Upstream.User, Password: s.Upstream.Password})
 	n.members = membership.New(membership.Options{
@@ -63,11 +77,22 @@
 	})
 	n.peers = peer.NewServer(o.Logger)
 	n.client = peer.NewClient(s.Instance.ID, o.Network)
+	n.store = config.New(config.Options{
+		API:      o.Platform,
+		Clock:    o.Clock,
+		Rand:     n.random("config"),
+		Fleet:    n.members,
+		Peers:    n.client,
+		Registry: n.peers,
+		Log:      o.Logger,
+		Metrics:  n.metrics.config,
+	})
+	n.documents = documents{n.store}
 	n.router = executor.NewRouter(s.Instance.ID, s.Peer.Address, homes{n.members}, n.client, n.metrics.executor)
 	n.router.Register(n.peers)
 	n.frontend = frontend.NewServer(frontend.Config{
 		Instance:       s.Instance.ID,
-		Directory:      documents,
+		Directory:      n.documents,
 		Executor:       n.router,
 		Clock:          o.Clock,
 		Logger:         o.Logger,
@@ -77,7 +102,8 @@
 		ForeignCancel:  n.forwardCancel,
 	})
 	n.registerCancel()
-	return n
+	n.serveTestimony()
+	n.admin = n.newAdmin()
 }
 
 func (n *Instance) self() platform.Instance {
@@ -100,18 +126,34 @@
 	// Parts outlive ctx: the drain still needs them.
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	n.documents.OnChange(n.noteChange)
+	n.store.Subscribe(func(config.Applied) { n.noteChange() })
 	n.members.Subscribe(n.noteChange)
 	n.running.Go(func() { _ = n.members.Run(parts) })
+	n.running.Go(func() { _ = n.store.Run(parts) })
 	n.running.Go(func() { n.runHomes(parts) })
+	n.running.Go(func() { n.serveAdmin(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.frontend.Serve(callers) })
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.stop:
+	}
 	err = n.drain(callers)
 	n.shutdown(peers, stop)
 	return err
 }
 
+// serveAdmin runs the administration API. Without it the instance still serves
+// callers, so a failure is logged and ends nothing else.
+func (n *Instance) serveAdmin(ctx context.Context) {
+	if n.options.Settings.Admin.Address == "" {
+		return
+	}
+	if err := n.admin.Run(ctx); err != nil {
+		n.options.Logger.Error("Administration API ended.", "error", err)
+	}
+}
+
 func (n *Instance) listen() (callers, peers net.Listener, err error) {
 	s := n.options.Settings
 	callers, err = n.options.Network.Listen(s.Caller.Address)
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/executor"
+	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/frontend"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/membership"
@@ -14,7 +16,9 @@
 // metrics holds every part's metrics, registered once for the instance.
 type metrics struct {
 	admission  *admission.Metrics
+	config     *config.Metrics
 	executor   *executor.Metrics
+	failover   *failover.Metrics
 	frontend   *frontend.Metrics
 	group      *group.Metrics
 	membership *membership.Metrics
@@ -25,7 +29,9 @@
 func newMetrics(r *prometheus.Registry) *metrics {
 	return &metrics{
 		admission:  admission.NewMetrics(r),
+		config:     config.NewMetrics(r),
 		executor:   executor.NewMetrics(r),
+		failover:   failover.NewMetrics(r),
 		frontend:   frontend.NewMetrics(r),
 		group:      group.NewMetrics(r),
 		membership: membership.NewMetrics(r),
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -6,6 +6,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/settings"
@@ -22,6 +23,8 @@
 	Logger   hclog.Logger
 	// Registry takes the instance's metrics.
 	Registry *prometheus.Registry
+	// OnFailover, if set, is told of every failover that this instance completed.
+	OnFailover func(failover.Gap)
 }
 
 const (
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -105,6 +105,18 @@
 	go conn.Close()
 }
 
+// Connected reports whether a connection to the peer at an address is open.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	l := c.links[address]
+	c.mu.Unlock()
+	if l == nil || !l.mu.TryLock() {
+		return false
+	}
+	defer l.mu.Unlock()
+	return l.conn != nil && !disconnected(l.conn)
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/standin/bench/fleet.go
+++ b/internal/standin/bench/fleet.go
@@ -13,7 +13,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
-	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/instance"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -165,10 +164,6 @@
 
 func (f *fleet) startInstances(url string, seed uint64, logs io.Writer) error {
 	text := f.profile.rewrite(f.members, func(ip string) string { return f.domains[ip] })
-	service, err := document.Parse(f.profile.service+".ini", []byte(text))
-	if err != nil {
-		return err
-	}
 	var inventory platform.Inventory
 	var all []*settings.Settings
 	for i := range f.profile.instances {
@@ -184,9 +179,9 @@
 	}
 	f.store.SetInventory(inventory)
 	for i, s := range all {
-		f.startInstance(s, seed+uint64(i), service, logs)
+		f.startInstance(s, seed+uint64(i), logs)
 	}
-	return nil
+	return f.apply(all, text)
 }
 
 // settings makes the settings of instance i on addresses of its own.
@@ -216,7 +211,7 @@
 	return s, nil
 }
 
-func (f *fleet) startInstance(s *settings.Settings, seed uint64, service *document.Service, logs io.Writer) {
+func (f *fleet) startInstance(s *settings.Settings, seed uint64, logs io.Writer) {
 	network := f.network(host(s.Caller.Address))
 	n := instance.New(instance.Options{
 		Settings: s,
@@ -226,7 +221,7 @@
 		Platform: httpclient.New(s.Platform.URL, network, s.Platform.Timeout),
 		Logger:   hclog.New(&hclog.LoggerOptions{Name: s.Instance.ID, Output: logs, Level: hclog.Info}),
 		Registry: prometheus.NewRegistry(),
-	}, fixedDocuments{service})
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -291,22 +286,4 @@
 	wholePoll    = 10 * time.Millisecond
 )
 
-// fixedDocuments holds one service document that does not change.
-type fixedDocuments struct{ service *document.Service }
-
-// FindService implements instance.Documents.
-func (d fixedDocuments) FindService(group string) (*document.Service, bool) {
-	_, ok := d.service.FindGroup(group)
-	return d.service, ok
-}
-
-// Services implements instance.Documents.
-func (d fixedDocuments) Services() []*document.Service { return []*document.Service{d.service} }
-
-// Ready implements instance.Documents.
-func (fixedDocuments) Ready() bool { return true }
-
-// OnChange implements instance.Documents.
-func (fixedDocuments) OnChange(func()) {}
-
 var _ netio.Network = (*wanHost)(nil)
