Prove that an accepted change holds everywhere and never reverts

Operators race, answers are lost before and after the platform took a change, an operator hangs up, the platform is down, a late update arrives after it was settled as without effect; and a state machine changes one document through three instances while old versions arrive late, instances start anew and the platform loses its store.

Not covered: a change that only the platform and the instance that applied it ever held is lost when both are lost within the seconds that it takes to spread.

--- a/internal/config/harness_test.go
+++ b/internal/config/harness_test.go
@@ -95,6 +95,31 @@
 	mu   sync.Mutex
 	open context.Context
 	shut context.CancelFunc
+	// onPut replaces the next Puts; forward does what Put would have done.
+	onPut func(forward func() (platform.Object, error)) (platform.Object, error)
+}
+
+// lostBefore loses a Put on its way to the platform.
+func lostBefore(func() (platform.Object, error)) (platform.Object, error) {
+	return platform.Object{}, platform.ErrOutcomeUnknown
+}
+
+// lostAfter loses the answer to a Put that took effect.
+func lostAfter(forward func() (platform.Object, error)) (platform.Object, error) {
+	_, _ = forward()
+	return platform.Object{}, platform.ErrOutcomeUnknown
+}
+
+// intercept replaces the next n Puts.
+func (g *gate) intercept(n int, f func(func() (platform.Object, error)) (platform.Object, error)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onPut = func(forward func() (platform.Object, error)) (platform.Object, error) {
+		if n--; n < 0 {
+			return forward()
+		}
+		return f(forward)
+	}
 }
 
 func newGate(api platform.API) *gate {
@@ -142,6 +167,12 @@
 	if _, err := g.enter(); err != nil {
 		return platform.Object{}, err
 	}
+	g.mu.Lock()
+	onPut := g.onPut
+	g.mu.Unlock()
+	if onPut != nil {
+		return onPut(func() (platform.Object, error) { return g.API.Put(context.WithoutCancel(ctx), k, name, value, v) })
+	}
 	return g.API.Put(ctx, k, name, value, v)
 }
 
