Describe metrics and alerts, add a dashboard, measure documents and changes

Cause: an alert over a metric that was renamed looks like calm, and the cost of a change everywhere was not known.

A test holds docs/ops/metrics-and-alerts.md to exactly the metrics that the parts register, and the names of examples/dashboard.json to them. slopes now starts a relay and an instance that it pushes to, waits until the pushes of the start have gone out, and measures them at rest and under changes. Ruled out: measuring at once after the load: the queue of pushes of a starting instance went on for seconds and gave 1.5 MB/s 'at rest' where there are 151 B/s.

The administration API orders groups and pools by name, names draining once, and passes on why a change did not take effect.

--- a/internal/adminapi/documents.go
+++ b/internal/adminapi/documents.go
@@ -1,6 +1,7 @@
 package adminapi
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -106,7 +107,7 @@
 	default:
 		code = result.StillSettling
 	}
-	p := newProblem(result.New(code, "%s", o.State))
+	p := newProblem(result.New(code, "%s", cmp.Or(o.Detail, string(o.State))))
 	if o.State == StateNotAccepted {
 		p.Version, p.By = o.Version, o.By
 		p.Detail = "version " + strconv.FormatInt(o.Version, 10) + " by " + o.By + " stands"
--- a/internal/adminapi/outcome.go
+++ b/internal/adminapi/outcome.go
@@ -24,4 +24,6 @@
 	Version int64 `json:"version"`
 	// By is the author of the version that stands instead.
 	By string `json:"by,omitempty"`
+	// Detail tells why a change did not take effect or is not settled.
+	Detail string `json:"detail,omitempty"`
 }
--- a/internal/adminapi/running.go
+++ b/internal/adminapi/running.go
@@ -1,7 +1,9 @@
 package adminapi
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -37,6 +39,17 @@
 	for _, snapshot := range s.parts.Groups.Snapshots() {
 		views = append(views, viewGroup(snapshot, now))
 	}
+	slices.SortFunc(views, func(a, b GroupView) int { return cmp.Compare(a.Name, b.Name) })
+	return views
+}
+
+// pools describes the connection pools of this instance.
+func (s *Server) pools() []PoolView {
+	if s.parts.Pools == nil {
+		return []PoolView{}
+	}
+	views := orEmpty(s.parts.Pools.Pools())
+	slices.SortFunc(views, func(a, b PoolView) int { return cmp.Compare(a.Group, b.Group) })
 	return views
 }
 
@@ -45,7 +58,7 @@
 		unavailable(w, "pools")
 		return
 	}
-	writeJSON(w, http.StatusOK, orEmpty(s.parts.Pools.Pools()))
+	writeJSON(w, http.StatusOK, s.pools())
 }
 
 func (s *Server) listPeers(w http.ResponseWriter, _ *http.Request) {
@@ -62,7 +75,7 @@
 		Readiness: s.readiness(),
 		Documents: []DocumentInfo{},
 		Groups:    s.groups(),
-		Pools:     []PoolView{},
+		Pools:     s.pools(),
 		Peers:     []PeerView{},
 	}
 	if s.parts.Lifecycle != nil {
@@ -71,9 +84,6 @@
 	if s.parts.Documents != nil {
 		v.Documents = orEmpty(s.parts.Documents.List())
 	}
-	if s.parts.Pools != nil {
-		v.Pools = orEmpty(s.parts.Pools.Pools())
-	}
 	if s.parts.Peers != nil {
 		v.Peers = orEmpty(s.parts.Peers.Peers())
 	}
@@ -112,7 +122,7 @@
 	}
 	ready, reasons := s.parts.Lifecycle.Ready()
 	if s.parts.Lifecycle.Draining() {
-		ready, reasons = false, append(reasons, "draining")
+		ready, reasons = false, []string{"draining"}
 	}
 	return Readiness{Ready: ready, Reasons: reasons}
 }
--- a/internal/config/run.go
+++ b/internal/config/run.go
@@ -5,7 +5,9 @@
 	"sync"
 )
 
-// Run follows the platform, pushes, repairs and settles until ctx ends.
+// Run follows the platform, pushes, repairs and settles until ctx ends. The
+// fleet's view should have been read once before, so that a starting instance
+// knows its peers.
 func (s *Store) Run(ctx context.Context) error {
 	var parts sync.WaitGroup
 	parts.Go(func() { s.watchLoop(ctx) })
--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return adminapi.Outcome{}, err
 	}
-	return adminapi.Outcome{State: adminapi.ApplyState(o.State), Version: o.Version, By: o.By}, nil
+	return adminapi.Outcome{State: adminapi.ApplyState(o.State), Version: o.Version, By: o.By, Detail: o.Detail}, nil
 }
 
 // History implements adminapi.Documents.
--- /dev/null
+++ b/internal/instance/pages_test.go
@@ -0,0 +1,81 @@
+package instance_test
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/config"
+	"github.com/topazrock/topazrock/internal/executor"
+	"github.com/topazrock/topazrock/internal/failover"
+	"github.com/topazrock/topazrock/internal/frontend"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/pool"
+	"github.com/topazrock/topazrock/internal/retry"
+)
+
+var (
+	descriptionName = regexp.MustCompile(`fqName: "([^"]+)"`)
+	pageRow         = regexp.MustCompile("(?m)^\\| `(topazrock_[a-z_]+)` \\|")
+	metricName      = regexp.MustCompile(`topazrock_[a-z_]+`)
+	seriesSuffix    = regexp.MustCompile(`_(bucket|sum|count)$`)
+)
+
+// registeredNames returns the names of the metrics of every part, sorted.
+func registeredNames() []string {
+	r := prometheus.NewRegistry()
+	admission.NewMetrics(r)
+	config.NewMetrics(r)
+	executor.NewMetrics(r)
+	failover.NewMetrics(r)
+	frontend.NewMetrics(r)
+	group.NewMetrics(r)
+	membership.NewMetrics(r)
+	pool.NewMetrics(r)
+	retry.NewMetrics(r)
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		defer close(descriptions)
+		r.Describe(descriptions)
+	}()
+	var names []string
+	for d := range descriptions {
+		names = append(names, descriptionName.FindStringSubmatch(d.String())[1])
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func TestMetricsPageListsEveryMetric(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/ops/metrics-and-alerts.md")
+	is.NoErr(err)
+	var listed []string
+	for _, row := range pageRow.FindAllStringSubmatch(string(page), -1) {
+		listed = append(listed, row[1])
+	}
+	slices.Sort(listed)
+	is.Equal(strings.Join(listed, "\n"), strings.Join(registeredNames(), "\n"))
+}
+
+// A panel over a metric that was renamed stays empty, and looks like calm.
+func TestDashboardAndAlertsNameMetricsThatExist(t *testing.T) {
+	is := is.New(t)
+	names := registeredNames()
+	for _, file := range []string{"../../examples/dashboard.json", "../../docs/ops/metrics-and-alerts.md"} {
+		text, err := os.ReadFile(file)
+		is.NoErr(err)
+		for _, name := range metricName.FindAllString(string(text), -1) {
+			if !slices.Contains(names, name) && !slices.Contains(names, seriesSuffix.ReplaceAllString(name, "")) {
+				t.Errorf("%s names %s, which no part registers", file, name)
+			}
+		}
+	}
+}
--- a/internal/standin/slopes/fit.go
+++ b/internal/standin/slopes/fit.go
@@ -41,6 +41,8 @@
 		d := p.Y - s.Fixed - s.PerUnit*p.X
 		squares += d * d
 	}
-	s.Residual = math.Sqrt(squares/n) / math.Abs(y)
+	if y != 0 {
+		s.Residual = math.Sqrt(squares/n) / math.Abs(y)
+	}
 	return s
 }
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -40,5 +40,7 @@
 		{"peers", measurePeers},
 		{"calls", measureCalls},
 		{"documents", measureDocuments},
+		{"stored", measureStored},
+		{"changes", measureChanges},
 	}
 }
