--- a/internal/config/contacts.go
+++ b/internal/config/contacts.go
@@ -30,6 +30,8 @@
 type contacts struct {
 	fleet      Fleet
 	relayCount int
+	// changed holds a token after a change of the view.
+	changed chan struct{}
 
 	mu     sync.Mutex
 	relay  bool
@@ -47,6 +49,10 @@
 	c.relays = slices.DeleteFunc(relays, func(i platform.Instance) bool { return i.FailureDomain != self.FailureDomain })
 	c.relay = slices.ContainsFunc(c.relays, sameID(self.ID))
 	c.digest = digest
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
 }
 
 func sameID(id string) func(platform.Instance) bool {
--- a/internal/config/repair.go
+++ b/internal/config/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
@@ -21,12 +22,30 @@
 
 // digestLoop exchanges digests until ctx ends.
 func (s *Store) digestLoop(ctx context.Context) {
+	s.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		s.repairOnce(ctx)
 		_ = clock.Sleep(ctx, s.options.Clock, s.jittered(digestBeat))
 	}
 }
 
+// awaitPeers waits for the fleet's view to name a peer, for one beat at most.
+// An instance that came to be ready before it knew its peers could serve an
+// old version from a platform that was set back.
+func (s *Store) awaitPeers(ctx context.Context) {
+	t := s.options.Clock.NewTimer(digestBeat)
+	defer t.Stop()
+	for len(s.contact.digestTargets()) == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			return
+		case <-s.contact.changed:
+		}
+	}
+}
+
 // repairOnce compares this instance's documents with those of one peer, and
 // brings both up to the higher versions.
 func (s *Store) repairOnce(ctx context.Context) {
@@ -48,7 +67,8 @@
 func (s *Store) pickPeer() (string, error) {
 	targets := s.contact.digestTargets()
 	if len(targets) == 0 {
-		targets = s.options.Seeds
+		own := s.options.Fleet.Self().PeerAddress
+		targets = slices.DeleteFunc(slices.Clone(s.options.Seeds), func(seed string) bool { return seed == own })
 	}
 	if len(targets) == 0 {
 		return "", errNoPeers
--- a/internal/config/run.go
+++ b/internal/config/run.go
@@ -5,9 +5,7 @@
 	"sync"
 )
 
-// Run follows the platform, pushes, repairs and settles until ctx ends. The
-// fleet's view should have been read once before, so that a starting instance
-// knows its peers.
+// Run follows the platform, pushes, repairs and settles until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
 	var parts sync.WaitGroup
 	parts.Go(func() { s.watchLoop(ctx) })
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -58,6 +58,7 @@
 		settled: make(map[string]Outcome),
 	}
 	s.contact.fleet, s.contact.relayCount = o.Fleet, o.Relays
+	s.contact.changed = make(chan struct{}, 1)
 	s.contact.refresh()
 	o.Fleet.Subscribe(s.contact.refresh)
 	s.register()
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -24,6 +24,8 @@
 	store    *Store
 	revision int64
 	backoff  time.Duration
+	// failing says that the last call failed.
+	failing bool
 }
 
 // watchLoop follows the platform while this instance is a relay, and lists
@@ -49,17 +51,28 @@
 	if ctx.Err() != nil {
 		return
 	}
+	w.note(err)
 	if err == nil {
 		w.backoff = firstBackoff
 		return
 	}
 	w.revision = unlisted
 	w.store.metrics.watches.WithLabelValues("failed").Inc()
-	w.store.log.Debug("Watch failed.", "error", err)
 	_ = clock.Sleep(ctx, w.store.options.Clock, w.store.jittered(max(w.backoff, firstBackoff)))
 	w.backoff = min(2*max(w.backoff, firstBackoff), lastBackoff)
 }
 
+// note logs when the platform is lost and when it is back.
+func (w *watcher) note(err error) {
+	switch failed := err != nil; {
+	case failed && !w.failing:
+		w.store.log.Warn("Platform's watch failed. Documents in force stay.", "error", err)
+	case !failed && w.failing:
+		w.store.log.Info("Platform answers again.")
+	}
+	w.failing = err != nil
+}
+
 func (w *watcher) follow(ctx context.Context) error {
 	if w.revision == unlisted {
 		return w.list(ctx)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -84,6 +84,7 @@
 		Fleet:    n.members,
 		Peers:    n.client,
 		Registry: n.peers,
+		Seeds:    s.Peer.Seeds,
 		Log:      o.Logger,
 		Metrics:  n.metrics.config,
 	})
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -43,6 +43,8 @@
 
 		{Section: "peer", Name: "address", Kind: inifile.Address{}, Required: true,
 			Meaning: "Where other instances connect."},
+		{Section: "peer", Name: "seeds", Kind: addresses{},
+			Meaning: "Peer addresses, parted by commas, that are asked for documents when the instance starts while the platform is down. May be empty."},
 
 		{Section: "admin", Name: "address", Kind: inifile.Address{}, Required: true,
 			Meaning: "Where the administration API, health and metrics are served."},
--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"net/url"
+	"strings"
 
 	"github.com/topazrock/topazrock/internal/inifile"
 )
@@ -48,3 +50,30 @@
 
 // Allowed implements inifile.Kind.
 func (platformURL) Allowed() string { return "http://IP:port or https://IP:port" }
+
+// maxSeeds bounds the list of seeds.
+const maxSeeds = 32
+
+// addresses is a list of IP addresses with ports; its value is a []string.
+type addresses struct{}
+
+// Parse implements inifile.Kind.
+func (addresses) Parse(text string) (any, error) {
+	var list []string
+	for _, word := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' || r == '\t' }) {
+		v, err := inifile.Address{}.Parse(word)
+		if err != nil {
+			return []string(nil), fmt.Errorf("%q: %w", word, err)
+		}
+		list = append(list, v.(string))
+	}
+	if len(list) > maxSeeds {
+		return []string(nil), fmt.Errorf("%d addresses", len(list))
+	}
+	return list, nil
+}
+
+// Allowed implements inifile.Kind.
+func (addresses) Allowed() string {
+	return fmt.Sprintf("up to %d of IP:port, parted by commas", maxSeeds)
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -30,12 +30,13 @@
 func build(f *inifile.File) *Settings {
 	section := func(kind string) *inifile.Section { return f.First(&schema, kind) }
 	instance, caller, upstream := section("instance"), section("caller"), section("upstream")
+	seeds, _ := section("peer").Value("seeds").([]string)
 	return &Settings{
 		Instance: Instance{ID: instance.String("id"), FailureDomain: instance.String("failure_domain"),
 			Region: instance.String("region")},
 		Caller: Caller{Address: caller.String("address"), MaxCallers: caller.Int("max_callers"),
 			StartupTimeout: caller.Duration("startup_timeout")},
-		Peer:     Peer{Address: section("peer").String("address")},
+		Peer:     Peer{Address: section("peer").String("address"), Seeds: seeds},
 		Admin:    Admin{Address: section("admin").String("address"), AccessToken: section("admin").String("access_token")},
 		Platform: Platform{URL: section("platform").String("url"), Timeout: section("platform").Duration("timeout")},
 		Upstream: Upstream{User: upstream.String("user"), Password: upstream.String("password"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,9 @@
 // Peer is the side that other instances connect to.
 type Peer struct {
 	Address string
+	// Seeds are peer addresses that are asked for documents while the platform
+	// does not tell which instances there are. It may be empty.
+	Seeds []string
 }
 
 // Admin is the administration API.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -45,6 +45,16 @@
 	is.Equal(s.Homes.PerFailureDomain, 1)
 	is.Equal(s.Log, Log{Level: "info", Format: FormatText})
 	is.Equal(s.Admin.AccessToken, "")
+	is.Equal(len(s.Peer.Seeds), 0)
+}
+
+func TestSeeds(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("i.ini", []byte(strings.Replace(minimal, "[admin]", "seeds = 10.0.0.1:6433, 10.0.0.2:6433\n[admin]", 1)))
+	is.NoErr(err)
+	is.Equal(s.Peer.Seeds, []string{"10.0.0.1:6433", "10.0.0.2:6433"})
+	_, err = Parse("i.ini", []byte(strings.Replace(minimal, "[admin]", "seeds = host:6433\n[admin]", 1)))
+	is.True(strings.Contains(err.Error(), `i.ini:9: [peer] seeds = "host:6433": "host:6433": not an IP address and port; allowed: up to 32 of IP:port`))
 }
 
 func TestAllFaultsAtOnce(t *testing.T) {
