--- a/internal/standin/slopes/callers.go
+++ b/internal/standin/slopes/callers.go
@@ -34,26 +34,30 @@
 		return nil, err
 	}
 	defer server.Close()
-	var bytes, processor []Point
+	var bytes, processor, logins []Point
 	var open []net.Conn
 	defer func() {
 		for _, c := range open {
 			c.Close()
 		}
 	}()
-	before := memory()
+	before, spent := memory(), 0.0
 	for _, n := range []int{1000, 2000, 3000, 4000, 5000} {
+		used := processorTime()
 		more, err := openCallers(ctx, address, n-len(open))
 		open = append(open, more...)
 		if err != nil {
 			return nil, err
 		}
+		spent += millis(processorTime() - used)
+		logins = append(logins, Point{float64(n), spent})
 		bytes = append(bytes, Point{float64(n), memory() - before})
 		processor = append(processor, Point{float64(n), idleShare(ctx, o.Window)})
 	}
 	return []Slope{
 		fit("idle callers", "bytes of memory", bytes),
 		fit("idle callers", "share of a core", processor),
+		fit("logins", "ms of processor time, both ends", logins),
 	}, nil
 }
 
--- a/internal/standin/slopes/changes.go
+++ b/internal/standin/slopes/changes.go
@@ -14,20 +14,19 @@
 func measureStored(ctx context.Context, o Options) ([]Slope, error) {
 	var held, processor, bytes []Point
 	for _, n := range []int{500, 1000, 2000, 5000} {
-		before := memory()
 		t, err := startStores(ctx, o, n)
 		if err != nil {
 			return nil, err
 		}
 		x := float64(n)
-		held = append(held, Point{x, memory() - before})
+		held = append(held, Point{x, memory() - t.before})
 		sent, begin := t.network.bytes.Load(), time.Now()
 		processor = append(processor, Point{x, idleShare(ctx, o.Window)})
 		bytes = append(bytes, Point{x, float64(t.network.bytes.Load()-sent) / time.Since(begin).Seconds()})
 		t.stop()
 	}
 	return []Slope{
-		fit("documents in force", "bytes of memory, two instances and the platform", held),
+		fit("documents in force", "bytes of memory, two instances", held),
 		fit("documents in force", "share of a core at rest, two instances", processor),
 		fit("documents in force", "bytes a second at rest, two digests", bytes),
 	}, nil
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -42,5 +42,6 @@
 		{"documents", measureDocuments},
 		{"stored", measureStored},
 		{"changes", measureChanges},
+		{"failovers", measureFailovers},
 	}
 }
--- a/internal/standin/slopes/stores.go
+++ b/internal/standin/slopes/stores.go
@@ -40,6 +40,9 @@
 type twoStores struct {
 	relay, child *config.Store
 	network      *countingNetwork
+	// before is the memory in use when the platform held the documents and
+	// neither instance was there.
+	before float64
 	stop         func()
 }
 
@@ -57,7 +60,7 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	t := &twoStores{network: &countingNetwork{}}
+	t := &twoStores{network: &countingNetwork{}, before: memory()}
 	var parts sync.WaitGroup
 	var ends []func()
 	t.stop = func() {
