Keep a home until its last unit has ended; prove the stop by separate processes

Cause: TestSeparateProcesses, "SIGTERM cuts no request", was red: 4 of 8 callers got "TZ1009 did not run: draining" from an instance that was told to stop. The drain makes the membership view drop the instance from the homes, the home was retired, and retiring waited for open transactions only: the pool closed under units that had been admitted and not begun.

Ruled out: the frontend's drain (it waited for every session's unit); the member (its log shows no refusal).

Conclusion: a unit counts in its home from the router's look-up to its answer, and a retired home closes nothing while one is left.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -153,10 +153,11 @@
 	if u.Transaction != "" {
 		return r.inTransaction(ctx, u, r.partialTo(ctx, u))
 	}
-	g := r.Local(u.Group)
+	g := r.enter(u.Group)
 	if g == nil {
 		return nil, result.New(result.NotReady, "this instance is not home to group %s", u.Group)
 	}
+	defer g.leave()
 	return g.Execute(ctx, u, r.partialTo(ctx, u))
 }
 
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -16,6 +16,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -52,6 +53,8 @@
 	Config
 	transactions *transactions
 	running      *running
+	// atWork counts units between the router's look-up and their answer.
+	atWork atomic.Int64
 	// randomMu guards Random.
 	randomMu sync.Mutex
 }
@@ -66,6 +69,11 @@
 	}
 }
 
+// Busy reports whether units are at work or transactions are open.
+func (g *Group) Busy() bool { return g.atWork.Load() > 0 || g.OpenTransactions() > 0 }
+
+func (g *Group) leave() { g.atWork.Add(-1) }
+
 // OpenTransactions returns how many transactions are open.
 func (g *Group) OpenTransactions() int { return g.transactions.count() }
 
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -98,6 +98,15 @@
 	return nil
 }
 
+// enterTransaction is enter for a unit of an open transaction.
+func (r *Router) enterTransaction(group, transaction string) *Group {
+	g := r.owner(group, transaction)
+	if g != nil {
+		g.atWork.Add(1)
+	}
+	return g
+}
+
 // Local returns the group if this instance runs its units itself.
 func (r *Router) Local(group string) *Group {
 	r.mu.RLock()
@@ -105,6 +114,19 @@
 	return r.groups[group]
 }
 
+// enter returns the group if this instance runs its units itself, and counts one
+// more unit in it. Counting under the lock keeps Retire from missing a unit that
+// has found its group and not begun: its connections would close under it.
+func (r *Router) enter(group string) *Group {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	g := r.groups[group]
+	if g != nil {
+		g.atWork.Add(1)
+	}
+	return g
+}
+
 // Execute implements execution.Executor.
 func (r *Router) Execute(ctx context.Context, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
 	if owner, ok := transactionOwner(u.Transaction); ok && owner != r.self {
@@ -113,7 +135,8 @@
 	if u.Transaction != "" {
 		return r.inTransaction(ctx, u, partial)
 	}
-	if g := r.Local(u.Group); g != nil {
+	if g := r.enter(u.Group); g != nil {
+		defer g.leave()
 		return g.Execute(ctx, u, partial)
 	}
 	return r.forward(ctx, u, partial)
@@ -121,10 +144,11 @@
 
 // inTransaction runs a unit of a transaction that is open on this instance.
 func (r *Router) inTransaction(ctx context.Context, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
-	g := r.owner(u.Group, u.Transaction)
+	g := r.enterTransaction(u.Group, u.Transaction)
 	if g == nil {
 		return nil, r.metrics.refused(u.Group, result.New(result.TransactionLost, "its connection is gone"))
 	}
+	defer g.leave()
 	return g.Execute(ctx, u, partial)
 }
 
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -98,8 +98,8 @@
 	h.gate.SetSlots(max(1, g.Slots/homeCount))
 }
 
-// retire stops new units at once and the home itself when its transactions have
-// ended.
+// retire stops new units at once and the home itself when the units at work and
+// the open transactions have ended.
 func (n *Instance) retire(ctx context.Context, h *home) {
 	n.router.Retire(h.group.Name)
 	n.mu.Lock()
@@ -111,7 +111,7 @@
 
 func (n *Instance) finishRetired(ctx context.Context, h *home) {
 	deadline := n.options.Clock.Now().Add(retireTimeout)
-	for h.executor.OpenTransactions() > 0 && n.options.Clock.Now().Before(deadline) {
+	for h.executor.Busy() && n.options.Clock.Now().Before(deadline) {
 		if clock.Sleep(ctx, n.options.Clock, retirePoll) != nil {
 			break
 		}
