Test random schedules of faults, and take the write's term from before it

Cause: one schedule in 30 lost an acknowledged write. The test asked the member for its report behind the commit and confirmed the report's own term. Between the two the old primary had been fenced and moved into the next term, so that the commit of the old term was confirmed by positions of the new one.

Ruled out: a fault of the confirmation itself; it confirmed what it was asked.

Conclusion: a write's mark carries the term in which the write was sent, and a report of any other term proves nothing about it.

--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -100,12 +100,12 @@
 		is := is.New(x.t)
 		x.net.Freeze(x.hosts[0])
 		frozen := make(chan error, 1)
-		go func() { frozen <- x.writeAt(x.instances[1], x.addresses[0], "frozen") }()
+		go func() { frozen <- x.writeAt(x.instances[1], 1, x.addresses[0], "frozen") }()
 		x.after(10 * time.Second)
 		is.True(x.wantPrimary(2) != 0)
 		is.True(<-frozen != nil)
 		x.net.Thaw(x.hosts[0])
-		is.True(x.writeAt(x.instances[1], x.addresses[0], "thawed") != nil)
+		is.True(x.writeAt(x.instances[1], 1, x.addresses[0], "thawed") != nil)
 		x.after(2 * time.Second)
 		x.wantAttached(0, 2)
 		x.wantWritable(x.instances[2], "k")
@@ -169,7 +169,7 @@
 			x.net.Cut(x.hosts[0], x.hosts[k])
 		}
 		for _, key := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
-			is.True(x.writeAt(x.instances[0], x.addresses[0], key) != nil)
+			is.True(x.writeAt(x.instances[0], 1, x.addresses[0], key) != nil)
 		}
 		x.nodes[0].Kill()
 		x.after(2 * time.Second)
--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -223,8 +223,12 @@
 	}
 }
 
-// errNoPrimary says that an instance knows no primary to write to.
-var errNoPrimary = errors.New("no primary known")
+var (
+	// errNoPrimary says that an instance knows no primary to write to.
+	errNoPrimary = errors.New("no primary known")
+	// errReplaced says that the member did not lead in the write's term any more.
+	errReplaced = errors.New("primary replaced")
+)
 
 // write runs one write through an instance as execution does: at the primary
 // that the instance knows, with the member's status behind it, then confirmed.
@@ -234,16 +238,24 @@
 	if s.Primary == "" {
 		return errNoPrimary
 	}
-	return x.writeAt(i, s.Primary, key)
+	return x.writeAt(i, s.Term, s.Primary, key)
 }
 
-func (x *cluster) writeAt(i *instance, address, key string) error {
+// writeAt writes at a member that led in the term when the write was sent.
+func (x *cluster) writeAt(i *instance, term logpos.Term, address, key string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	mark, err := x.commit(ctx, i, address, key)
+	status, err := x.commit(ctx, i, address, key)
 	if err != nil {
 		return err
 	}
+	// The report comes behind the commit, and the member may have been fenced,
+	// attached to another log, or even promoted again in between. Only a report
+	// of the term in which the write was sent tells where the write is.
+	if status.Role != member.RolePrimary || status.Entered != term {
+		return errReplaced
+	}
+	mark := logpos.Mark{Term: term, Position: status.Last.Position}
 	if err := i.w.Confirm(ctx, mark); err != nil {
 		return err
 	}
@@ -253,11 +265,11 @@
 	return nil
 }
 
-// commit writes a row at a member and returns the mark it reports behind it.
-func (x *cluster) commit(ctx context.Context, i *instance, address, key string) (logpos.Mark, error) {
+// commit writes a row at a member and returns the report that comes behind it.
+func (x *cluster) commit(ctx context.Context, i *instance, address, key string) (member.Status, error) {
 	cfg, err := pgconn.ParseConfig("host=h port=1 user=u password=p dbname=d sslmode=disable")
 	if err != nil {
-		return logpos.Mark{}, err
+		return member.Status{}, err
 	}
 	cfg.LookupFunc = func(_ context.Context, h string) ([]string, error) { return []string{h}, nil }
 	var raw net.Conn
@@ -271,21 +283,17 @@
 	}
 	c, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
-		return logpos.Mark{}, err
+		return member.Status{}, err
 	}
 	defer raw.Close()
 	if _, err := c.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('"+key+"', 'v')").ReadAll(); err != nil {
-		return logpos.Mark{}, err
+		return member.Status{}, err
 	}
 	results, err := c.Exec(ctx, pgcontrol.StatusStatement).ReadAll()
 	if err != nil {
-		return logpos.Mark{}, err
-	}
-	status, err := pgcontrol.ParseStatus(results[0].Rows[0])
-	if err != nil {
-		return logpos.Mark{}, err
+		return member.Status{}, err
 	}
-	return logpos.Mark{Term: status.Entered, Position: status.Last.Position}, nil
+	return pgcontrol.ParseStatus(results[0].Rows[0])
 }
 
 // writer writes through an instance until the returned function is called.
--- /dev/null
+++ b/internal/failover/random_test.go
@@ -0,0 +1,119 @@
+package failover_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	store "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// schedules is how many random schedules of faults run, from which seed on.
+var (
+	schedules = flag.Uint64("schedules", 12, "random schedules of faults to run")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first random schedule")
+)
+
+// faultsPerSchedule is how many faults come and go in one schedule.
+const faultsPerSchedule = 10
+
+// Faults of all kinds come and go at random, several at once, while three
+// instances write. When all is healed, one member leads, everybody can write,
+// and nothing that was acknowledged is missing.
+func TestRandomFaultsLoseNothing(t *testing.T) {
+	for k := range *schedules {
+		s := *firstSeed + k
+		inCluster(t, s, func(x *cluster) {
+			r := rand.New(rand.NewPCG(s, 1))
+			var stops []func()
+			for _, i := range x.instances {
+				stops = append(stops, x.writer(i))
+			}
+			for range faultsPerSchedule {
+				heal := x.randomFault(r)
+				x.after(time.Duration(r.IntN(1500)) * time.Millisecond)
+				// One fault in three stays until the end.
+				if r.IntN(3) > 0 {
+					heal()
+				}
+				x.after(time.Duration(r.IntN(800)) * time.Millisecond)
+			}
+			x.healAll()
+			for _, stop := range stops {
+				stop()
+			}
+			x.after(5 * time.Second)
+			term, leading := x.primaries()
+			if len(leading) != 1 {
+				x.t.Fatalf("seed %d: term %d, leading %v", s, term, leading)
+			}
+			for k, i := range x.instances {
+				x.wantWritable(i, "end-"+domain(k))
+				if k != leading[0] {
+					x.wantAttached(k, term)
+				}
+			}
+		})
+	}
+}
+
+// randomFault sets one fault and returns what ends it.
+func (x *cluster) randomFault(r *rand.Rand) func() {
+	k := r.IntN(3)
+	host, ip := x.hosts[k], x.instances[k].ip
+	other := x.hosts[(k+1+r.IntN(2))%3]
+	switch r.IntN(9) {
+	case 0:
+		x.nodes[k].Kill()
+		return func() { x.revive(k) }
+	case 1:
+		x.cutDomain(k, x.net.Cut)
+		return func() { x.cutDomain(k, x.net.Heal) }
+	case 2:
+		x.net.Freeze(host)
+		return func() { x.net.Thaw(host) }
+	case 3:
+		x.net.Freeze(ip)
+		return func() { x.net.Thaw(ip) }
+	case 4:
+		x.store.SetFaults(store.Faults{Outage: true})
+		return func() { x.store.SetFaults(store.Faults{Delay: platformDelay}) }
+	case 5:
+		x.store.SetFaults(store.Faults{Delay: platformDelay, LoseAnswers: 2})
+		return func() {}
+	case 6:
+		x.net.CutOneWay(host, other)
+		return func() { x.net.Heal(host, other) }
+	case 7:
+		x.net.Silence(ip, other)
+		return func() {}
+	default:
+		x.nodes[k].SetReplicationLag(time.Duration(r.IntN(1000)) * time.Millisecond)
+		return func() { x.nodes[k].SetReplicationLag(lag) }
+	}
+}
+
+// revive starts a member that was killed, with what it had persisted.
+func (x *cluster) revive(k int) {
+	x.nodes[k].Stop()
+	if err := x.nodes[k].Start(); err != nil {
+		x.t.Logf("member %d runs already: %v", k, err)
+	}
+}
+
+// healAll ends every fault that is left.
+func (x *cluster) healAll() {
+	x.store.SetFaults(store.Faults{Delay: platformDelay})
+	all := x.allHosts()
+	for k, a := range all {
+		x.net.Thaw(a)
+		for _, b := range all[k+1:] {
+			x.net.Heal(a, b)
+		}
+	}
+	for k, n := range x.nodes {
+		n.SetReplicationLag(lag)
+		x.revive(k)
+	}
+}
