--- a/internal/config/contacts.go
+++ b/internal/config/contacts.go
@@ -21,7 +21,7 @@
 	// peer picked at random among thousands would mean a connection to each in
 	// the end. Repair over such a fixed random graph still takes a number of
 	// rounds that grows with the logarithm of the fleet.
-	digestPeers = 2
+	digestPeers = 3
 	// pushDegree is how many children an instance pushes a version to.
 	pushDegree = 4
 )
@@ -43,7 +43,7 @@
 func (c *contacts) refresh() {
 	self := c.fleet.Self()
 	relays := c.fleet.Pick(relayDuty, c.relayCount)
-	digest := slices.DeleteFunc(c.fleet.Pick(digestDuty+self.ID, digestPeers+1), sameID(self.ID))
+	digest := slices.DeleteFunc(c.fleet.Pick(digestDuty+self.ID, digestPeers), sameID(self.ID))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.relays = slices.DeleteFunc(relays, func(i platform.Instance) bool { return i.FailureDomain != self.FailureDomain })
--- /dev/null
+++ b/internal/document/docs_test.go
@@ -0,0 +1,22 @@
+package document
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/inifile"
+)
+
+// The operators' page must list exactly the keys that the parser knows, in
+// their sections, with their defaults and ranges.
+func TestPageListsEveryKey(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "ops", "service-document.md"))
+	is.NoErr(err)
+	for _, fault := range inifile.ComparePage(string(page), Keys()) {
+		t.Error(fault)
+	}
+}
--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -1,17 +1,6 @@
 package membership
 
-import (
-	"slices"
-
-	"github.com/topazrock/topazrock/internal/platform"
-)
-
-// homeSet holds the homes of one group in both orders.
-type homeSet struct {
-	ranked  []platform.Instance
-	nearest []platform.Instance
-	self    bool
-}
+import "github.com/topazrock/topazrock/internal/platform"
 
 // Homes returns the home instances of a group, those of this instance's
 // failure domain first. The result must not be changed.
@@ -33,7 +22,7 @@
 // where a failure domain has no more. Duties with different keys fall on
 // different instances.
 func (m *Members) Pick(duty string, n int) []platform.Instance {
-	return pick(duty, m.current.Load().live, n)
+	return instancesOf(pick(duty, m.current.Load().domains, n))
 }
 
 func (s *snapshot) homesOf(group string) *homeSet {
@@ -50,14 +39,6 @@
 	return h
 }
 
-func (s *snapshot) newHomeSet(group string) *homeSet {
-	h := &homeSet{ranked: pick(group, s.live, s.perFailureDomain)}
-	h.nearest = slices.Clone(h.ranked)
-	slices.SortStableFunc(h.nearest, func(a, b platform.Instance) int { return s.distance(a) - s.distance(b) })
-	h.self = slices.ContainsFunc(h.ranked, func(i platform.Instance) bool { return i.ID == s.self.ID })
-	return h
-}
-
 // distance is 0 for this instance, 1 inside its failure domain, else 2.
 func (s *snapshot) distance(i platform.Instance) int {
 	switch {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -78,9 +79,12 @@
 		m.mu.Unlock()
 		return errEmptyList
 	}
+	unchanged := slices.Equal(m.listed.Instances, list.Instances) && slices.Equal(m.listed.Upstreams, list.Upstreams)
 	m.listed = list
 	m.mu.Unlock()
-	m.rebuild()
+	if !unchanged {
+		m.rebuild()
+	}
 	return nil
 }
 
@@ -90,10 +94,12 @@
 	self := m.options.Self
 	self.Leaving = m.draining
 	next := newSnapshot(self, m.listed, m.options.PerFailureDomain)
-	if old := m.current.Load(); old != nil && old.same(next) {
+	old := m.current.Load()
+	if old != nil && old.same(next) {
 		m.mu.Unlock()
 		return
 	}
+	next.carry(old)
 	m.current.Store(next)
 	subscribers := m.subscribers
 	m.mu.Unlock()
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -165,6 +165,35 @@
 	return false
 }
 
+// Instances join, leave and change one after another while homes are asked
+// for. Homes that were carried over from an older view must be those that the
+// new view gives when it is worked out from nothing.
+func TestCarriedHomesAreRight(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(7, 7))
+	all := fleet(40)
+	api := &listAPI{list: platform.Inventory{Instances: all}}
+	m := newMembers(api, all[0], 2)
+	for range 200 {
+		list := make([]platform.Instance, 0, len(all))
+		for _, i := range all {
+			if r.IntN(20) > 0 {
+				i.PeerAddress = fmt.Sprintf("10.0.0.%d:1", r.IntN(30)/29)
+				list = append(list, i)
+			}
+		}
+		api.set(platform.Inventory{Instances: list}, nil)
+		is.NoErr(m.Refresh(t.Context()))
+		fresh := newSnapshot(all[0], platform.Inventory{Instances: list}, 2)
+		for g := range 30 {
+			group := fmt.Sprintf("group-%d", g)
+			is.Equal(m.HomesRanked(group), fresh.homesOf(group).ranked)
+			is.Equal(m.Homes(group), fresh.homesOf(group).nearest)
+			is.Equal(m.IsHome(group), fresh.homesOf(group).self)
+		}
+	}
+}
+
 func TestSubscribersHearChangesOnly(t *testing.T) {
 	is := is.New(t)
 	all := fleet(3)
@@ -176,3 +205,40 @@
 	is.NoErr(m.Refresh(t.Context()))
 	is.Equal(calls, 1)
 }
+
+// BenchmarkHomes finds the homes of one group that is not cached.
+func BenchmarkHomes(b *testing.B) {
+	for _, n := range []int{100, 1000, 7400} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			all := fleet(n)
+			s := newSnapshot(all[0], platform.Inventory{Instances: all}, 1)
+			for b.Loop() {
+				s.newHomeSet("orders-1")
+			}
+		})
+	}
+}
+
+// BenchmarkChange takes in a list in which one instance has left and another
+// has joined, with the homes of 15,000 groups known.
+func BenchmarkChange(b *testing.B) {
+	const groups = 15_000
+	for _, n := range []int{100, 1000, 7400} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			all := fleet(n + 1)
+			lists := []platform.Inventory{{Instances: all[:n]}, {Instances: all[1:]}}
+			s := newSnapshot(all[1], lists[0], 1)
+			for g := range groups {
+				s.homesOf(fmt.Sprintf("group-%d", g))
+			}
+			for i := 0; b.Loop(); i++ {
+				next := newSnapshot(all[1], lists[(i+1)%2], 1)
+				next.carry(s)
+				for g := range groups {
+					next.homesOf(fmt.Sprintf("group-%d", g))
+				}
+				s = next
+			}
+		})
+	}
+}
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -26,28 +26,62 @@
 	return d.Sum64()
 }
 
-// rank orders instances by their score for key, highest first.
-func rank(key string, instances []platform.Instance) []ranked {
-	list := make([]ranked, len(instances))
-	for i, instance := range instances {
-		list[i] = ranked{instance: instance, score: score(key, instance.ID)}
+// before orders by score, highest first.
+func before(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.instance.ID, b.instance.ID))
+}
+
+// pick returns the first n instances of each failure domain in the order of
+// their score for key. It hashes each instance once and sorts only those taken.
+func pick(key string, domains [][]platform.Instance, n int) []ranked {
+	var picked []ranked
+	for _, instances := range domains {
+		picked = append(picked, best(key, instances, n)...)
+	}
+	slices.SortFunc(picked, before)
+	return picked
+}
+
+// best returns the n instances with the highest scores for key, in order.
+func best(key string, instances []platform.Instance, n int) []ranked {
+	list := make([]ranked, 0, n+1)
+	for i := range instances {
+		s := score(key, instances[i].ID)
+		if len(list) == n && s < list[n-1].score {
+			continue
+		}
+		list = insert(list, ranked{instance: instances[i], score: s}, n)
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.instance.ID, b.instance.ID))
-	})
 	return list
 }
 
-// pick returns the first n instances of each failure domain in the order of
-// their score for key.
-func pick(key string, instances []platform.Instance, n int) []platform.Instance {
-	taken := make(map[string]int)
-	var picked []platform.Instance
-	for _, r := range rank(key, instances) {
-		if taken[r.instance.FailureDomain] < n {
-			taken[r.instance.FailureDomain]++
-			picked = append(picked, r.instance)
+// byDomain parts instances by failure domain.
+func byDomain(instances []platform.Instance) [][]platform.Instance {
+	index := make(map[string]int)
+	var domains [][]platform.Instance
+	for _, instance := range instances {
+		i, known := index[instance.FailureDomain]
+		if !known {
+			i = len(domains)
+			index[instance.FailureDomain] = i
+			domains = append(domains, nil)
 		}
+		domains[i] = append(domains[i], instance)
 	}
-	return picked
+	return domains
+}
+
+// insert puts r into an ordered list of at most n.
+func insert(list []ranked, r ranked, n int) []ranked {
+	at, _ := slices.BinarySearchFunc(list, r, before)
+	list = slices.Insert(list, at, r)
+	return list[:min(len(list), n)]
+}
+
+func instancesOf(list []ranked) []platform.Instance {
+	instances := make([]platform.Instance, len(list))
+	for i, r := range list {
+		instances[i] = r.instance
+	}
+	return instances
 }
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -14,6 +14,7 @@
 type snapshot struct {
 	self             platform.Instance
 	live             []platform.Instance
+	domains          [][]platform.Instance
 	peers            []platform.Instance
 	leaving          map[string]bool
 	perFailureDomain int
@@ -41,6 +42,7 @@
 		}
 	}
 	slices.SortFunc(s.live, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	s.domains = byDomain(s.live)
 	for _, i := range s.live {
 		if i.ID != self.ID {
 			s.peers = append(s.peers, i)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -74,21 +74,7 @@
 }
 
 // Key describes one key of the settings for the operators' pages.
-type Key struct {
-	Section  string
-	Name     string
-	Default  string
-	Required bool
-	Allowed  string
-	Meaning  string
-}
+type Key = inifile.KeyDoc
 
 // Keys lists every key in the order of the operators' page.
-func Keys() []Key {
-	keys := make([]Key, 0, len(schema.Keys))
-	for _, k := range schema.Keys {
-		keys = append(keys, Key{Section: k.Section, Name: k.Name, Default: k.Default,
-			Required: k.Required, Allowed: k.Kind.Allowed(), Meaning: k.Meaning})
-	}
-	return keys
-}
+func Keys() []Key { return schema.Docs() }
