Hold a seat before connecting: homes share a group's connections by the ledger

Cause: each home took its part of the total by counting homes in its own view of the membership; two views that differ would have passed the total.

Ruled out: stopping the homes from the drain and from the reconcile loop alike (the race detector showed both ends closing one manager).

Conclusion: a home connects to members only while it holds a seat of the group's ledger, and takes units only then. One hand stops each home.

--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -100,7 +100,7 @@
 		all = append(all, adminapi.PoolView{
 			Group: name,
 			Total: h.group.Connections,
-			Share: s.Limit,
+			Share: h.seats.Limit().Connections,
 			InUse: s.InUse,
 			Idle:  s.Idle,
 		})
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -16,12 +16,3 @@
 
 // Ready implements frontend.Directory.
 func (d documents) Ready() bool { return d.store.Ready() }
-
-// services returns all services in force.
-func (d documents) services() []*document.Service {
-	var all []*document.Service
-	for _, a := range d.store.All() {
-		all = append(all, a.Service)
-	}
-	return all
-}
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -11,24 +11,34 @@
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/retry"
+	"github.com/topazrock/topazrock/internal/shares"
 	"github.com/topazrock/topazrock/internal/upstream"
 )
 
-// home is what the instance runs for one group that it is home to.
+// home is what the instance runs for one group that it is home to. It asks for
+// a seat of the group's connections first; only with a seat does it connect to
+// members and take units.
 type home struct {
 	group    document.Group
 	watcher  *group.Watcher
+	claimer  *failover.Claimer
 	pool     *pool.Limited
 	gate     *admission.Controller
-	claimer  *failover.Claimer
 	executor *executor.Group
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	router   *executor.Router
+	seats    *shares.Manager
+
+	// stopSeats ends the manager of seats; seeking counts it.
+	stopSeats context.CancelFunc
+	seeking   sync.WaitGroup
+	// stopParts ends what needs the seat; parts counts it.
+	stopParts context.CancelFunc
+	parts     sync.WaitGroup
 }
 
 // newHome builds the parts of a home without starting them.
-func (n *Instance) newHome(g document.Group) *home {
-	h := &home{group: g}
+func (n *Instance) newHome(g document.Group, version int64) *home {
+	h := &home{group: g, router: n.router}
 	h.watcher = group.NewWatcher(group.Config{
 		Group:   g.Name,
 		Members: g.Members,
@@ -39,7 +49,21 @@
 		Metrics: n.metrics.group,
 	})
 	h.claimer = n.newClaimer(g, h.watcher)
-	h.pool = pool.New(pool.Config{
+	h.pool = n.newPool(g)
+	h.gate = admission.New(admission.Config{
+		Group:   g.Name,
+		Clock:   n.options.Clock,
+		Rand:    n.random("admission/" + g.Name),
+		Logger:  n.options.Logger,
+		Metrics: n.metrics.admission,
+	})
+	h.executor = n.newExecutor(g, h)
+	h.seats = n.newSeats(g, version, h)
+	return h
+}
+
+func (n *Instance) newPool(g document.Group) *pool.Limited {
+	return pool.New(pool.Config{
 		Group:   g.Name,
 		Clock:   n.options.Clock,
 		Rand:    n.random("pool/" + g.Name),
@@ -50,14 +74,10 @@
 		Logger:  n.options.Logger,
 		Metrics: n.metrics.pool,
 	})
-	h.gate = admission.New(admission.Config{
-		Group:   g.Name,
-		Clock:   n.options.Clock,
-		Rand:    n.random("admission/" + g.Name),
-		Logger:  n.options.Logger,
-		Metrics: n.metrics.admission,
-	})
-	h.executor = executor.NewGroup(executor.Config{
+}
+
+func (n *Instance) newExecutor(g document.Group, h *home) *executor.Group {
+	return executor.NewGroup(executor.Config{
 		Group:         g.Name,
 		Instance:      n.options.Settings.Instance.ID,
 		FailureDomain: n.options.Settings.Instance.FailureDomain,
@@ -77,7 +97,36 @@
 		Logger:  n.options.Logger,
 		Metrics: n.metrics.executor,
 	})
-	return h
+}
+
+func (n *Instance) newSeats(g document.Group, version int64, h *home) *shares.Manager {
+	return shares.New(shares.Config{
+		Group:       g.Name,
+		Self:        n.holder,
+		Clock:       n.options.Clock,
+		Rand:        n.random("shares/" + g.Name),
+		Platform:    n.options.Platform,
+		Peers:       n.client,
+		Logger:      n.options.Logger,
+		Metrics:     n.metrics.shares,
+		Connections: shares.Pool(h.pool),
+		Slots:       shares.Gate(h.gate),
+		Control:     len(g.Members),
+		SeatChanged: h.seatChanged,
+	}, allocation(g, version))
+}
+
+// allocation returns what a document says about a group's limits. Failure
+// domains are those of its members: each has entry instances of its own.
+func allocation(g document.Group, version int64) shares.Allocation {
+	a := shares.Allocation{
+		Document: version,
+		Total:    shares.Amount{Connections: g.Connections, Slots: g.Slots},
+	}
+	for _, m := range g.Members {
+		a.FailureDomains = append(a.FailureDomains, m.FailureDomain)
+	}
+	return a
 }
 
 func (n *Instance) opener(groupName string) *upstream.Opener {
@@ -92,19 +141,45 @@
 	}
 }
 
-// start runs the home's parts until stop.
-func (h *home) start(ctx context.Context) {
-	ctx, h.cancel = context.WithCancel(ctx)
-	h.run(func() { h.watcher.Run(ctx) })
-	h.run(func() { h.claimer.Run(ctx) })
-	h.run(func() { h.executor.Run(ctx) })
+// start asks for a seat and keeps it until stop.
+func (h *home) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stopSeats = cancel
+	h.seeking.Go(func() { h.seats.Run(ctx) })
+}
+
+// seatChanged starts what needs the seat, or ends it before the seat goes.
+func (h *home) seatChanged(seated bool) {
+	if !seated {
+		h.router.Retire(h.group.Name)
+		h.endParts()
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stopParts = cancel
+	h.parts.Go(func() { h.watcher.Run(ctx) })
+	h.parts.Go(func() { h.claimer.Run(ctx) })
+	h.parts.Go(func() { h.executor.Run(ctx) })
+	h.router.Add(h.executor)
 }
 
-func (h *home) run(f func()) { h.running.Go(f) }
+// endParts closes the control connections and returns when they are closed.
+func (h *home) endParts() {
+	if h.stopParts == nil {
+		return
+	}
+	h.stopParts()
+	h.parts.Wait()
+}
 
-// stop ends the parts and closes every connection to members.
-func (h *home) stop(ctx context.Context) {
+// stop gives the seat back and closes every connection to members. An error
+// says that the platform could not be told; the seat is then found again by
+// proof once another process answers at this instance's address.
+func (h *home) stop(ctx context.Context) error {
+	h.stopSeats()
+	h.seeking.Wait()
+	err := h.seats.Close(ctx)
+	h.endParts()
 	_ = h.pool.Close(ctx)
-	h.cancel()
-	h.running.Wait()
+	return err
 }
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -42,27 +42,35 @@
 func (n *Instance) reconcile(ctx context.Context) {
 	wanted := n.wantedGroups()
 	for name, h := range n.homesCopy() {
-		g, ok := wanted[name]
-		if !ok || !sameMembers(g, h.group) {
+		w, ok := wanted[name]
+		if !ok || !sameMembers(w.Group, h.group) {
 			n.retire(ctx, h)
 		}
 	}
-	for name, g := range wanted {
+	for name, w := range wanted {
 		h := n.home(name)
 		if h == nil {
-			h = n.addHome(ctx, g)
+			h = n.addHome(w)
+		}
+		if h != nil {
+			n.adjust(h, w)
 		}
-		n.adjust(h, g)
 	}
 }
 
+// wantedGroup is a group and the version of the document that names it.
+type wantedGroup struct {
+	document.Group
+	version int64
+}
+
 // wantedGroups returns the groups that this instance should be home to.
-func (n *Instance) wantedGroups() map[string]document.Group {
-	wanted := make(map[string]document.Group)
-	for _, s := range n.documents.services() {
-		for _, g := range s.Groups {
+func (n *Instance) wantedGroups() map[string]wantedGroup {
+	wanted := make(map[string]wantedGroup)
+	for _, a := range n.store.All() {
+		for _, g := range a.Service.Groups {
 			if n.members.IsHome(g.Name) {
-				wanted[g.Name] = g
+				wanted[g.Name] = wantedGroup{Group: g, version: a.Version}
 			}
 		}
 	}
@@ -71,31 +79,36 @@
 
 func sameMembers(a, b document.Group) bool { return slices.Equal(a.Members, b.Members) }
 
-func (n *Instance) addHome(ctx context.Context, g document.Group) *home {
-	h := n.newHome(g)
-	n.adjust(h, g)
-	h.start(ctx)
+// addHome starts a home. It returns nil while an earlier home of the group is
+// still ending: two of them would hold two seats' connections.
+func (n *Instance) addHome(w wantedGroup) *home {
+	n.mu.Lock()
+	ending := n.ending[w.Name]
+	n.mu.Unlock()
+	if ending {
+		return nil
+	}
+	h := n.newHome(w.Group, w.version)
 	n.mu.Lock()
-	n.homeOf[g.Name] = h
+	n.homeOf[w.Name] = h
 	n.mu.Unlock()
-	n.router.Add(h.executor)
-	n.options.Logger.Info("Home of a group was started.", "group", g.Name)
+	n.seats.Add(h.seats)
+	h.start()
+	n.options.Logger.Info("Home of a group was started.", "group", w.Name)
 	return h
 }
 
 // adjust passes on what may change while a home runs: limits and leaving members.
-func (n *Instance) adjust(h *home, g document.Group) {
+func (n *Instance) adjust(h *home, w wantedGroup) {
 	var leaving []string
-	for _, m := range g.Members {
+	for _, m := range w.Members {
 		if n.members.Leaving(m.Address) {
 			leaving = append(leaving, m.Address)
 		}
 	}
 	h.watcher.SetLeaving(leaving)
 	h.pool.SetLeaving(leaving)
-	homeCount := max(1, len(n.members.Homes(g.Name)))
-	h.pool.SetLimit(max(1, g.Connections/homeCount-len(g.Members)))
-	h.gate.SetSlots(max(1, g.Slots/homeCount))
+	h.seats.SetAllocation(allocation(w.Group, w.version))
 }
 
 // retire stops new units at once and the home itself when the units at work and
@@ -104,6 +117,7 @@
 	n.router.Retire(h.group.Name)
 	n.mu.Lock()
 	delete(n.homeOf, h.group.Name)
+	n.ending[h.group.Name] = true
 	n.mu.Unlock()
 	n.options.Logger.Info("Home of a group is retired.", "group", h.group.Name)
 	n.running.Go(func() { n.finishRetired(ctx, h) })
@@ -117,14 +131,34 @@
 		}
 	}
 	n.router.Remove(h.executor)
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	h.stop(stopCtx)
+	n.stopHome(ctx, h)
+	n.mu.Lock()
+	delete(n.ending, h.group.Name)
+	n.mu.Unlock()
+	n.noteChange()
+}
+
+// stopHome stops a home and tries again while the platform does not take the
+// seat back, until ctx ends.
+func (n *Instance) stopHome(ctx context.Context, h *home) {
+	for {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		err := h.stop(bounded)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		n.options.Logger.Warn("Seat was not given back yet.", "group", h.group.Name, "error", err)
+		if clock.Sleep(ctx, n.options.Clock, stopTimeout) != nil {
+			break
+		}
+	}
+	n.seats.Remove(h.group.Name)
 }
 
 const (
-	// retirePoll is the time between two looks at a retired home's transactions.
+	// retirePoll is the time between two looks at a retired home's units.
 	retirePoll = 50 * time.Millisecond
-	// stopTimeout bounds the closing of a home's connections.
+	// stopTimeout bounds one attempt to close a home's connections.
 	stopTimeout = 2 * time.Second
 )
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
 
 	"github.com/topazrock/topazrock/internal/adminapi"
@@ -21,6 +22,7 @@
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/shares"
 )
 
 // Instance is one entry instance.
@@ -41,11 +43,20 @@
 	// stop is closed when an operator asks for a drain.
 	stop     chan struct{}
 	stopOnce func()
-	// running counts the goroutines that Run waits for.
-	running sync.WaitGroup
+	// running counts the goroutines that Run waits for; reconciling is the one
+	// among them that starts and retires homes.
+	running     sync.WaitGroup
+	reconciling sync.WaitGroup
+
+	// seats routes peers' calls to the managers of seats; holder names this
+	// process to them.
+	seats  *shares.Directory
+	holder shares.Holder
 
 	mu     sync.Mutex
 	homeOf map[string]*home
+	// ending holds the groups whose last home has not ended yet.
+	ending map[string]bool
 }
 
 // New builds an instance that does nothing before Run.
@@ -56,6 +67,7 @@
 		changed: make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		homeOf:  make(map[string]*home),
+		ending:  make(map[string]bool),
 	}
 	n.stopOnce = sync.OnceFunc(func() { close(n.stop) })
 	n.build()
@@ -104,6 +116,9 @@
 	})
 	n.registerCancel()
 	n.serveTestimony()
+	n.holder = n.newHolder()
+	n.seats = shares.NewDirectory(n.holder.Incarnation)
+	n.seats.Register(n.peers)
 	n.admin = n.newAdmin()
 }
 
@@ -117,6 +132,18 @@
 	}
 }
 
+// newHolder names this process. The incarnation differs for every process, also
+// of one instance, as long as the seed does.
+func (n *Instance) newHolder() shares.Holder {
+	s := n.options.Settings
+	return shares.Holder{
+		Instance:      s.Instance.ID,
+		Incarnation:   strconv.FormatUint(n.random("incarnation").Uint64(), 36),
+		Address:       s.Peer.Address,
+		FailureDomain: s.Instance.FailureDomain,
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully. It returns an error
 // when the instance could not start.
 func (n *Instance) Run(ctx context.Context) error {
@@ -131,7 +158,7 @@
 	n.members.Subscribe(n.noteChange)
 	n.running.Go(func() { _ = n.members.Run(parts) })
 	n.running.Go(func() { _ = n.store.Run(parts) })
-	n.running.Go(func() { n.runHomes(parts) })
+	n.reconciling.Go(func() { n.runHomes(parts) })
 	n.running.Go(func() { n.serveAdmin(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.frontend.Serve(callers) })
@@ -186,10 +213,12 @@
 func (n *Instance) shutdown(peers net.Listener, stop context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	// A home is stopped by one hand only: here, or where it was retired.
+	stop()
+	n.reconciling.Wait()
 	for _, h := range n.homesCopy() {
-		h.stop(ctx)
+		n.stopHome(ctx, h)
 	}
-	stop()
 	n.frontend.Close()
 	peers.Close()
 	n.peers.Close()
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/retry"
+	"github.com/topazrock/topazrock/internal/shares"
 )
 
 // metrics holds every part's metrics, registered once for the instance.
@@ -24,6 +25,7 @@
 	membership *membership.Metrics
 	pool       *pool.Metrics
 	retry      *retry.Metrics
+	shares     *shares.Metrics
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -37,5 +39,6 @@
 		membership: membership.NewMetrics(r),
 		pool:       pool.NewMetrics(r),
 		retry:      retry.NewMetrics(r),
+		shares:     shares.NewMetrics(r),
 	}
 }
