--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -378,3 +378,9 @@
 		x.t.Errorf("seed %d: %d of %d acknowledged writes are lost, the first %s", x.seed, len(lost), len(x.acked), lost[0])
 	}
 }
+
+func (x *cluster) ackedCount() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.acked)
+}
