Confirm a write only by a report of the term in which it was sent

Cause: the executor took the term of a write's mark from the report pipelined behind the commit. A member can be fenced, drop the commit with its tail and lead again before that report runs; the mark of the later term is confirmed and the caller hears that a lost write succeeded. A random schedule of faults showed it in the failover tests, whose writer did the same.

Ruled out: comparing with the tracker's term at confirmation; it may have moved on together with the member.

Conclusion: exchanges and transactions carry the term that the primary led in before anything was sent, and the report has to match it.

--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/member"
 	"github.com/topazrock/topazrock/internal/member/pgcontrol"
 	"github.com/topazrock/topazrock/internal/upstream"
@@ -27,6 +28,8 @@
 	committed bool
 	// keyOutcome is the row that a look-up of a key returned.
 	keyOutcome string
+	// term is the one that the member led in when the exchange was begun.
+	term logpos.Term
 	// status is the report pipelined behind the unit; nil when it was not asked
 	// for or failed.
 	status *member.Status
--- a/internal/executor/intransaction.go
+++ b/internal/executor/intransaction.go
@@ -26,6 +26,7 @@
 		return nil, err
 	}
 	x := newExchange(tx.conn, u, p.limits.AnswerBuffer, partial)
+	x.term = tx.term
 	err = g.converseIn(ctx, u, p, x, tx)
 	release()
 	if err != nil {
@@ -88,7 +89,7 @@
 	if x.answer.completed == 0 {
 		return g.reply(tx.token, x, false), nil
 	}
-	mark, err := g.confirm(ctx, p, x.status)
+	mark, err := g.confirm(ctx, p, x)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/executor/key.go
+++ b/internal/executor/key.go
@@ -6,9 +6,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/logpos"
-	"github.com/topazrock/topazrock/internal/member"
 	"github.com/topazrock/topazrock/internal/result"
-	"github.com/topazrock/topazrock/internal/upstream"
 )
 
 // keyRefused answers a keyed unit whose key row could not be inserted. The
@@ -78,10 +76,11 @@
 // block makes one attempt to insert the tombstone. The second value is false
 // when the attempt showed nothing and may be made again.
 func (g *Group) block(ctx context.Context, key string) (error, bool) {
-	failure, status, err := g.control(ctx, insertKey(key, keyBlocked))
+	x, err := g.control(ctx, insertKey(key, keyBlocked))
 	if err != nil {
 		return nil, false
 	}
+	failure := x.keyFailure
 	if failure != nil && failure.Code == uniqueViolation {
 		settled := g.lookUpKey(ctx, key)
 		e, _ := result.As(settled)
@@ -90,50 +89,38 @@
 	if failure != nil {
 		return nil, false
 	}
-	if _, err := g.confirmStatus(ctx, status); err != nil {
+	if _, err := g.confirmStatus(ctx, x); err != nil {
 		return nil, false
 	}
 	return result.New(result.TombstoneWritten, "key %q", key), true
 }
 
 func (g *Group) readKey(ctx context.Context, key string) (string, error) {
-	c, err := g.primaryConn(ctx)
+	x, err := g.control(ctx, selectKey(key))
 	if err != nil {
 		return "", err
 	}
-	defer g.Pool.Release(c)
-	x := newKeyExchange(c)
-	if err := x.run([]part{queryPart(partKey, selectKey(key)), statusPart()}); err != nil {
-		return "", err
-	}
 	if x.keyFailure != nil {
 		return "", result.New(result.TombstoneFailed, "%s", x.keyFailure.Message)
 	}
-	if _, err := g.confirmStatus(ctx, x.status); err != nil {
+	if _, err := g.confirmStatus(ctx, x); err != nil {
 		return "", err
 	}
 	return x.keyOutcome, nil
 }
 
 // control runs one statement about keys at the present primary.
-func (g *Group) control(ctx context.Context, sql string) (*pgproto3.ErrorResponse, *member.Status, error) {
-	c, err := g.primaryConn(ctx)
+func (g *Group) control(ctx context.Context, sql string) (*exchange, error) {
+	x, err := g.keyExchange(ctx)
 	if err != nil {
-		return nil, nil, err
-	}
-	defer g.Pool.Release(c)
-	x := newKeyExchange(c)
-	if err := x.run([]part{queryPart(partKey, sql), statusPart()}); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	return x.keyFailure, x.status, nil
+	defer g.Pool.Release(x.conn)
+	return x, x.run([]part{queryPart(partKey, sql), statusPart()})
 }
 
-func newKeyExchange(c *upstream.Conn) *exchange {
-	return newExchange(c, &execution.Unit{}, 0, nil)
-}
-
-func (g *Group) primaryConn(ctx context.Context) (*upstream.Conn, error) {
+// keyExchange begins an exchange at the present primary.
+func (g *Group) keyExchange(ctx context.Context) (*exchange, error) {
 	s, err := g.writablePrimary()
 	if err != nil {
 		return nil, err
@@ -142,10 +129,16 @@
 	if err != nil {
 		return nil, err
 	}
+	x := newExchange(c, &execution.Unit{}, 0, nil)
+	x.term = s.Term
 	deadline, _ := ctx.Deadline()
-	return c, c.SetDeadline(deadline)
+	if err := c.SetDeadline(deadline); err != nil {
+		g.Pool.Release(c)
+		return nil, err
+	}
+	return x, nil
 }
 
-func (g *Group) confirmStatus(ctx context.Context, s *member.Status) (logpos.Mark, error) {
-	return g.confirm(ctx, plan{limits: g.Service().Limits}, s)
+func (g *Group) confirmStatus(ctx context.Context, x *exchange) (logpos.Mark, error) {
+	return g.confirm(ctx, plan{limits: g.Service().Limits}, x)
 }
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -13,6 +13,8 @@
 	id      string
 	conn    *upstream.Conn
 	replica bool
+	// term is the one that the member led in when the transaction was begun.
+	term logpos.Term
 	// token is what the session must see at least after the transaction.
 	token logpos.Token
 
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -51,6 +51,7 @@
 		return nil, err
 	}
 	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
+	x.term = s.Term
 	err = g.converse(ctx, u, p, x)
 	release()
 	if err != nil {
@@ -119,7 +120,7 @@
 		// Nothing took effect, so there is nothing to confirm.
 		return g.reply(u.Token, x, false), nil
 	}
-	mark, err := g.confirm(ctx, p, x.status)
+	mark, err := g.confirm(ctx, p, x)
 	if err != nil {
 		return nil, err
 	}
@@ -140,8 +141,14 @@
 // confirm waits until the group confirms what the primary reported behind the
 // unit. The check comes after the answer, so that an instance that was frozen
 // between sending and here cannot pass on the answer of a replaced primary.
-func (g *Group) confirm(ctx context.Context, p plan, s *member.Status) (logpos.Mark, error) {
-	if s == nil || s.Role != member.RolePrimary || s.Last.Term != s.Entered {
+//
+// The report must be of the term that the member led in before anything was
+// sent. Between the commit and the report behind it a member may be fenced, drop
+// the commit with its tail, and lead again; positions of that later term would
+// confirm a write that is gone.
+func (g *Group) confirm(ctx context.Context, p plan, x *exchange) (logpos.Mark, error) {
+	s := x.status
+	if s == nil || s.Role != member.RolePrimary || s.Entered != x.term || s.Last.Term != x.term {
 		return logpos.Mark{}, result.New(result.PrimaryReplaced, "the member no longer leads")
 	}
 	ctx, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
