Check the claim of a term with a state machine

Cause: the failover tests place one lost answer; interleavings of late updates, lost answers and rival claims were not searched.

Conclusion: a term is won by one claim at most, and by the one that the platform holds.

--- /dev/null
+++ b/internal/failover/claim_model_test.go
@@ -0,0 +1,264 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// hurried is a clock whose timers fire at once; the model moves Now by hand.
+type hurried struct{ now time.Time }
+
+// Now implements clock.Clock.
+func (h *hurried) Now() time.Time { return h.now }
+
+// NewTimer implements clock.Clock.
+func (h *hurried) NewTimer(time.Duration) *time.Timer { return time.NewTimer(0) }
+
+// fixedView is a view that the model replaces.
+type fixedView struct {
+	View
+	snapshot *group.Snapshot
+}
+
+// Snapshot implements View.
+func (v *fixedView) Snapshot() *group.Snapshot { return v.snapshot }
+
+// platformCall is one call of a claimer to the platform that the model has not answered.
+type platformCall struct {
+	put       []byte // nil for a Get
+	ifVersion int64
+	answer    chan platformAnswer
+}
+
+type platformAnswer struct {
+	object platform.Object
+	err    error
+}
+
+// modelClaimer is a claimer, its calls, and the claim it has in progress.
+type modelClaimer struct {
+	platform.API
+	guard *guard
+	view  *fixedView
+	calls chan *platformCall
+	done  chan claimResult
+	// pending is the unanswered call; nil when no claim is in progress.
+	pending *platformCall
+}
+
+type claimResult struct {
+	won claim
+	err error
+}
+
+// Get implements platform.API.
+func (c *modelClaimer) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	return c.call(&platformCall{})
+}
+
+// Put implements platform.API.
+func (c *modelClaimer) Put(_ context.Context, _ platform.Kind, _ string, value []byte, ifVersion int64) (platform.Object, error) {
+	return c.call(&platformCall{put: value, ifVersion: ifVersion})
+}
+
+func (c *modelClaimer) call(p *platformCall) (platform.Object, error) {
+	p.answer = make(chan platformAnswer)
+	c.calls <- p
+	a := <-p.answer
+	return a.object, a.err
+}
+
+// claimModel is the group's object, its claimers, and the puts that are still on
+// their way although their claimers gave up on them.
+type claimModel struct {
+	clock    *hurried
+	object   platform.Object
+	claimers []*modelClaimer
+	delayed  []*platformCall
+	// granted is which claim the object gave each term to, and won which claim
+	// a claimer believes to have won it by.
+	granted map[logpos.Term]string
+	won     map[logpos.Term]string
+	highest logpos.Term
+}
+
+func newClaimModel() *claimModel {
+	m := &claimModel{
+		clock:   &hurried{now: time.Unix(1000, 0)},
+		granted: map[logpos.Term]string{},
+		won:     map[logpos.Term]string{},
+	}
+	for i := range 3 {
+		c := &modelClaimer{view: &fixedView{snapshot: lostPrimary(1)}, calls: make(chan *platformCall), done: make(chan claimResult)}
+		settings := DefaultSettings()
+		settings.Platform = time.Hour // the model decides which calls are late
+		c.guard = newGuard(New(Config{
+			Group: "g", Self: platform.Instance{ID: fmt.Sprint("i", i)}, View: c.view, Platform: c,
+			Clock: m.clock, Rand: rand.New(rand.NewPCG(1, uint64(i))), Settings: settings,
+		}))
+		m.claimers = append(m.claimers, c)
+	}
+	return m
+}
+
+// lostPrimary is a group of three whose primary fails in the term.
+func lostPrimary(term logpos.Term) *group.Snapshot {
+	seen := time.Unix(999, 0)
+	return &group.Snapshot{Group: "g", Term: term, Primary: "p", Members: []group.MemberView{
+		{Address: "p", Failing: seen, Failures: 9}, {Address: "q", SeenAt: seen}, {Address: "r", SeenAt: seen},
+	}}
+}
+
+// start begins a claim at an idle claimer.
+func (m *claimModel) start(t *rapid.T) {
+	c := m.pick(t, func(c *modelClaimer) bool { return c.pending == nil })
+	s := c.view.snapshot
+	go func() {
+		won, err := c.guard.claim(context.Background(), s, verdict{cause: CauseLost})
+		c.done <- claimResult{won, err}
+	}()
+	m.advance(t, c)
+}
+
+// advance waits for the claimer's next call or the end of its claim.
+func (m *claimModel) advance(t *rapid.T, c *modelClaimer) {
+	select {
+	case c.pending = <-c.calls:
+	case r := <-c.done:
+		c.pending = nil
+		m.end(t, r)
+	}
+}
+
+func (m *claimModel) end(t *rapid.T, r claimResult) {
+	if r.err != nil {
+		if !errors.Is(r.err, ErrLostClaim) && !errors.Is(r.err, ErrRivalClaim) && !errors.Is(r.err, platform.ErrUnavailable) {
+			t.Fatalf("claim ended with %v", r.err)
+		}
+		return
+	}
+	term, id := r.won.record.Term, r.won.record.Claim
+	if other, ok := m.won[term]; ok {
+		t.Fatalf("term %d was won by %s and by %s", term, other, id)
+	}
+	if m.granted[term] != id {
+		t.Fatalf("term %d was won by %s; the platform gave it to %q", term, id, m.granted[term])
+	}
+	m.won[term] = id
+}
+
+// answer ends a pending call in one of the ways that a platform can.
+func (m *claimModel) answer(t *rapid.T) {
+	c := m.pick(t, func(c *modelClaimer) bool { return c.pending != nil })
+	p := c.pending
+	var a platformAnswer
+	switch fault := rapid.IntRange(0, 5).Draw(t, "fault"); {
+	case fault == 0:
+		a.err = platform.ErrUnavailable
+	case fault == 1 && p.put != nil: // takes effect, and the answer is lost
+		_, _ = m.apply(t, p)
+		a.err = platform.ErrOutcomeUnknown
+	case fault == 2 && p.put != nil: // lost on the way
+		a.err = platform.ErrOutcomeUnknown
+	case fault == 3 && p.put != nil: // takes effect later, if it still can
+		m.delayed = append(m.delayed, p)
+		a.err = platform.ErrOutcomeUnknown
+	default:
+		a.object, a.err = m.apply(t, p)
+	}
+	p.answer <- a
+	m.advance(t, c)
+}
+
+// arrive lets a delayed put reach the platform.
+func (m *claimModel) arrive(t *rapid.T) {
+	if len(m.delayed) == 0 {
+		t.Skip("none is delayed")
+	}
+	k := rapid.IntRange(0, len(m.delayed)-1).Draw(t, "delayed")
+	p := m.delayed[k]
+	m.delayed = append(m.delayed[:k], m.delayed[k+1:]...)
+	_, _ = m.apply(t, p)
+}
+
+// apply does what the platform promises.
+func (m *claimModel) apply(t *rapid.T, p *platformCall) (platform.Object, error) {
+	switch {
+	case p.put == nil && m.object.Version == 0:
+		return platform.Object{}, platform.ErrNotFound
+	case p.put == nil:
+		return m.object, nil
+	case p.ifVersion != m.object.Version:
+		return platform.Object{}, platform.ErrConflict
+	}
+	m.object = platform.Object{Version: m.object.Version + 1, Value: p.put}
+	r, err := decodeRecord(p.put)
+	if err != nil || r.Term <= m.highest {
+		t.Fatalf("record %s after term %d: %v", p.put, m.highest, err)
+	}
+	m.highest, m.granted[r.Term] = r.Term, r.Claim
+	return m.object, nil
+}
+
+// passTime lets rival claims run out.
+func (m *claimModel) passTime(t *rapid.T) {
+	m.clock.now = m.clock.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+}
+
+// learn shows an idle claimer the highest term that was claimed.
+func (m *claimModel) learn(t *rapid.T) {
+	c := m.pick(t, func(c *modelClaimer) bool { return c.pending == nil })
+	c.view.snapshot = lostPrimary(max(m.highest, 1))
+}
+
+func (m *claimModel) pick(t *rapid.T, fit func(*modelClaimer) bool) *modelClaimer {
+	var fits []*modelClaimer
+	for _, c := range m.claimers {
+		if fit(c) {
+			fits = append(fits, c)
+		}
+	}
+	if len(fits) == 0 {
+		t.Skip("no claimer fits")
+	}
+	return rapid.SampledFrom(fits).Draw(t, "claimer")
+}
+
+// drain answers what is pending so that no goroutine is left.
+func (m *claimModel) drain(t *rapid.T) {
+	for _, c := range m.claimers {
+		for c.pending != nil {
+			a := platformAnswer{}
+			a.object, a.err = m.apply(t, c.pending)
+			c.pending.answer <- a
+			m.advance(t, c)
+		}
+	}
+}
+
+// Claimers claim terms at a platform that fails, loses answers and applies
+// updates late. However the calls interleave, a term is won by one claim at
+// most, it is the one that the platform holds, and terms only rise.
+func TestClaimModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newClaimModel()
+		defer m.drain(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"start":    m.start,
+			"answer":   m.answer,
+			"arrive":   m.arrive,
+			"passTime": m.passTime,
+			"learn":    m.learn,
+		})
+	})
+}
