--- a/internal/executor/bounds.go
+++ b/internal/executor/bounds.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"github.com/topazrock/topazrock/internal/execution"
 )
 
 const (
@@ -19,12 +21,23 @@
 	maxReadAttempts = 3
 	// tokenWait bounds the wait for a token's term to be learned.
 	tokenWait = 500 * time.Millisecond
+	// settleReserve is the time that a keyed request keeps for settling its
+	// outcome: about a failover and two round trips.
+	settleReserve = time.Second
 	// reapInterval is how often idle transactions are looked for.
 	reapInterval = time.Second
 )
 
-func (g *Group) statementDeadline(ctx context.Context, p plan) time.Time {
-	return earlier(ctx, g.Clock.Now().Add(p.limits.StatementTimeout))
+// statementDeadline bounds the member's answer to one unit. A keyed request
+// keeps a part of its time back: its outcome can still be settled when the
+// connection goes silent, but not after the caller's deadline.
+func (g *Group) statementDeadline(ctx context.Context, u *execution.Unit, p plan) time.Time {
+	now := g.Clock.Now()
+	deadline := earlier(ctx, now.Add(p.limits.StatementTimeout))
+	if p.keyed(u) {
+		deadline = deadline.Add(-min(settleReserve, deadline.Sub(now)/2))
+	}
+	return deadline
 }
 
 func (g *Group) confirmDeadline(ctx context.Context, p plan) time.Time {
--- a/internal/executor/intransaction.go
+++ b/internal/executor/intransaction.go
@@ -39,7 +39,7 @@
 }
 
 func (g *Group) converseIn(ctx context.Context, u *execution.Unit, p plan, x *exchange, tx *transaction) error {
-	if err := tx.conn.SetDeadline(g.statementDeadline(ctx, p)); err != nil {
+	if err := tx.conn.SetDeadline(g.statementDeadline(ctx, u, p)); err != nil {
 		return err
 	}
 	var parts []part
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -159,7 +159,7 @@
 
 // converseRead is converse without the report of a primary.
 func (g *Group) converseRead(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
-	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p)); err != nil {
+	if err := x.conn.SetDeadline(g.statementDeadline(ctx, u, p)); err != nil {
 		return err
 	}
 	var parts []part
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -64,7 +64,7 @@
 
 // converse runs the unit's exchange within the statement's time.
 func (g *Group) converse(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
-	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p)); err != nil {
+	if err := x.conn.SetDeadline(g.statementDeadline(ctx, u, p)); err != nil {
 		return err
 	}
 	g.running.start(u.ID, x.conn)
--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -243,3 +243,28 @@
 func (d bedDialer) DialTimeout(_, address string, _ time.Duration) (net.Conn, error) {
 	return d.Dial("", address)
 }
+
+// answered returns how many units of a class were answered by a kind of member,
+// over all instances.
+func (b *bed) answered(class, kind string) float64 {
+	sum := 0.0
+	for _, n := range b.instances {
+		families, err := n.options.Registry.Gather()
+		b.is.NoErr(err)
+		for _, f := range families {
+			if f.GetName() != "topazrock_units_total" {
+				continue
+			}
+			for _, m := range f.GetMetric() {
+				labels := map[string]string{}
+				for _, l := range m.GetLabel() {
+					labels[l.GetName()] = l.GetValue()
+				}
+				if labels["class"] == class && labels["member"] == kind {
+					sum += m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/instance/once_test.go
@@ -0,0 +1,87 @@
+package instance
+
+import (
+	"testing"
+	"time"
+)
+
+const payFee = "INSERT INTO kv (k, v) VALUES ('fee', 'paid') /*request='fee-payment',key='42'*/"
+
+// A family pays a fee and sends the same request again, through another
+// instance: the second is told that it ran before, and runs nothing.
+func TestSecondArrivalIsToldThatItRan(t *testing.T) {
+	inBed(t, func(b *bed) {
+		b.exec(b.mustConnect(0, ""), payFee)
+		c := b.mustConnect(1, "")
+		_, err := c.Exec(ctx, payFee)
+		b.is.Equal(state(err), "TR001")
+		b.is.Equal(b.value(c, "fee", freshRead), "paid")
+	})
+}
+
+// The answer to a payment is lost because the path to the primary goes silent
+// right after the commit. The instance settles the outcome itself: the family
+// hears that it ran, or that it never will, and never that it can be repeated.
+func TestLostAnswerIsSettled(t *testing.T) {
+	inBed(t, func(b *bed) {
+		c := b.mustConnect(0, "")
+		b.nodes[0].SetHook(func(point string) {
+			if point == "commit.after_before_answer" {
+				b.nodes[0].SetHook(func(string) {})
+				b.net.Silence(instanceHost(0), memberHost(0))
+			}
+		})
+		_, err := c.Exec(ctx, payFee)
+		b.is.Equal(state(err), "TR001")
+		b.is.Equal(b.value(b.mustConnect(1, ""), "fee", freshRead), "paid")
+	})
+}
+
+// The primary dies before a payment commits. The request's key is blocked at the
+// new primary, which proves that the payment can never run; a later arrival of
+// the same key is told the same.
+func TestPaymentThatDiedWithItsPrimaryNeverRuns(t *testing.T) {
+	inBed(t, func(b *bed) {
+		c := b.mustConnect(1, "")
+		b.nodes[0].SetHook(func(point string) {
+			if point == "commit.before" {
+				b.nodes[0].SetHook(func(string) {})
+				go b.nodes[0].Kill()
+				time.Sleep(time.Second)
+			}
+		})
+		_, err := c.Exec(ctx, payFee)
+		b.is.Equal(state(err), "TD020")
+		later := b.mustConnect(2, "")
+		_, err = later.Exec(ctx, payFee)
+		b.is.Equal(state(err), "TD020")
+		b.is.Equal(b.count(later), 0)
+	})
+}
+
+// A payment inside of the caller's own transaction uses its key up only if the
+// transaction commits.
+func TestKeyInTheCallersTransaction(t *testing.T) {
+	inBed(t, func(b *bed) {
+		c := b.mustConnect(0, "")
+		tx, err := c.Begin(ctx)
+		b.is.NoErr(err)
+		_, err = tx.Exec(ctx, payFee)
+		b.is.NoErr(err)
+		b.is.NoErr(tx.Rollback(ctx))
+		b.is.Equal(b.count(c), 0)
+		tx, err = c.Begin(ctx)
+		b.is.NoErr(err)
+		_, err = tx.Exec(ctx, payFee)
+		b.is.NoErr(err)
+		b.is.NoErr(tx.Commit(ctx))
+		tx, err = c.Begin(ctx)
+		b.is.NoErr(err)
+		_, err = tx.Exec(ctx, payFee)
+		b.is.Equal(state(err), "TR001")
+		_, err = tx.Exec(ctx, "SELECT 1")
+		b.is.Equal(state(err), "25P02")
+		b.is.NoErr(tx.Rollback(ctx))
+		b.is.Equal(b.value(c, "fee", freshRead), "paid")
+	})
+}
