--- a/internal/standin/slopes/stores.go
+++ b/internal/standin/slopes/stores.go
@@ -43,7 +43,7 @@
 	// before is the memory in use when the platform held the documents and
 	// neither instance was there.
 	before float64
-	stop         func()
+	stop   func()
 }
 
 // startStores starts both with n documents in the platform, and waits until
