Tell versions in force from the last list while the platform is down

Cause: during an outage 'topazrock versions' answered platform unavailable, just when an operator asks what is in force.

The administration API falls back to the last list of instances that was read.

--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/build"
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/platform"
 )
 
 // newAdmin builds the administration API over the instance's parts.
@@ -22,7 +23,7 @@
 	parts := adminapi.Parts{
 		Identity:  identity,
 		Documents: stored,
-		Fleet:     adminapi.NewPeerFleet(identity, n.options.Platform, n.client, stored),
+		Fleet:     adminapi.NewPeerFleet(identity, adminInventory{n}, n.client, stored),
 		Groups:    adminGroups{n},
 		Pools:     adminPools{n},
 		Peers:     adminPeers{n},
@@ -33,6 +34,20 @@
 	return adminapi.New(c, parts, n.options.Network, n.options.Clock, n.options.Logger)
 }
 
+// adminInventory lists instances for the administration API. While the platform
+// does not answer, it is the last list that did: an operator who asks what is
+// in force during an outage asks about these.
+type adminInventory struct{ instance *Instance }
+
+// Inventory implements adminapi.Inventory.
+func (i adminInventory) Inventory(ctx context.Context) (platform.Inventory, error) {
+	list, err := i.instance.options.Platform.Inventory(ctx)
+	if err != nil {
+		return platform.Inventory{Instances: i.instance.members.Live()}, nil
+	}
+	return list, nil
+}
+
 // adminDocuments shows the store of documents to the administration API.
 type adminDocuments struct{ store *config.Store }
 
