--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -71,7 +71,6 @@
 	config Config
 	ledger *ledger
 	others *recent
-	line   timeline
 	gaps   []gap
 }
 
@@ -101,7 +100,6 @@
 func (b *bench) run(ctx context.Context) (*Report, error) {
 	b.say("Started the platform, %d groups of %d members and %d instances in %d failure domains (seed %d).",
 		b.profile.groups, len(b.profile.domains), b.profile.instances, len(b.profile.domains), b.config.Seed)
-	b.watch()
 	pause(ctx, warmUp)
 	b.say("%d callers begin; they roam between the instances.", b.config.Sessions)
 	began := time.Now()
@@ -134,16 +132,6 @@
 	}
 }
 
-// watch hooks the timeline to the platform and to the members of the group
-// whose primary is lost.
-func (b *bench) watch() {
-	b.store.SetHook(b.line.platformPoint)
-	majority := len(b.nodes[faultGroup])/2 + 1
-	for i, n := range b.nodes[faultGroup] {
-		n.SetHook(b.line.memberPoint(b.members[faultGroup][i], majority))
-	}
-}
-
 // dial opens a caller's connection to an entry instance.
 func (b *bench) dial(ctx context.Context, entry, group int, token string) (*pgx.Conn, error) {
 	c, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
--- a/internal/standin/bench/faults.go
+++ b/internal/standin/bench/faults.go
@@ -4,13 +4,15 @@
 	"context"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/failover"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 )
 
 // gap is how long writes were impossible after one loss of a primary.
 type gap struct {
 	total time.Duration
-	split map[string]time.Duration
+	// claimer is how its claimer saw the failover, phase by phase.
+	claimer failover.Gap
 }
 
 // placeFaults places the configured fault, as often as configured.
@@ -56,7 +58,7 @@
 	lost := b.primary(faultGroup)
 	node, domain := b.nodes[faultGroup][lost], b.domains[host(b.members[faultGroup][lost])]
 	now := time.Now()
-	b.line.begin(now)
+	b.forgetFailovers()
 	b.ledger.markGap(faultGroup, now)
 	undo := node.Restart
 	if b.config.Fault == FaultPrimaryKill {
@@ -71,7 +73,7 @@
 			return nil
 		}
 	}
-	err := b.awaitWrites(ctx)
+	err := b.awaitWrites(ctx, now)
 	if last || err != nil {
 		return err
 	}
@@ -94,17 +96,31 @@
 	return b.hosts(domain), append(outside, platformHost)
 }
 
-func (b *bench) awaitWrites(ctx context.Context) error {
+func (b *bench) awaitWrites(ctx context.Context, lost time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, gapTimeout)
 	defer cancel()
+	g := gap{}
 	select {
 	case at := <-b.ledger.firstAck:
-		b.line.endAt(stepLearn, at)
+		g.total = at.Sub(lost)
 	case <-ctx.Done():
 		return errNoWrites
 	}
-	split, total := b.line.durations()
-	b.gaps = append(b.gaps, gap{total, split})
-	b.say("Writes work again after %d ms, at the primary %s.", total.Milliseconds(), b.members[faultGroup][b.primary(faultGroup)])
+	b.say("Writes work again after %d ms, at the primary %s.", g.total.Milliseconds(), b.members[faultGroup][b.primary(faultGroup)])
+	for g.claimer.Group != b.profile.groupName(faultGroup) {
+		select {
+		case g.claimer = <-b.failovers:
+		case <-ctx.Done():
+			return errNoFailover
+		}
+	}
+	b.gaps = append(b.gaps, g)
 	return nil
 }
+
+// forgetFailovers drops what was told of failovers before.
+func (b *bench) forgetFailovers() {
+	for len(b.failovers) > 0 {
+		<-b.failovers
+	}
+}
--- a/internal/standin/bench/fleet.go
+++ b/internal/standin/bench/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/instance"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -48,7 +49,9 @@
 	members [][]string
 	entries []string
 	domains map[string]string
-	closers []func()
+	// failovers takes what each claimer tells of a failover that it completed.
+	failovers chan failover.Gap
+	closers   []func()
 }
 
 func host(address string) string {
@@ -84,6 +87,7 @@
 // A profile without latency gets the plain loopback network, which costs less.
 func startFleet(p profile, lag, cost time.Duration, seed uint64, logs io.Writer) (*fleet, error) {
 	f := &fleet{profile: p, wan: &wan{memnet.New()}, store: standin.NewStore(), domains: map[string]string{}}
+	f.failovers = make(chan failover.Gap, failoversKept)
 	f.network = f.wan.host
 	if p.between == 0 {
 		f.network = func(string) netio.Network { return netio.TCP{} }
@@ -221,6 +225,12 @@
 		Platform: httpclient.New(s.Platform.URL, network, s.Platform.Timeout),
 		Logger:   hclog.New(&hclog.LoggerOptions{Name: s.Instance.ID, Output: logs, Level: hclog.Info}),
 		Registry: prometheus.NewRegistry(),
+		OnFailover: func(g failover.Gap) {
+			select {
+			case f.failovers <- g:
+			default:
+			}
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -282,8 +292,10 @@
 
 const (
 	connectDelay = 10 * time.Millisecond
-	wholeTimeout = 30 * time.Second
-	wholePoll    = 10 * time.Millisecond
+	// failoversKept bounds the reports of failovers that nobody reads.
+	failoversKept = 64
+	wholeTimeout  = 30 * time.Second
+	wholePoll     = 10 * time.Millisecond
 )
 
 var _ netio.Network = (*wanHost)(nil)
--- a/internal/standin/bench/report.go
+++ b/internal/standin/bench/report.go
@@ -12,7 +12,10 @@
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 )
 
-var errNoWrites = errors.New("writes did not work again in time")
+var (
+	errNoWrites   = errors.New("writes did not work again in time")
+	errNoFailover = errors.New("no instance told of the failover")
+)
 
 // Report is the outcome of one run. Its JSON form is the last line of output.
 type Report struct {
@@ -57,7 +60,8 @@
 	P50MS float64 `json:"p50_ms"`
 	P99MS float64 `json:"p99_ms"`
 	MaxMS float64 `json:"max_ms"`
-	// Split gives the median and the 99th percentile of each step.
+	// Split gives the median and the 99th percentile of each phase, as the
+	// claimers saw it. Detect begins at the first failed probe.
 	Split map[string][2]float64 `json:"split_p50_p99_ms"`
 }
 
@@ -131,16 +135,19 @@
 	split := map[string][]time.Duration{}
 	for _, g := range gaps {
 		totals = append(totals, g.total)
-		for step, d := range g.split {
-			split[step] = append(split[step], d)
+		for phase, d := range map[string]time.Duration{
+			"detect": g.claimer.Detect, "claim": g.claimer.Claim, "fence": g.claimer.Fence,
+			"promote": g.claimer.Promote, "learn": g.claimer.Learn,
+		} {
+			split[phase] = append(split[phase], d)
 		}
 	}
 	r := &GapReport{
 		Count: len(gaps), P50MS: quantile(totals, 0.5), P99MS: quantile(totals, 0.99),
 		MaxMS: milliseconds(slices.Max(totals)), Split: map[string][2]float64{},
 	}
-	for step, d := range split {
-		r.Split[step] = [2]float64{quantile(d, 0.5), quantile(d, 0.99)}
+	for phase, d := range split {
+		r.Split[phase] = [2]float64{quantile(d, 0.5), quantile(d, 0.99)}
 	}
 	return r
 }
