--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -40,6 +40,8 @@
 	add("bench", "Run a profile under load, with a fault half way",
 		"The last line is one JSON object. Exits with 1 when a promise was broken. "+
 			"Example: topazrock-standin bench --profile lentes --fault primary-kill", &benchCommand{environment: env})
+	add("plot", "Draw failover gap and replica share of bench runs as PNG and SVG",
+		"Example: topazrock-standin plot lentes.txt ligacao-sul.txt", &plotCommand{out: stdout})
 	add("slopes", "Measure cost against callers, groups, instances, peers and documents",
 		"Example: topazrock-standin slopes --window 10s --only groups", &slopesCommand{ctx: ctx, out: stdout})
 	_, err := parser.ParseArgs(args)
