Replace a primary that answers but is cut off from its replicas

Cause: a cut between the primary and the other members alone was seen by no probe. Every write was sent, committed, and ended as outcome unknown, for as long as the cut lasted.

Ruled out: counting unconfirmed writes (an idle group has none, and lag alone makes many); refusing writes only (it is honest, and leaves the service down). The tracker tells since when too few replicas get on although the primary is ahead; after 5 s of that, and only where the other members are a majority, one of them is promoted. The old primary is avoided, for its log is the longest.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -31,9 +31,8 @@
 // fencing is a member that has entered the term, and its log's end. Until it is
 // told to lead or follow, its log cannot change any more.
 type fencing struct {
-	ward    *ward
-	status  member.Status
-	leaving bool
+	ward   *ward
+	status member.Status
 }
 
 func newAttempt(c *Claimer, won claim, s *group.Snapshot) *attempt {
@@ -44,7 +43,8 @@
 		led:    make(chan struct{}),
 	}
 	for _, m := range s.Members {
-		a.wards = append(a.wards, &ward{a: a, address: m.Address, leaving: m.Leaving})
+		stalled := won.record.Cause == CauseStalled && m.Address == s.Primary
+		a.wards = append(a.wards, &ward{a: a, address: m.Address, avoid: m.Leaving || stalled})
 	}
 	return a
 }
@@ -111,27 +111,27 @@
 	return nil
 }
 
-// gather returns a majority of fenced members. While the primary leaves, it
-// first waits a little for a majority of members that stay; they hold all that
-// was acknowledged, so that the leaving one need not lead again.
+// gather returns a majority of fenced members. Where the primary is to
+// be avoided, it first waits a little for a majority of the other members; they
+// hold all that was acknowledged, so that the primary need not lead again.
 func (a *attempt) gather(ctx context.Context) ([]fencing, error) {
 	grace := a.c.Clock.NewTimer(a.c.Settings.SwitchGrace)
 	defer grace.Stop()
 	need := majority(len(a.wards))
-	planned := a.claim.record.Cause == CauseLeaving
-	var all, staying []fencing
+	planned := a.claim.record.Cause.planned()
+	var all, others []fencing
 	for {
 		switch {
-		case len(staying) >= need:
-			return staying, nil
+		case len(others) >= need:
+			return others, nil
 		case len(all) >= need && !planned:
 			return all, nil
 		}
 		select {
 		case f := <-a.fenced:
 			all = append(all, f)
-			if planned && !f.leaving {
-				staying = append(staying, f)
+			if planned && !f.ward.avoid {
+				others = append(others, f)
 			}
 		case <-grace.C:
 			planned = false
--- a/internal/failover/cause.go
+++ b/internal/failover/cause.go
@@ -3,6 +3,9 @@
 // Cause is why a term is claimed.
 type Cause string
 
+// planned reports whether the primary answers and is to be avoided for the term.
+func (c Cause) planned() bool { return c == CauseLeaving || c == CauseStalled }
+
 // Causes of a claim.
 const (
 	// CauseNone: nothing is to be done.
@@ -13,4 +16,6 @@
 	CauseLeaderless Cause = "leaderless"
 	// CauseLeaving: the platform lists the primary as leaving.
 	CauseLeaving Cause = "leaving"
+	// CauseStalled: the primary answers, but too few replicas get its log.
+	CauseStalled Cause = "stalled"
 )
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -252,3 +252,40 @@
 		})
 	}
 }
+
+// The primary is cut off from the other members alone: every instance reaches
+// it, and it commits writes that no replica gets. Callers hear that the outcome
+// is unknown, and nothing answers late. A replica is promoted all the same.
+func TestPrimaryCutOffFromItsReplicasIsReplaced(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		is := is.New(x.t)
+		defer x.writer(x.instances[1])()
+		x.after(100 * time.Millisecond)
+		x.net.Cut(x.hosts[0], x.hosts[1])
+		x.net.Cut(x.hosts[0], x.hosts[2])
+		x.after(8 * time.Second)
+		is.True(x.wantPrimary(2) != 0)
+		x.wantWritable(x.instances[0], "k")
+		x.after(30 * time.Second)
+		x.wantPrimary(2)
+		x.net.Heal(x.hosts[0], x.hosts[1])
+		x.net.Heal(x.hosts[0], x.hosts[2])
+		x.after(2 * time.Second)
+		x.wantAttached(0, 2)
+	})
+}
+
+// Both replicas are three seconds behind and the group is nearly idle, so that
+// their positions stand still for seconds. That is lag and no reason to move.
+func TestLagIsNotAStall(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		for k := 1; k < 3; k++ {
+			x.nodes[k].SetReplicationLag(3 * time.Second)
+		}
+		for k := range 10 {
+			_ = x.write(x.instances[k%3], "late-"+domain(k))
+			x.after(4 * time.Second)
+		}
+		x.wantPrimary(1)
+	})
+}
--- a/internal/failover/guard.go
+++ b/internal/failover/guard.go
@@ -57,7 +57,7 @@
 func (g *guard) act(ctx context.Context, s *group.Snapshot, v verdict) {
 	c := g.c
 	c.at(StepSuspected)
-	if v.cause != CauseLeaving && !g.witnessed(ctx, s) {
+	if !v.cause.planned() && !g.witnessed(ctx, s) {
 		c.Metrics.claim(v.cause, outcomeRefused)
 		g.holdFor(c.Settings.MinBackoff)
 		return
@@ -83,6 +83,9 @@
 	c.Metrics.claim(v.cause, outcomeDone)
 	g.backoff.reset()
 	g.report(gap)
+	if v.cause.planned() && gap.Primary == s.Primary {
+		g.holdFor(c.Settings.SwitchPause)
+	}
 }
 
 // witnessed asks instances of other failure domains.
--- a/internal/failover/settings.go
+++ b/internal/failover/settings.go
@@ -28,12 +28,18 @@
 	// does not answer or a claim did not go through.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// Stall is how long replicas may not get on before a primary that answers
+	// is replaced. It must be above every lag that is normal.
+	Stall time.Duration
 	// Reattach is how long a member may be detached before the first-ranked
 	// instance attaches it.
 	Reattach time.Duration
 	// SwitchGrace is how long a planned switch-over waits for a majority of the
 	// members that stay before it settles for any majority.
 	SwitchGrace time.Duration
+	// SwitchPause is how long nothing is tried again after a switch-over that
+	// had to leave the lead where it was.
+	SwitchPause time.Duration
 }
 
 // DefaultSettings suits one-way latencies of up to about 5 ms and members that
@@ -51,7 +57,9 @@
 		Platform:    500 * time.Millisecond,
 		MinBackoff:  50 * time.Millisecond,
 		MaxBackoff:  time.Second,
+		Stall:       5 * time.Second,
 		Reattach:    200 * time.Millisecond,
 		SwitchGrace: 500 * time.Millisecond,
+		SwitchPause: 10 * time.Second,
 	}
 }
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -6,7 +6,6 @@
 
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
-	"github.com/topazrock/topazrock/internal/member"
 )
 
 // suspicion decides from snapshots whether a claim is due. It does no I/O.
@@ -19,6 +18,10 @@
 	since time.Time
 }
 
+// firstAttachFactor is how many times the stall time is added while no replica
+// has been attached in the term yet.
+const firstAttachFactor = 5
+
 // verdict is what suspicion finds: a cause, and the moment it becomes due.
 type verdict struct {
 	cause Cause
@@ -30,21 +33,28 @@
 // assess looks at a snapshot. rank is this instance's place among claimers.
 func (p *suspicion) assess(now time.Time, s *group.Snapshot, rank int) verdict {
 	cause := p.causeOf(s)
-	wait := time.Duration(rank) * p.settings.Stagger
-	if cause == CauseLost {
-		m, _ := s.Find(s.Primary)
-		p.note(now, s.Term, cause)
-		return verdict{cause: cause, began: m.Failing, due: m.Failing.Add(p.settings.Detect + wait)}
-	}
 	p.note(now, s.Term, cause)
+	began, wait := p.since, time.Duration(rank)*p.settings.Stagger
 	switch cause {
+	case CauseLost:
+		m, _ := s.Find(s.Primary)
+		began = m.Failing
+		wait += p.settings.Detect
 	case CauseLeaderless:
 		wait += p.settings.Takeover
+	case CauseStalled:
+		began = s.StalledSince
+		wait += p.settings.Stall
+		// After a promotion replicas may need long to attach. To promote another
+		// one meanwhile would make them begin again, for ever.
+		if s.ConfirmedAt.IsZero() {
+			wait += p.settings.Stall * firstAttachFactor
+		}
 	case CauseLeaving:
 		// Nothing is down, so there is time to leave it to the first in rank.
 		wait *= 10
 	}
-	return verdict{cause: cause, began: p.since, due: p.since.Add(wait)}
+	return verdict{cause: cause, began: began, due: began.Add(wait)}
 }
 
 // note keeps the time since which one cause has stood in one term.
@@ -67,19 +77,24 @@
 	switch {
 	case m.Failures >= p.settings.MinFailures:
 		return CauseLost
-	case m.Leaving && m.Failures == 0 && replaceable(s):
+	case m.Failures > 0 || !othersReach(s):
+		return CauseNone
+	case m.Leaving && s.StalledSince.IsZero():
 		return CauseLeaving
+	case !s.StalledSince.IsZero():
+		return CauseStalled
 	default:
 		return CauseNone
 	}
 }
 
-// replaceable reports whether the members that stay are a majority that answers
-// and follows in the term, so that a switch-over loses nothing.
-func replaceable(s *group.Snapshot) bool {
+// othersReach reports whether the members that may lead instead of the primary,
+// and answer, are a majority by themselves. They hold all that was acknowledged,
+// so that the primary need not be chosen again for its longer log.
+func othersReach(s *group.Snapshot) bool {
 	n := 0
 	for _, m := range s.Members {
-		if m.Address != s.Primary && !m.Leaving && answering(m) && m.Status.Attached == s.Term && m.Status.Role == member.RoleReplica {
+		if m.Address != s.Primary && !m.Leaving && answering(m) {
 			n++
 		}
 	}
@@ -87,7 +102,7 @@
 }
 
 // best returns the report with the highest last record. Among equals one that
-// stays goes before one that leaves.
+// is to be avoided goes last.
 func best(fenced []fencing) fencing {
 	return slices.MaxFunc(fenced, func(a, b fencing) int {
 		switch x, y := a.status.Last, b.status.Last; {
@@ -95,9 +110,9 @@
 			return -1
 		case y.Less(x):
 			return 1
-		case a.leaving != b.leaving && a.leaving:
+		case a.ward.avoid && !b.ward.avoid:
 			return -1
-		case a.leaving != b.leaving:
+		case b.ward.avoid && !a.ward.avoid:
 			return 1
 		default:
 			return 0
--- a/internal/failover/ward.go
+++ b/internal/failover/ward.go
@@ -11,7 +11,8 @@
 type ward struct {
 	a       *attempt
 	address string
-	leaving bool
+	// avoid says that the member should not lead if another may.
+	avoid   bool
 	control member.Control
 }
 
@@ -27,7 +28,7 @@
 	if err != nil {
 		return
 	}
-	w.a.fenced <- fencing{ward: w, status: s, leaving: w.leaving}
+	w.a.fenced <- fencing{ward: w, status: s}
 	if !waitFor(ctx, w.a.chosen) {
 		return
 	}
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -35,6 +35,10 @@
 	busy bool
 	// attachedAt is when the newest report of an attached replica was asked for.
 	attachedAt time.Time
+	// reached is the replica's highest position in the term, and stalledAt since
+	// when it has not grown although the primary is ahead.
+	reached   logpos.Position
+	stalledAt time.Time
 	// provenBy is the position that proved view.FreshAsOf.
 	provenBy logpos.Position
 	// doubted asks for a new connection, at doubtedAt for the last time;
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -25,6 +25,7 @@
 		f.newest = t.number
 		f.adopt(t, s)
 		w.lead(f)
+		w.advance(f, t, s)
 	}
 	w.sample(f, t, s)
 	w.count(f, t, s)
@@ -40,9 +41,10 @@
 	w.log.Info("Term rose.", "group", w.group, "from", w.term, "to", term)
 	w.metrics.changes.WithLabelValues(w.group).Inc()
 	w.term, w.primary, w.termStart = term, "", 0
+	w.head = 0
 	w.samples.reset()
 	for _, f := range w.followers {
-		f.attachedAt = time.Time{}
+		f.attachedAt, f.stalledAt, f.reached = time.Time{}, time.Time{}, 0
 		f.wake()
 	}
 	w.failOlder(term)
@@ -100,12 +102,13 @@
 // publish makes the present state the snapshot.
 func (w *Watcher) publish() {
 	s := &Snapshot{
-		Group:       w.group,
-		Term:        w.term,
-		Primary:     w.primary,
-		TermStart:   w.termStart,
-		ConfirmedAt: w.confirmedAt(),
-		Members:     make([]MemberView, len(w.followers)),
+		Group:        w.group,
+		Term:         w.term,
+		Primary:      w.primary,
+		TermStart:    w.termStart,
+		ConfirmedAt:  w.confirmedAt(),
+		StalledSince: w.stalledSince(),
+		Members:      make([]MemberView, len(w.followers)),
 	}
 	for i, f := range w.followers {
 		s.Members[i] = f.view
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -39,7 +39,11 @@
 	// ConfirmedAt is when a report of a replica attached in Term was last
 	// asked for and answered; writes are refused before sending when it is old.
 	ConfirmedAt time.Time
-	Members     []MemberView
+	// StalledSince is since when too few replicas for a confirmation get any
+	// further although the primary is ahead of them; zero while enough do. A
+	// primary that is cut off from its replicas alone still answers probes.
+	StalledSince time.Time
+	Members      []MemberView
 }
 
 // Find returns the view of the member at an address.
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -31,8 +31,10 @@
 	term      logpos.Term
 	primary   string
 	termStart logpos.Position
-	samples   samples
-	waiters   map[*waiter]struct{}
+	// head is the highest position that the primary reported in the term.
+	head    logpos.Position
+	samples samples
+	waiters map[*waiter]struct{}
 	// changed is closed and replaced when the term, the primary or a member's
 	// suspicion changes.
 	changed chan struct{}
