Measure loans of share, and shares at rest

Two instances hold seats in more and more groups; at one moment all groups are short on one of them.

--- a/internal/standin/slopes/changes.go
+++ b/internal/standin/slopes/changes.go
@@ -82,7 +82,7 @@
 			return changes, err
 		}
 	}
-	return changes, t.waitFor(ctx, func() bool {
+	return changes, waitUntil(ctx, func() bool {
 		for name, version := range t.relay.Versions() {
 			if t.child.Versions()[name] < version {
 				return false
--- a/internal/standin/slopes/failovers.go
+++ b/internal/standin/slopes/failovers.go
@@ -38,10 +38,10 @@
 			return nil, err
 		}
 		used := processorTime()
-		calledBefore := b.platformCalls()
+		calledBefore := callsOf(b.api)
 		longest, err := b.stopPrimaries(ctx)
 		spent := processorTime() - used
-		count := b.platformCalls() - calledBefore
+		count := callsOf(b.api) - calledBefore
 		b.stop()
 		if err != nil {
 			return nil, err
@@ -150,15 +150,6 @@
 	return time.Since(begin), nil
 }
 
-// platformCalls counts the calls that the platform has taken.
-func (b *burst) platformCalls() int {
-	sum := 0
-	for _, n := range b.api.Calls() {
-		sum += n
-	}
-	return sum
-}
-
 // freeAddresses returns loopback addresses that nothing listened at a moment ago.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -43,5 +43,6 @@
 		{"stored", measureStored},
 		{"changes", measureChanges},
 		{"failovers", measureFailovers},
+		{"loans", measureLoans},
 	}
 }
--- a/internal/standin/slopes/stores.go
+++ b/internal/standin/slopes/stores.go
@@ -26,13 +26,11 @@
 	// seven changes a document and day, all that a document remembers is used
 	// up within days.
 	remembered = 50
-	// settlePoll is the time between two looks at whether a change is in force.
-	settlePoll = 2 * time.Millisecond
 	// quietWindow and quietBytes tell digests alone from the pushes of a start.
 	quietWindow = 2 * time.Second
 	quietBytes  = 8 << 10
-	// loadTimeout bounds the wait for all documents to be in force.
-	loadTimeout = time.Minute
+	// restTimeout bounds the wait for the pushes of a start to end.
+	restTimeout = time.Minute
 )
 
 // twoStores are two instances of one failure domain with their documents: a
@@ -95,7 +93,7 @@
 			t.child = s
 		}
 	}
-	err = t.waitFor(ctx, func() bool { return len(t.relay.Versions()) == n && len(t.child.Versions()) == n })
+	err = waitUntil(ctx, func() bool { return len(t.relay.Versions()) == n && len(t.child.Versions()) == n })
 	if err == nil {
 		err = t.waitQuiet(ctx)
 	}
@@ -107,7 +105,7 @@
 
 // waitQuiet waits until what a starting instance pushes has been sent.
 func (t *twoStores) waitQuiet(ctx context.Context) error {
-	for begin := time.Now(); time.Since(begin) < loadTimeout; {
+	for begin := time.Now(); time.Since(begin) < restTimeout; {
 		sent := t.network.bytes.Load()
 		if err := clock.Sleep(ctx, clock.System{}, quietWindow); err != nil {
 			return err
@@ -119,18 +117,6 @@
 	return errors.New("instances do not come to rest")
 }
 
-// waitFor looks until done.
-func (t *twoStores) waitFor(ctx context.Context, done func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	for !done() {
-		if err := clock.Sleep(ctx, clock.System{}, settlePoll); err != nil {
-			return fmt.Errorf("documents are not in force: %w", err)
-		}
-	}
-	return nil
-}
-
 func serviceName(i int) string { return fmt.Sprintf("service-%d", i) }
 
 // storedEnvelope returns document i with a full history.
