Bound the witnesses whatever a call does; wake on leaving only when it changed

Cause: a call to a peer waits for the dial of another call to the same peer, for up to a second, without regard to its own bound. A claimer that asked a peer in a domain that was cut off would have waited that long. And the list of leaving members is set each second, which woke every waiter of the group for nothing.

Conclusion: the question to the witnesses ends at its bound; peers that have not answered have no opinion.

--- a/internal/failover/claimer.go
+++ b/internal/failover/claimer.go
@@ -34,7 +34,7 @@
 	if c.Instances == nil {
 		c.Instances = func() []platform.Instance { return []platform.Instance{c.Self} }
 	}
-	return &Claimer{Config: c, log: c.Logger.With("group", c.Group)}
+	return &Claimer{Config: c, log: c.Logger.Named("failover").With("group", c.Group)}
 }
 
 // Run guards the primary and attaches members until ctx ends.
--- a/internal/failover/peerwitness.go
+++ b/internal/failover/peerwitness.go
@@ -36,29 +36,37 @@
 	return &PeerWitness{caller: c, self: self, instances: instances, rand: r}
 }
 
-// Ask implements Witness.
+// Ask implements Witness. It returns when ctx ends even if a call does not: a
+// call may queue behind another one's dial to a peer that is cut off, and the
+// failover must not wait for that.
 func (w *PeerWitness) Ask(ctx context.Context, q Question) []Testimony {
 	asked := w.choose()
 	answers := make(chan Testimony, len(asked))
-	var wg sync.WaitGroup
 	for _, i := range asked {
-		wg.Go(func() {
-			var t Testimony
-			if w.caller.Call(ctx, i.PeerAddress, MethodTestify, q, &t) == nil {
-				t.FailureDomain = i.FailureDomain
-				answers <- t
-			}
-		})
+		go func() { answers <- w.askOne(ctx, i, q) }()
 	}
-	wg.Wait()
-	close(answers)
 	var all []Testimony
-	for t := range answers {
-		all = append(all, t)
+	for range asked {
+		select {
+		case t := <-answers:
+			all = append(all, t)
+		case <-ctx.Done():
+			return all
+		}
 	}
 	return all
 }
 
+// askOne returns no opinion for a peer that does not answer.
+func (w *PeerWitness) askOne(ctx context.Context, i platform.Instance, q Question) Testimony {
+	var t Testimony
+	if err := w.caller.Call(ctx, i.PeerAddress, MethodTestify, q, &t); err != nil {
+		return Testimony{FailureDomain: i.FailureDomain, Opinion: OpinionNone}
+	}
+	t.FailureDomain = i.FailureDomain
+	return t
+}
+
 // choose picks up to askedPerDomain instances of every other failure domain.
 func (w *PeerWitness) choose() []platform.Instance {
 	instances := w.instances()
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -58,6 +58,7 @@
 	if w.log == nil {
 		w.log = hclog.NewNullLogger()
 	}
+	w.log = w.log.Named("group")
 	if w.metrics == nil {
 		w.metrics = NewMetrics(nil)
 	}
@@ -111,11 +112,16 @@
 func (w *Watcher) SetLeaving(addresses []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	changed := false
 	for _, f := range w.followers {
-		f.view.Leaving = slices.Contains(addresses, f.view.Address)
+		leaving := slices.Contains(addresses, f.view.Address)
+		changed = changed || leaving != f.view.Leaving
+		f.view.Leaving = leaving
+	}
+	if changed {
+		w.notify()
+		w.publish()
 	}
-	w.notify()
-	w.publish()
 }
 
 // ReportFailure implements Tracker. The kept connection is given up, so that
