Report a member to the tracker only when it could not be reached

Cause: every refusal for a full share made the tracker give up its connection to the member and dial a new one, under the very load that filled the share.

Conclusion: only upstream unreachable counts; broken and silent connections are reported as before.

--- a/internal/executor/confirm_test.go
+++ b/internal/executor/confirm_test.go
@@ -47,3 +47,23 @@
 	is.NoErr(err)
 	is.Equal(tracker.asked, []logpos.Mark{mark})
 }
+
+// reported counts the failures that a tracker was told of.
+type reported struct {
+	group.Tracker
+	failures int
+}
+
+// ReportFailure implements group.Tracker.
+func (r *reported) ReportFailure(string) { r.failures++ }
+
+func TestOnlyAnUnreachableMemberIsReported(t *testing.T) {
+	is := is.New(t)
+	tracker := &reported{}
+	g := &Group{Config: Config{Tracker: tracker}}
+	g.reportRefused("m", result.New(result.TooManyConnections, "share in use"))
+	g.reportRefused("m", result.New(result.Draining, "leaving"))
+	is.Equal(tracker.failures, 0)
+	g.reportRefused("m", result.New(result.UpstreamUnreachable, "no route"))
+	is.Equal(tracker.failures, 1)
+}
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -140,7 +140,7 @@
 	defer release()
 	c, err := g.Pool.Acquire(ctx, m.Address)
 	if err != nil {
-		g.Tracker.ReportFailure(m.Address)
+		g.reportRefused(m.Address, err)
 		return nil, false, err
 	}
 	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -47,7 +47,7 @@
 	c, err := g.Pool.Acquire(ctx, s.Primary)
 	if err != nil {
 		release()
-		g.Tracker.ReportFailure(s.Primary)
+		g.reportRefused(s.Primary, err)
 		return nil, err
 	}
 	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
@@ -162,6 +162,15 @@
 
 func (g *Group) token(m logpos.Mark) logpos.Token { return logpos.Token{Group: g.Group, Mark: m} }
 
+// reportRefused tells the tracker of a member that could not be reached. A share
+// that is in use says nothing of the member; to probe it on a new connection for
+// each such refusal would add to the load that caused them.
+func (g *Group) reportRefused(address string, err error) {
+	if e, ok := result.As(err); ok && e.Code == result.UpstreamUnreachable {
+		g.Tracker.ReportFailure(address)
+	}
+}
+
 // reportBroken tells the pool and the tracker of a connection that went silent
 // or broke.
 func (g *Group) reportBroken(c *upstream.Conn, err error) {
