Keep a peer's broken connection off the standard log

Cause: the jsonrpc2 library writes a protocol error to the process's standard log each time a connection breaks, without the project's prefix or level.

Conclusion: its logger is silent; the calls in flight carry the error.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.conn = jsonrpc2.NewConn(context.Background(), stream(conn), refuseCalls{})
+	l.conn = jsonrpc2.NewConn(context.Background(), stream(conn), refuseCalls{}, quiet)
 	return l.conn, nil
 }
 
