Prove that shares never pass the total, and mend what the proof found

The oracle compares each process with its own seat at every opening and at every change of the ledger, and the members' sum with the ledger's. Found by it: room left beside the seats was only taken by the holder of a seat below its target, so a free seat stayed small for good; any holder levels now.

--- a/internal/pool/machine_test.go
+++ b/internal/pool/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,23 +157,30 @@
 	// moment do the members hold more connections than the pool counts, nor the
 	// pool count more than its limit (the last one before a lowering that has
 	// not settled); no connection is ever in two hands.
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(bubble{t}, func(t *rapid.T) {
-			members := newFakeMembers()
-			m := &machine{members: members, pool: members.newPool(4), allowed: 4, got: make(chan *upstream.Conn, 1000)}
-			defer m.abandon()
-			t.Repeat(map[string]func(*rapid.T){
-				"acquire": m.acquire,
-				"release": m.release,
-				"pass":    m.pass,
-				"fault":   m.fault,
-				"silence": m.silence,
-				"leave":   m.leave,
-				"limit":   m.setLimit,
-				"":        m.check,
-			})
-			m.finish(t)
+	for batch := range *batches {
+		t.Run(strconv.Itoa(batch), func(t *testing.T) {
+			seedBatch(batch)
+			synctest.Test(t, checkPool)
 		})
+	}
+}
+
+func checkPool(t *testing.T) {
+	rapid.Check(bubble{t}, func(t *rapid.T) {
+		members := newFakeMembers()
+		m := &machine{members: members, pool: members.newPool(4), allowed: 4, got: make(chan *upstream.Conn, 1000)}
+		defer m.abandon()
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": m.acquire,
+			"release": m.release,
+			"pass":    m.pass,
+			"fault":   m.fault,
+			"silence": m.silence,
+			"leave":   m.leave,
+			"limit":   m.setLimit,
+			"":        m.check,
+		})
+		m.finish(t)
 	})
 }
 
--- a/internal/shares/fake_test.go
+++ b/internal/shares/fake_test.go
@@ -4,9 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
-	"testing"
+
 	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
@@ -16,7 +17,7 @@
 
 const (
 	callLatency  = 2 * time.Millisecond
-	closeLatency = 3 * time.Millisecond
+	closeLatency = 30 * time.Millisecond
 	testControl  = 3
 	testGroup    = "contracts"
 )
@@ -28,8 +29,11 @@
 
 // world is the platform, the network between instances, and what members see.
 type world struct {
-	t       testing.TB
+	t       interface{ Fatal(args ...any) }
 	serials uint64
+	// ageOut and sample replace the defaults of Config when they are set.
+	ageOut time.Duration
+	sample time.Duration
 
 	mu       sync.Mutex
 	object   platform.Object
@@ -43,8 +47,11 @@
 	// held counts what members hold; highest is the most they ever did.
 	held    Amount
 	highest Amount
-	writes  int
-	reads   int
+	// current is the newest ledger; violation is the first breach.
+	current   Ledger
+	violation string
+	writes    int
+	reads     int
 }
 
 // loss is a fault of one update.
@@ -60,7 +67,7 @@
 	delayUpdate
 )
 
-func newWorld(t testing.TB) *world {
+func newWorld(t interface{ Fatal(args ...any) }) *world {
 	return &world{t: t, list: make(map[string]bool), machines: make(map[string]*machine)}
 }
 
@@ -140,8 +147,19 @@
 	if w.object.Version != ifVersion {
 		return platform.ErrConflict
 	}
+	var l Ledger
+	if err := json.Unmarshal(value, &l); err != nil {
+		return err
+	}
+	if sum := l.Sum(); !sum.Within(l.Total.Max(w.current.Sum())) {
+		w.breach("the ledger sums to %+v of %+v", sum, l.Total)
+	}
+	w.current = l
 	w.object.Version++
 	w.object.Value = value
+	for _, m := range w.machines {
+		w.compare(m)
+	}
 	return nil
 }
 
@@ -196,6 +214,13 @@
 	change()
 }
 
+// faulty reports whether an update is still to be lost.
+func (w *world) faulty() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lose != loseNothing
+}
+
 // seen returns what members hold now.
 func (w *world) seen() Amount {
 	w.mu.Lock()
@@ -203,12 +228,35 @@
 	return w.held
 }
 
-// hold counts what members see.
-func (w *world) hold(a Amount) {
+// hold counts what members see of one machine.
+func (w *world) hold(m *machine, a Amount) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.held = w.held.Plus(a)
 	w.highest = w.highest.Max(w.held)
+	m.held = m.held.Plus(a)
+	w.compare(m)
+	if sum := w.current.Sum(); (Amount{}).Within(a) && !w.held.Within(sum) {
+		w.breach("members hold %+v, the seats sum to %+v", w.held, sum)
+	}
+}
+
+// compare holds what a machine has against its seat, under the lock.
+func (w *world) compare(m *machine) {
+	var size Amount
+	if s := w.current.seatOf(m.manager.self); s != nil {
+		size = s.Size
+	}
+	if !m.held.Within(size) {
+		w.breach("%s holds %+v, its seat is %+v", m.id, m.held, size)
+	}
+}
+
+// breach notes the first violation, under the lock.
+func (w *world) breach(format string, args ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf(format, args...)
+	}
 }
 
 // machine is one instance: a process with one manager, and its resources.
@@ -225,6 +273,7 @@
 	stop        context.CancelFunc
 
 	// What follows is guarded by world.mu.
+	held     Amount
 	dead     bool
 	cutOff   bool
 	deaf     bool
@@ -240,7 +289,6 @@
 	if old != nil {
 		m.incarnation = old.incarnation + 1
 	}
-	w.machines[id] = m
 	w.list[id] = true
 	w.serials++
 	serial := w.serials
@@ -258,10 +306,14 @@
 		Connections: m.connections,
 		Slots:       m.slots,
 		Control:     testControl,
-		SeatChanged: m.control,
+		AgeOut:      w.ageOut,
+
+		SampleInterval: w.sample,
+		SeatChanged:    m.control,
 	}, Allocation{Document: 1, Total: total, FailureDomains: []string{"poa-a", "poa-b", "fln-c"}})
 	m.directory = NewDirectory(m.name())
 	m.directory.Add(m.manager)
+	w.set(func() { w.machines[id] = m })
 	m.run()
 	return m
 }
@@ -419,7 +471,8 @@
 
 func (r registry) Handle(method string, h peer.Handler) { r[method] = h }
 
-// fakeResource opens as much as is demanded and allowed, and closes slowly.
+// fakeResource opens as much as is demanded and allowed, keeps what is idle
+// open, and closes slowly when its limit is lowered.
 type fakeResource struct {
 	m    *machine
 	unit Amount
@@ -446,7 +499,7 @@
 
 // count tells the members.
 func (r *fakeResource) count(n int) {
-	r.m.w.hold(Amount{n * r.unit.Connections, n * r.unit.Slots})
+	r.m.w.hold(r.m, Amount{n * r.unit.Connections, n * r.unit.Slots})
 }
 
 // release drops everything, as the end of the process does.
@@ -472,16 +525,16 @@
 	r.work()
 }
 
-// work opens at once and closes with a delay, as callers end their work.
+// work opens at once and closes with a delay.
 func (r *fakeResource) work() {
 	if r.gone {
 		return
 	}
-	if grow := min(r.want, r.limit) - r.held; grow > 0 {
+	if grow := min(r.want, r.limit) - r.held; grow > 0 && !r.closing {
 		r.held += grow
 		r.count(grow)
 	}
-	if r.held > min(r.want, r.limit) && !r.closing {
+	if r.held > r.limit && !r.closing {
 		r.closing = true
 		go r.close()
 	}
@@ -496,10 +549,11 @@
 	if r.gone {
 		return
 	}
-	if over := r.held - min(r.want, r.limit); over > 0 {
+	if over := r.held - r.limit; over > 0 {
 		r.held -= over
 		r.count(-over)
 	}
+	r.work()
 }
 
 func (r *fakeResource) Settle(ctx context.Context) error {
@@ -529,5 +583,5 @@
 func (r *fakeResource) Use() (inUse, waiting int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.held, max(r.want-r.held, 0)
+	return min(r.held, r.want), max(r.want-r.held, 0)
 }
--- a/internal/shares/ledger.go
+++ b/internal/shares/ledger.go
@@ -78,12 +78,17 @@
 // room is what the total leaves beside the seats' sizes.
 func (l *Ledger) room() Amount { return l.Total.Over(l.Sum()) }
 
-// level raises seats towards their targets as far as the total allows.
-func (l *Ledger) level() {
+// level raises seats towards their targets as far as the total allows, and
+// reports whether there was one to raise.
+func (l *Ledger) level() bool {
+	raised := false
 	for i := range l.Seats {
 		s := &l.Seats[i]
-		s.Size = s.Size.Plus(s.Target.Over(s.Size).Min(l.room()))
+		part := s.Target.Over(s.Size).Min(l.room())
+		s.Size = s.Size.Plus(part)
+		raised = raised || !part.IsZero()
 	}
+	return raised
 }
 
 // giveBack spreads an amount over the seats that are below their target and
--- a/internal/shares/lending.go
+++ b/internal/shares/lending.go
@@ -194,14 +194,8 @@
 		return m.shrink(ctx, mine.Size, over)
 	case !over.IsZero():
 		m.returnIdle(ctx, mine, over)
-	case !mine.Target.Over(mine.Size).Min(m.ledger.room()).IsZero():
-		m.change(ctx, changeReturn, func(l *Ledger) bool {
-			if l.room().IsZero() {
-				return false
-			}
-			l.level()
-			return true
-		})
+	default:
+		m.change(ctx, changeLevel, (*Ledger).level)
 	}
 	return true
 }
--- a/internal/shares/manager_test.go
+++ b/internal/shares/manager_test.go
@@ -23,6 +23,9 @@
 		w := newWorld(t)
 		defer w.end()
 		test(is.New(t), w)
+		if w.violation != "" {
+			t.Error(w.violation)
+		}
 		if !w.highest.Within(total) {
 			t.Errorf("members held %+v at most, the total is %+v", w.highest, total)
 		}
@@ -87,6 +90,30 @@
 	})
 }
 
+func TestLenderClosesBeforeItLends(t *testing.T) {
+	// All five seats are taken and every connection of the total is open, most
+	// of them idle. One home gets more callers. What it borrows was closed by
+	// the lender before, so members never see one connection more.
+	run(t, func(is *is.I, w *world) {
+		a, b, c := w.three()
+		machines := []*machine{a, b, c, w.start("a2", "poa-a"), w.start("b2", "poa-b")}
+		after(5 * time.Second)
+		for _, m := range machines {
+			m.connections.demand(9)
+		}
+		after(5 * time.Second)
+		is.Equal(w.seen().Connections, total.Connections)
+		for _, m := range machines {
+			m.connections.demand(0)
+		}
+		after(3 * peakWindow)
+		before := a.manager.Limit()
+		a.connections.demand(20)
+		after(10 * time.Second)
+		is.True(a.manager.Limit().Connections > before.Connections)
+	})
+}
+
 func TestBorrowedShareComesBack(t *testing.T) {
 	// A borrower is idle again. At its slow beat it closes what it borrowed and
 	// gives it to the seat that is below its target.
@@ -117,7 +144,10 @@
 				a, b, c := w.three()
 				w.set(func() { w.lose = fault })
 				a.connections.demand(20)
-				after(500 * time.Millisecond)
+				for w.faulty() {
+					after(time.Millisecond)
+				}
+				after(2 * callLatency)
 				b.connections.demand(30)
 				c.connections.demand(30)
 				w.deliverLate()
@@ -148,7 +178,7 @@
 }
 
 func TestFrozenBorrowerKeepsItsLoan(t *testing.T) {
-	// A borrower freezes for an hour with borrowed connections open. Nobody may
+	// A borrower freezes for half an hour with borrowed connections open. Nobody may
 	// use them meanwhile: a lease that ran out by time would have let the lender
 	// open its own beside them. After the thaw all goes on.
 	run(t, func(is *is.I, w *world) {
@@ -159,7 +189,7 @@
 		a.freeze()
 		b.connections.demand(30)
 		c.connections.demand(30)
-		after(time.Hour)
+		after(3 * DefaultAgeOut)
 		l := w.ledger()
 		is.Equal(l.seatOf(a.manager.self).Size, borrowed)
 		a.thaw()
@@ -169,7 +199,7 @@
 }
 
 func TestCutOffHomeGoesOnServing(t *testing.T) {
-	// A failure domain loses the platform and all peers for an hour, and the
+	// A failure domain loses the platform and all peers for half an hour, and the
 	// platform drops it from its list. Its home keeps its whole seat, no other
 	// domain takes it, and a mark is not enough.
 	run(t, func(is *is.I, w *world) {
@@ -180,7 +210,7 @@
 		before := a.manager.Limit()
 		w.start("b2", "poa-b")
 		w.start("c2", "fln-c")
-		after(time.Hour)
+		after(3 * DefaultAgeOut)
 		is.Equal(a.manager.Limit(), before)
 		is.Equal(w.seatName(a), "poa-a")
 		a.connections.demand(30)
@@ -189,7 +219,7 @@
 }
 
 func TestPlatformOutageCostsNothing(t *testing.T) {
-	// The platform is down for an hour. Every home keeps its seat and its size.
+	// The platform is down for half an hour. Every home keeps its seat and its size.
 	run(t, func(is *is.I, w *world) {
 		a, b, c := w.three()
 		w.set(func() { w.down = true })
@@ -197,7 +227,7 @@
 			m.connections.demand(30)
 			m.slots.demand(5)
 		}
-		after(time.Hour)
+		after(3 * DefaultAgeOut)
 		is.Equal(w.seen(), a.manager.Limit().Plus(b.manager.Limit()).Plus(c.manager.Limit()))
 		w.set(func() { w.down = false })
 		after(time.Minute)
@@ -251,10 +281,10 @@
 		a, _, _ := w.three()
 		w.set(func() { delete(w.list, "a1") })
 		w.start("a2", "poa-a")
-		after(time.Hour)
+		after(3 * DefaultAgeOut)
 		is.Equal(w.seatName(a), "poa-a")
 		w.set(func() { a.deaf = true })
-		after(time.Hour)
+		after(3 * DefaultAgeOut)
 		is.Equal(w.seatName(a), "poa-a")
 	})
 }
--- a/internal/shares/metrics.go
+++ b/internal/shares/metrics.go
@@ -10,6 +10,7 @@
 	changeLend    = "lent"
 	changeBorrow  = "taken_from_free_seat"
 	changeReturn  = "given_back"
+	changeLevel   = "raised_to_target"
 	changeLayout  = "laid_out"
 	changeAgedOut = "seat_aged_out"
 	changeProved  = "seat_taken_on_proof"
