Keep an instance ready when one group has no member left

Cause: /readyz waited for a term of every group. With all members of one group gone, an instance that started was never ready, and replacing the instances one by one would have taken every other team's service away.

An instance is now ready once each group's term is known or every member was tried once. Ruled out: a time limit, which needs a number and delays the usual case too.

Pools show seat and slots in place of a floor that was never filled in.

--- a/internal/adminapi/views.go
+++ b/internal/adminapi/views.go
@@ -77,10 +77,13 @@
 	Group string `json:"group"`
 	// Total is the group's hard total over all instances.
 	Total int `json:"total"`
-	// Share is what this instance may hold of it now; Floor is the part of the
-	// share that never lapses.
+	// Seated says that this instance has a seat of the group, so that it may
+	// have connections to its members.
+	Seated bool `json:"seated"`
+	// Share is how many connections this instance may hold now, those for
+	// control included, and Slots how many statements it may run at once.
 	Share int `json:"share"`
-	Floor int `json:"floor"`
+	Slots int `json:"slots"`
 	InUse int `json:"in_use"`
 	Idle  int `json:"idle"`
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -85,9 +85,9 @@
 		return
 	}
 	line(w)
-	line(w, "POOL", "TOTAL", "SHARE", "FLOOR", "IN USE", "IDLE")
+	line(w, "POOL", "TOTAL", "SEATED", "SHARE", "SLOTS", "IN USE", "IDLE")
 	for _, p := range pools {
-		line(w, p.Group, p.Total, p.Share, p.Floor, p.InUse, p.Idle)
+		line(w, p.Group, p.Total, p.Seated, p.Share, p.Slots, p.InUse, p.Idle)
 	}
 }
 
--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/topazrock/topazrock/internal/adminapi"
@@ -113,11 +114,13 @@
 	for name, h := range p.instance.homesCopy() {
 		s := h.pool.Stats()
 		all = append(all, adminapi.PoolView{
-			Group: name,
-			Total: h.group.Connections,
-			Share: h.seats.Limit().Connections,
-			InUse: s.InUse,
-			Idle:  s.Idle,
+			Group:  name,
+			Total:  h.group.Connections,
+			Share:  h.seats.Limit().Connections,
+			Slots:  h.seats.Limit().Slots,
+			Seated: h.seats.Seated(),
+			InUse:  s.InUse,
+			Idle:   s.Idle,
 		})
 	}
 	return all
@@ -151,18 +154,34 @@
 	if l.instance.frontend.Draining() {
 		reasons = append(reasons, "draining")
 	}
-	var unled []string
+	var unasked []string
 	for name, h := range l.instance.homesCopy() {
-		if h.watcher.Snapshot().Term == 0 {
-			unled = append(unled, name)
+		if !asked(h.watcher.Snapshot()) {
+			unasked = append(unasked, name)
 		}
 	}
-	if len(unled) > 0 {
-		reasons = append(reasons, "no member of a group was reached yet: "+strings.Join(unled, ", "))
+	if len(unasked) > 0 {
+		slices.Sort(unasked)
+		reasons = append(reasons, "members are not asked yet: "+strings.Join(unasked, ", "))
 	}
 	return len(reasons) == 0, reasons
 }
 
+// asked reports whether a term of the group is known, or every member was tried
+// once. Waiting for a term would let one team's group with no member left keep
+// every instance that starts meanwhile from serving all the others.
+func asked(s *group.Snapshot) bool {
+	if s.Term > 0 {
+		return true
+	}
+	for _, m := range s.Members {
+		if m.SeenAt.IsZero() && m.Failing.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // Drain implements adminapi.Lifecycle.
 func (l adminLifecycle) Drain() { l.instance.stopOnce() }
 
