--- a/internal/standin/slopes/groups.go
+++ b/internal/standin/slopes/groups.go
@@ -16,9 +16,26 @@
 // measureGroups follows more and more groups that nobody uses. All of them have
 // the same three members, which costs the follower what three of their own would.
 func measureGroups(ctx context.Context, o Options) ([]Slope, error) {
+	return followMore(ctx, o, "idle groups at home", group.DefaultIntervals())
+}
+
+// seldom is how often members could be asked while nobody uses the group. A
+// primary that is lost would still be found within a fraction of 16 s.
+const seldom = 1600 * time.Millisecond
+
+// measureSeldomGroups does the same with members that are asked seldom, which
+// is what an idle group could cost.
+func measureSeldomGroups(ctx context.Context, o Options) ([]Slope, error) {
+	intervals := group.DefaultIntervals()
+	intervals.PrimaryPoll, intervals.ReplicaPoll = seldom, seldom
+	return followMore(ctx, o, "idle groups at home, asked seldom", intervals)
+}
+
+// followMore measures more and more groups with given intervals.
+func followMore(ctx context.Context, o Options, driver string, intervals group.Intervals) ([]Slope, error) {
 	var processor, rate, questions, bytes []Point
 	for _, n := range []int{2, 4, 8, 16} {
-		u, err := followGroups(ctx, o, n)
+		u, err := followGroups(ctx, o, n, intervals)
 		if err != nil {
 			return nil, err
 		}
@@ -29,10 +46,10 @@
 		bytes = append(bytes, Point{x, u.memory})
 	}
 	return []Slope{
-		fit("idle groups at home", "share of a core", processor),
-		fit("idle groups at home", "bytes a second", rate),
-		fit("idle groups at home", "questions a second", questions),
-		fit("idle groups at home", "bytes of memory", bytes),
+		fit(driver, "share of a core", processor),
+		fit(driver, "bytes a second", rate),
+		fit(driver, "questions a second", questions),
+		fit(driver, "bytes of memory", bytes),
 	}, nil
 }
 
@@ -42,7 +59,7 @@
 }
 
 // followGroups follows n groups for the window, after they have settled.
-func followGroups(ctx context.Context, o Options, n int) (usage, error) {
+func followGroups(ctx context.Context, o Options, n int, intervals group.Intervals) (usage, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	network := &countingNetwork{}
 	var wait sync.WaitGroup
@@ -51,7 +68,7 @@
 	before := memory()
 	watchers := make([]*group.Watcher, n)
 	for i := range watchers {
-		watchers[i] = newWatcher(o, network, i)
+		watchers[i] = newWatcher(o, network, i, intervals)
 		wait.Go(func() { watchers[i].Run(ctx) })
 	}
 	_ = clock.Sleep(ctx, clock.System{}, time.Second)
@@ -73,7 +90,7 @@
 	}, nil
 }
 
-func newWatcher(o Options, network *countingNetwork, i int) *group.Watcher {
+func newWatcher(o Options, network *countingNetwork, i int, intervals group.Intervals) *group.Watcher {
 	var members []document.Member
 	for k, address := range o.Members {
 		members = append(members, document.Member{Address: address, FailureDomain: fmt.Sprintf("fd-%d", k)})
@@ -84,5 +101,7 @@
 		Clock:   clock.System{},
 		Rand:    rand.New(rand.NewPCG(o.Seed, uint64(i))),
 		Dialer:  pgcontrol.NewDialer(network, pgcontrol.Options{User: callerUser, Password: callerPassword}),
+
+		Intervals: intervals,
 	})
 }
--- a/internal/standin/slopes/instances.go
+++ b/internal/standin/slopes/instances.go
@@ -22,7 +22,7 @@
 // measureInstances takes in instance lists of several lengths and works out
 // the homes of groups from each.
 func measureInstances(ctx context.Context, o Options) ([]Slope, error) {
-	var size, taking, ranking, held []Point
+	var size, decoding, taking, ranking, held []Point
 	for _, n := range []int{500, 1000, 2000, 4000, 7400} {
 		list := inventoryOf(n)
 		text, err := json.Marshal(list)
@@ -31,6 +31,11 @@
 		}
 		x := float64(n)
 		size = append(size, Point{x, float64(len(text))})
+		decode, err := decodeTime(text)
+		if err != nil {
+			return nil, err
+		}
+		decoding = append(decoding, Point{x, decode})
 		before := memory()
 		members := membership.New(membership.Options{
 			API:              fixedList{list: list},
@@ -53,12 +58,28 @@
 	}
 	return []Slope{
 		fit("instances", "bytes of the instance list", size),
-		fit("instances", "ms to take in a list", taking),
+		fit("instances", "ms to decode a list", decoding),
+		fit("instances", "ms to take in a decoded list", taking),
 		fit("instances", "bytes of memory", held),
 		fit("instances", "ms to find one group's homes", ranking),
 	}, nil
 }
 
+// decodeRounds is how often a list is decoded for one point.
+const decodeRounds = 5
+
+// decodeTime returns the mean processor time of decoding a list, in ms.
+func decodeTime(text []byte) (float64, error) {
+	used := processorTime()
+	for range decodeRounds {
+		var list platform.Inventory
+		if err := json.Unmarshal(text, &list); err != nil {
+			return 0, err
+		}
+	}
+	return millis(processorTime()-used) / decodeRounds, nil
+}
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // inventoryOf returns a list of n instances with names and addresses of the usual length.
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -36,6 +36,7 @@
 	return []Measurement{
 		{"callers", measureCallers},
 		{"groups", measureGroups},
+		{"seldom-groups", measureSeldomGroups},
 		{"instances", measureInstances},
 		{"peers", measurePeers},
 		{"calls", measureCalls},
