Measure what one replaced instance costs with the homes of many groups known

Cause: homes are now carried over from one view to the next, which the slope of a first look-up does not show.

--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -38,6 +38,7 @@
 		{"groups", measureGroups},
 		{"seldom-groups", measureSeldomGroups},
 		{"instances", measureInstances},
+		{"homes", measureHomes},
 		{"peers", measurePeers},
 		{"calls", measureCalls},
 		{"documents", measureDocuments},
