--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -201,13 +201,16 @@
 	is.True(strings.Contains(c.errs.String(), "settings.ini:2"))
 }
 
+var commandNames = []string{
+	"serve", "check", "apply", "get", "list", "history", "versions", "status", "drain", "verifier", "codes", "version",
+}
+
 func TestEveryCommandHelpsWithAnExample(t *testing.T) {
 	is := is.New(t)
 	c := startServer(t, adminapi.Parts{})
 	is.Equal(c.run("", "--help"), ExitOK)
 	is.True(strings.Contains(c.out.String(), "Example: topazrock"))
-	names := []string{"serve", "check", "apply", "get", "list", "history", "versions", "status", "drain", "verifier", "codes", "version"}
-	for _, name := range names {
+	for _, name := range commandNames {
 		is.Equal(c.run("", name, "--help"), ExitOK) // name
 		is.True(strings.Contains(c.out.String(), "Example: topazrock "+name))
 	}
@@ -237,7 +240,7 @@
 }
 
 // The page is what scripts are written against.
-func TestExitCodePageListsEveryCode(t *testing.T) {
+func TestPageListsEveryCommandAndExitCode(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/ops/command-line.md")
 	is.NoErr(err)
@@ -248,4 +251,7 @@
 	for _, row := range rows {
 		is.True(strings.Contains(string(page), row)) // row
 	}
+	for _, name := range commandNames {
+		is.True(strings.Contains(string(page), "\n| `"+name)) // name
+	}
 }
