--- a/internal/config/contacts.go
+++ b/internal/config/contacts.go
@@ -36,6 +36,8 @@
 	mu     sync.Mutex
 	relay  bool
 	relays []platform.Instance
+	// below holds the other instances of the failure domain.
+	below  []platform.Instance
 	digest []platform.Instance
 }
 
@@ -47,6 +49,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.relays = slices.DeleteFunc(relays, func(i platform.Instance) bool { return i.FailureDomain != self.FailureDomain })
+	c.below = c.below[:0:0]
+	for _, i := range c.fleet.Live() {
+		if i.FailureDomain == self.FailureDomain && !slices.ContainsFunc(c.relays, sameID(i.ID)) {
+			c.below = append(c.below, i)
+		}
+	}
 	c.relay = slices.ContainsFunc(c.relays, sameID(self.ID))
 	c.digest = digest
 	select {
@@ -82,25 +90,18 @@
 // other instance has one parent. The order below the relays depends on the
 // document, so that the work of inner nodes falls on different instances.
 func (c *contacts) children(name string) []string {
-	self := c.fleet.Self()
 	c.mu.Lock()
-	roots := c.relays
+	relays, below := c.relays, c.below
 	c.mu.Unlock()
-	order := slices.Clone(roots)
-	for _, i := range c.fleet.Live() {
-		if i.FailureDomain == self.FailureDomain && !slices.ContainsFunc(roots, sameID(i.ID)) {
-			order = append(order, i)
-		}
+	if len(below) == 0 {
+		return nil
 	}
-	below := order[len(roots):]
-	slices.SortFunc(below, func(a, b platform.Instance) int {
-		return cmp.Or(cmp.Compare(pushScore(name, a.ID), pushScore(name, b.ID)), cmp.Compare(a.ID, b.ID))
-	})
-	position := slices.IndexFunc(order, sameID(self.ID))
+	order := slices.Concat(relays, orderFor(name, below))
+	position := slices.IndexFunc(order, sameID(c.fleet.Self().ID))
 	if position < 0 {
 		return nil
 	}
-	first := len(roots) + pushDegree*position
+	first := len(relays) + pushDegree*position
 	var addresses []string
 	for i := first; i < min(first+pushDegree, len(order)); i++ {
 		addresses = append(addresses, order[i].PeerAddress)
@@ -108,4 +109,23 @@
 	return addresses
 }
 
-func pushScore(name, id string) uint64 { return xxhash.Sum64String(name + "\x00" + id) }
+// orderFor returns instances in an order that depends on a document and is the
+// same on every instance.
+func orderFor(name string, instances []platform.Instance) []platform.Instance {
+	type scored struct {
+		score    uint64
+		instance platform.Instance
+	}
+	list := make([]scored, len(instances))
+	for n, i := range instances {
+		list[n] = scored{score: xxhash.Sum64String(name + "\x00" + i.ID), instance: i}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.instance.ID, b.instance.ID))
+	})
+	order := make([]platform.Instance, len(list))
+	for n, s := range list {
+		order[n] = s.instance
+	}
+	return order
+}
--- a/internal/config/repair.go
+++ b/internal/config/repair.go
@@ -128,6 +128,9 @@
 			p.Buckets = append(p.Buckets, b)
 		}
 	}
+	if len(differs) == 0 {
+		return p
+	}
 	for name := range s.table.documents {
 		if differs[bucketOf(name)] {
 			p.Versions[name] = s.held(name)
