Measure other designs in the product's place, pauses, refusals and peer traffic

Cause: the choices against acknowledging on the primary's word and against fresh reads at the primary were argued and not measured, and the bench could not see how fast a refusal comes, what goes between instances, or a promotion without need.

A bench run can now put a wrapper in front of execution's view of the groups (--baseline), pause the primary for half the detection time (--fault primary-pause), make statements dearer (--cost) and set the number of instances (--instances). Calls to the platform are counted from the moment the load begins.

--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -82,7 +82,7 @@
 		Instance:      n.options.Settings.Instance.ID,
 		FailureDomain: n.options.Settings.Instance.FailureDomain,
 		Service:       func() *document.Service { return n.service(g.Name) },
-		Tracker:       h.watcher,
+		Tracker:       n.tracker(h.watcher),
 		Pool:          h.pool,
 		Gate:          h.gate,
 		Budget: retry.New(retry.Config{
@@ -99,6 +99,14 @@
 	})
 }
 
+// tracker returns the view of a group that execution uses.
+func (n *Instance) tracker(w *group.Watcher) group.Tracker {
+	if n.options.WrapTracker == nil {
+		return w
+	}
+	return n.options.WrapTracker(w)
+}
+
 func (n *Instance) newSeats(g document.Group, version int64, h *home) *shares.Manager {
 	return shares.New(shares.Config{
 		Group:       g.Name,
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/failover"
+	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/settings"
@@ -25,6 +26,10 @@
 	Registry *prometheus.Registry
 	// OnFailover, if set, is told of every failover that this instance completed.
 	OnFailover func(failover.Gap)
+	// WrapTracker, if set, replaces what execution sees of a group. It is for
+	// measurements that compare other designs with this one; a wrapper can take
+	// every promise away, so the product never sets it.
+	WrapTracker func(group.Tracker) group.Tracker
 }
 
 const (
--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -24,21 +24,27 @@
 	FaultNone         Fault = "none"
 	FaultPrimaryKill  Fault = "primary-kill"
 	FaultPrimaryCut   Fault = "primary-cut"
+	FaultPrimaryPause Fault = "primary-pause"
 	FaultPlatformDown Fault = "platform-down"
 	FaultReplicaLag   Fault = "replica-lag"
 )
 
+// DefaultCost is how long a member works on a statement unless told otherwise.
+const DefaultCost = 500 * time.Microsecond
+
 const (
 	// farBehind is the lag of the one slow replica of FaultReplicaLag.
 	farBehind = time.Minute
 	// warmUp is how long the fleet runs before the load begins.
 	warmUp = time.Second
+	// longPause is half of the time after which a primary is suspected.
+	longPause = 75 * time.Millisecond
+	// betweenPauses lets the probes succeed again.
+	betweenPauses = 300 * time.Millisecond
 	// betweenFaults is how long a whole group rests before the next fault.
 	betweenFaults = time.Second
 	// gapTimeout bounds the wait for writes to work again.
 	gapTimeout = 20 * time.Second
-	// statementCost is how long a member works on a statement.
-	statementCost = 500 * time.Microsecond
 	// faultGroup is the group whose primary is lost.
 	faultGroup = 0
 )
@@ -49,21 +55,27 @@
 	Duration time.Duration
 	Seed     uint64
 	Fault    Fault
-	// Repeat is how often the primary is lost, one after the other.
+	// Baseline is the other design that is measured, if any.
+	Baseline Baseline
+	// Repeat is how often the primary is lost or paused, one after the other.
 	Repeat int
 	// Sessions is the number of callers, and Think their mean pause.
 	Sessions int
 	Think    time.Duration
 	// Lag is the replication lag of every replica.
 	Lag time.Duration
+	// Cost is how long a member works on a statement.
+	Cost time.Duration
+	// Instances is how many entry instances run; zero for those of today.
+	Instances int
 	// Say takes what happens in plain words; Logs the instances' logs.
 	Say, Logs io.Writer
 	// small is the demo's size: one group and an instance in each domain.
 	small bool
 }
 
-// ErrBadConfig says that a profile or fault is not known.
-var ErrBadConfig = errors.New("unknown profile or fault")
+// ErrBadConfig says that a profile, fault or baseline is not known.
+var ErrBadConfig = errors.New("unknown profile, fault or baseline")
 
 // bench is one run.
 type bench struct {
@@ -72,23 +84,31 @@
 	ledger *ledger
 	others *recent
 	gaps   []gap
+	// before holds the counters at the moment when the load began.
+	before counters
+	// falsePromotions counts terms that began although no primary was lost.
+	falsePromotions int
 }
 
 // Run runs one bench and returns its report.
 func Run(ctx context.Context, c Config) (*Report, error) {
 	p, ok := profiles[c.Profile]
 	switch c.Fault {
-	case FaultNone, FaultPrimaryKill, FaultPrimaryCut, FaultPlatformDown, FaultReplicaLag:
+	case FaultNone, FaultPrimaryKill, FaultPrimaryCut, FaultPrimaryPause, FaultPlatformDown, FaultReplicaLag:
 	default:
 		ok = false
 	}
-	if !ok {
-		return nil, fmt.Errorf("%w: %q, %q", ErrBadConfig, c.Profile, c.Fault)
+	wrap, known := baselines[c.Baseline]
+	if !ok || !known {
+		return nil, fmt.Errorf("%w: %q, %q, %q", ErrBadConfig, c.Profile, c.Fault, c.Baseline)
+	}
+	if c.Instances > 0 {
+		p.instances = c.Instances
 	}
 	if c.small {
 		p.groups, p.instances = 1, len(p.domains)
 	}
-	f, err := startFleet(p, c.Lag, statementCost, c.Seed, c.Logs)
+	f, err := startFleet(p, c, wrap)
 	defer f.close()
 	if err != nil {
 		return nil, err
@@ -103,6 +123,7 @@
 	pause(ctx, warmUp)
 	b.say("%d callers begin; they roam between the instances.", b.config.Sessions)
 	began := time.Now()
+	b.before = b.count()
 	load, stop := context.WithCancel(ctx)
 	defer stop()
 	var callers sync.WaitGroup
--- a/internal/standin/bench/faults.go
+++ b/internal/standin/bench/faults.go
@@ -20,6 +20,8 @@
 	switch b.config.Fault {
 	case FaultPrimaryKill, FaultPrimaryCut:
 		return b.losePrimaries(ctx)
+	case FaultPrimaryPause:
+		return b.pausePrimaries(ctx)
 	case FaultPlatformDown:
 		b.say("The platform is down from now on.")
 		b.store.SetFaults(standin.Faults{Outage: true})
@@ -87,6 +89,22 @@
 	return err
 }
 
+// pausePrimaries freezes a primary again and again for less than it takes to
+// suspect it, and counts the terms that begin all the same.
+func (b *bench) pausePrimaries(ctx context.Context) error {
+	before := b.term(faultGroup)
+	b.say("The primary of %s is paused %d times for %v.", b.profile.groupName(faultGroup), b.config.Repeat, longPause)
+	for range b.config.Repeat {
+		lost := host(b.members[faultGroup][b.primary(faultGroup)])
+		b.wan.faults.Freeze(lost)
+		pause(ctx, longPause)
+		b.wan.faults.Thaw(lost)
+		pause(ctx, betweenPauses)
+	}
+	b.falsePromotions = b.term(faultGroup) - before
+	return nil
+}
+
 // sides splits all hosts but the callers' into those of a failure domain and
 // the others.
 func (b *bench) sides(domain string) (inside, outside []string) {
--- a/internal/standin/bench/fleet.go
+++ b/internal/standin/bench/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/failover"
+	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/instance"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -41,6 +42,8 @@
 // groups and the entry instances, each on a loopback address of its own.
 type fleet struct {
 	profile profile
+	// wrap puts a baseline in the product's place; it may be nil.
+	wrap    func(group.Tracker) group.Tracker
 	wan     *wan
 	network func(ip string) netio.Network
 	store   *standin.Store
@@ -85,8 +88,8 @@
 
 // startFleet starts everything. The caller closes the fleet also on an error.
 // A profile without latency gets the plain loopback network, which costs less.
-func startFleet(p profile, lag, cost time.Duration, seed uint64, logs io.Writer) (*fleet, error) {
-	f := &fleet{profile: p, wan: &wan{memnet.New()}, store: standin.NewStore(), domains: map[string]string{}}
+func startFleet(p profile, c Config, wrap func(group.Tracker) group.Tracker) (*fleet, error) {
+	f := &fleet{profile: p, wrap: wrap, wan: &wan{faults: memnet.New(), peers: map[string]bool{}}, store: standin.NewStore(), domains: map[string]string{}}
 	f.failovers = make(chan failover.Gap, failoversKept)
 	f.network = f.wan.host
 	if p.between == 0 {
@@ -98,17 +101,18 @@
 		}
 		for i := d; i < p.instances; i += len(p.domains) {
 			f.domains[domainHost(d, firstEntryHost+i)] = name
+			f.wan.peers[domainHost(d, firstEntryHost+i)] = true
 		}
 	}
 	f.setLatencies()
-	if err := f.startMembers(lag, cost); err != nil {
+	if err := f.startMembers(c.Lag, c.Cost); err != nil {
 		return f, err
 	}
 	url, err := f.startPlatform()
 	if err != nil {
 		return f, err
 	}
-	return f, f.startInstances(url, seed, logs)
+	return f, f.startInstances(url, c.Seed, c.Logs)
 }
 
 func (f *fleet) setLatencies() {
@@ -225,6 +229,8 @@
 		Platform: httpclient.New(s.Platform.URL, network, s.Platform.Timeout),
 		Logger:   hclog.New(&hclog.LoggerOptions{Name: s.Instance.ID, Output: logs, Level: hclog.Info}),
 		Registry: prometheus.NewRegistry(),
+
+		WrapTracker: f.wrap,
 		OnFailover: func(g failover.Gap) {
 			select {
 			case f.failovers <- g:
@@ -264,6 +270,11 @@
 	return best
 }
 
+// term returns the term of a group's primary.
+func (f *fleet) term(group int) int {
+	return int(f.nodes[group][f.primary(group)].Status().Entered)
+}
+
 // whole reports whether all members of a group follow one primary.
 func (f *fleet) whole(group int) bool {
 	first := f.nodes[group][f.primary(group)].Status()
--- a/internal/standin/bench/ledger.go
+++ b/internal/standin/bench/ledger.go
@@ -41,6 +41,8 @@
 	// fresh reads that missed an acked write of another session.
 	staleOwn, staleFresh, wrong int
 	latencies                   map[string]*hdrhistogram.Histogram
+	// refusedIn is how long it took to refuse a request.
+	refusedIn *hdrhistogram.Histogram
 	// firstAck is when the first write was acked that began after the mark.
 	mark     time.Time
 	marked   int
@@ -53,6 +55,7 @@
 		refused:   map[entry]struct{}{},
 		refusals:  map[string]int{},
 		latencies: map[string]*hdrhistogram.Histogram{},
+		refusedIn: newHistogram(),
 		firstAck:  make(chan time.Time, 1),
 	}
 }
@@ -101,22 +104,37 @@
 	}
 }
 
-// refusal counts a refusal or failure by its code.
-func (l *ledger) refusal(code string) {
+// refusal counts a request that was refused or failed by its code, and notes how
+// long a refusal took.
+func (l *ledger) refusal(err error, began time.Time) {
+	l.count(code(err))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refusals[code]++
+	if judge(err) == didNotRun {
+		_ = l.refusedIn.RecordValue(time.Since(began).Microseconds())
+	}
 }
 
 func (l *ledger) took(class string, began time.Time) {
 	h := l.latencies[class]
 	if h == nil {
-		h = hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+		h = newHistogram()
 		l.latencies[class] = h
 	}
 	_ = h.RecordValue(time.Since(began).Microseconds())
 }
 
+// count counts a refusal or failure by its code.
+func (l *ledger) count(code string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals[code]++
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+}
+
 // check compares what callers were told with what a group holds: acked writes
 // that are missing, and refused ones that are there.
 func (l *ledger) check(group int, rows map[string]string) (lost, ran int) {
--- a/internal/standin/bench/prober.go
+++ b/internal/standin/bench/prober.go
@@ -85,7 +85,7 @@
 	began := time.Now()
 	err := insert(ctx, conn, e, c)
 	if err != nil {
-		p.bench.ledger.refusal(code(err))
+		p.bench.ledger.refusal(err, began)
 	}
 	p.bench.ledger.wrote(e, judge(err), c.name, began)
 	if conn.IsClosed() {
--- a/internal/standin/bench/proxy_test.go
+++ b/internal/standin/bench/proxy_test.go
@@ -31,7 +31,7 @@
 	p := profiles[ProfileLigacaoSul]
 	p.between, p.toClients = 0, 0
 	p.groups, p.instances, p.connections, p.slots = 1, 1, 200, 64
-	f, err := startFleet(p, 0, cost, 1, io.Discard)
+	f, err := startFleet(p, Config{Cost: cost, Seed: 1, Logs: io.Discard}, nil)
 	b.Cleanup(f.close)
 	if err != nil {
 		b.Fatal(err)
@@ -90,7 +90,7 @@
 // with one that works on each statement as long as the bench's members do.
 func BenchmarkProxyCost(b *testing.B) {
 	b.Run("cost=0", func(b *testing.B) { compare(b, 0) })
-	b.Run("cost=500us", func(b *testing.B) { compare(b, statementCost) })
+	b.Run("cost=500us", func(b *testing.B) { compare(b, DefaultCost) })
 }
 
 // compare reports the figures of the last of b.N rounds.
@@ -173,7 +173,7 @@
 	is := is.New(t)
 	r, err := Run(t.Context(), Config{
 		Profile: ProfileLigacaoSul, Duration: 2 * time.Second, Seed: 1, Fault: FaultReplicaLag,
-		Sessions: 12, Think: 20 * time.Millisecond, Lag: 5 * time.Millisecond,
+		Sessions: 12, Think: 20 * time.Millisecond, Lag: 5 * time.Millisecond, Cost: DefaultCost,
 		Say: io.Discard, Logs: io.Discard, small: true,
 	})
 	is.NoErr(err)
--- a/internal/standin/bench/report.go
+++ b/internal/standin/bench/report.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 )
 
@@ -19,33 +20,50 @@
 
 // Report is the outcome of one run. Its JSON form is the last line of output.
 type Report struct {
-	Profile          string           `json:"profile"`
-	Fault            Fault            `json:"fault"`
-	Seed             uint64           `json:"seed"`
-	DurationS        float64          `json:"duration_s"`
-	LagMS            float64          `json:"lag_ms"`
-	StatementsPerS   float64          `json:"statements_per_s"`
-	Reads            int              `json:"reads"`
-	ReplicaReadShare float64          `json:"replica_read_share"`
-	WritesAcked      int              `json:"writes_acked"`
-	AckedLost        int              `json:"acked_lost"`
-	StaleOwnReads    int              `json:"stale_own_reads"`
-	StaleFreshReads  int              `json:"stale_fresh_reads"`
-	WrongAnswers     int              `json:"wrong_answers"`
-	FailoverGapMS    *float64         `json:"failover_gap_ms"`
-	RefusedDidNotRun int              `json:"refused_did_not_run"`
-	RefusedButRan    int              `json:"refused_but_ran"`
-	OutcomeUnknown   int              `json:"outcome_unknown"`
-	Refusals         map[string]int   `json:"refusals"`
-	Gaps             *GapReport       `json:"gaps,omitempty"`
-	Classes          map[string]Class `json:"classes"`
+	Profile          string         `json:"profile"`
+	Fault            Fault          `json:"fault"`
+	Baseline         Baseline       `json:"baseline,omitempty"`
+	Instances        int            `json:"instances"`
+	Sessions         int            `json:"sessions"`
+	Seed             uint64         `json:"seed"`
+	DurationS        float64        `json:"duration_s"`
+	LagMS            float64        `json:"lag_ms"`
+	StatementsPerS   float64        `json:"statements_per_s"`
+	Reads            int            `json:"reads"`
+	ReplicaReadShare float64        `json:"replica_read_share"`
+	WritesAcked      int            `json:"writes_acked"`
+	AckedLost        int            `json:"acked_lost"`
+	StaleOwnReads    int            `json:"stale_own_reads"`
+	StaleFreshReads  int            `json:"stale_fresh_reads"`
+	WrongAnswers     int            `json:"wrong_answers"`
+	FailoverGapMS    *float64       `json:"failover_gap_ms"`
+	RefusedDidNotRun int            `json:"refused_did_not_run"`
+	RefusedButRan    int            `json:"refused_but_ran"`
+	OutcomeUnknown   int            `json:"outcome_unknown"`
+	Refusals         map[string]int `json:"refusals"`
+	// Refused is how long it took to tell callers of requests that did not run.
+	Refused Class `json:"refused"`
+	// FalsePromotions counts the terms that began while a primary was only paused.
+	FalsePromotions int              `json:"false_promotions"`
+	Gaps            *GapReport       `json:"gaps,omitempty"`
+	Classes         map[string]Class `json:"classes"`
 	// ConnectionsHighest is the highest sum that any member saw.
 	ConnectionsHighest int `json:"connections_highest"`
 	ConnectionsTotal   int `json:"connections_total"`
 	// PlatformCalls is calls a second by kind.
 	PlatformCalls map[standin.Call]float64 `json:"platform_calls_per_s"`
+	// PeerBytes is bytes a second between all instances, both ways.
+	PeerBytes float64 `json:"peer_bytes_per_s"`
 }
 
+// counters are sums since the fleet began.
+type counters struct {
+	calls     map[standin.Call]int
+	peerBytes int64
+}
+
+func (f *fleet) count() counters { return counters{f.store.Calls(), f.wan.peerBytes.Load()} }
+
 // Class holds the latencies of one class.
 type Class struct {
 	Count  int64   `json:"count"`
@@ -66,18 +84,22 @@
 }
 
 // Failed reports whether a promise was broken: an acknowledged write is gone, a
-// session missed its own write, or a refused write ran.
+// session missed its own write, a refused write ran, or a paused primary was
+// replaced.
 func (r *Report) Failed() bool {
-	return r.AckedLost+r.StaleOwnReads+r.StaleFreshReads+r.RefusedButRan+r.WrongAnswers > 0
+	return r.AckedLost+r.StaleOwnReads+r.StaleFreshReads+r.RefusedButRan+r.WrongAnswers+r.FalsePromotions > 0
 }
 
 // Write writes the report as one line of JSON.
 func (r *Report) Write(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
 
 func (b *bench) report(took time.Duration) *Report {
+	after := b.count()
 	r := &Report{
 		Profile: b.config.Profile, Fault: b.config.Fault, Seed: b.config.Seed,
-		DurationS: round(took.Seconds()), LagMS: milliseconds(b.config.Lag),
+		Baseline: b.config.Baseline, Instances: b.profile.instances, Sessions: b.config.Sessions,
+		FalsePromotions: b.falsePromotions,
+		DurationS:       round(took.Seconds()), LagMS: milliseconds(b.config.Lag),
 		Classes: map[string]Class{}, PlatformCalls: map[standin.Call]float64{},
 		ConnectionsTotal: b.profile.connections,
 	}
@@ -88,9 +110,10 @@
 	}
 	b.addReads(r)
 	b.addLedger(r, took)
-	for call, count := range b.store.Calls() {
-		r.PlatformCalls[call] = round(float64(count) / took.Seconds())
+	for call, count := range after.calls {
+		r.PlatformCalls[call] = round(float64(count-b.before.calls[call]) / took.Seconds())
 	}
+	r.PeerBytes = round(float64(after.peerBytes-b.before.peerBytes) / took.Seconds())
 	if len(b.gaps) > 0 {
 		r.Gaps = gapReport(b.gaps)
 		r.FailoverGapMS = &r.Gaps.P50MS
@@ -121,13 +144,14 @@
 	r.RefusedDidNotRun, r.OutcomeUnknown, r.Refusals = len(l.refused), l.unknown, l.refusals
 	r.StatementsPerS = round(float64(l.reads+len(l.acked)) / took.Seconds())
 	for name, h := range l.latencies {
-		r.Classes[name] = Class{
-			Count:  h.TotalCount(),
-			P50MS:  float64(h.ValueAtQuantile(50)) / 1000,
-			P99MS:  float64(h.ValueAtQuantile(99)) / 1000,
-			P999MS: float64(h.ValueAtQuantile(99.9)) / 1000,
-		}
+		r.Classes[name] = classOf(h)
 	}
+	r.Refused = classOf(l.refusedIn)
+}
+
+func classOf(h *hdrhistogram.Histogram) Class {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Class{Count: h.TotalCount(), P50MS: at(50), P99MS: at(99), P999MS: at(99.9)}
 }
 
 func gapReport(gaps []gap) *GapReport {
--- a/internal/standin/bench/session.go
+++ b/internal/standin/bench/session.go
@@ -65,6 +65,7 @@
 
 func (s *session) step(ctx context.Context) {
 	c := s.bench.profile.pick(s.rng.IntN(s.bench.profile.weights()))
+	began := time.Now()
 	var err error
 	if s.last.key == "" || c.kind == kindWrite {
 		err = s.write(ctx, c)
@@ -72,7 +73,7 @@
 		err = s.read(ctx, c)
 	}
 	if err != nil {
-		s.bench.ledger.refusal(code(err))
+		s.bench.ledger.refusal(err, began)
 		pause(ctx, refusedPause)
 	}
 	if s.rng.IntN(100) < roamPercent || s.conn.IsClosed() {
@@ -91,7 +92,7 @@
 	}
 	conn, err := s.bench.dial(ctx, s.rng.IntN(len(s.bench.entries)), s.group, token)
 	if err != nil {
-		s.bench.ledger.refusal("connect " + code(err))
+		s.bench.ledger.count("connect " + code(err))
 		return false
 	}
 	s.conn = conn
--- a/internal/standin/command/bench.go
+++ b/internal/standin/command/bench.go
@@ -29,11 +29,14 @@
 	Profile  string        `long:"profile" required:"true" choice:"ligacao-sul" choice:"lentes" description:"whose places, sizes and mix"`
 	Duration time.Duration `long:"duration" default:"20s" description:"how long the load runs"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of every random choice"`
-	Fault    string        `long:"fault" default:"none" choice:"none" choice:"primary-kill" choice:"primary-cut" choice:"platform-down" choice:"replica-lag" description:"what happens half way"`
-	Repeat   int           `long:"repeat" default:"1" description:"how often the primary is lost"`
+	Fault    string        `long:"fault" default:"none" choice:"none" choice:"primary-kill" choice:"primary-cut" choice:"primary-pause" choice:"platform-down" choice:"replica-lag" description:"what happens half way"`
+	Baseline string        `long:"baseline" choice:"own-word" choice:"primary-reads" choice:"naive" description:"another design in the product's place: no confirmation, fresh reads at the primary, or both"`
+	Repeat   int           `long:"repeat" default:"1" description:"how often the primary is lost or paused"`
 	Sessions int           `long:"sessions" default:"48" description:"number of callers"`
 	Think    time.Duration `long:"think" default:"100ms" description:"mean pause of a caller between requests"`
 	Lag      time.Duration `long:"lag" default:"50ms" description:"replication lag of every replica"`
+	Cost     time.Duration `long:"cost" default:"500us" description:"how long a member works on a statement"`
+	Entries  int           `long:"instances" description:"number of entry instances (default: those of today)"`
 	Logs     bool          `long:"logs" description:"show the instances' logs on the error output"`
 	environment
 }
@@ -42,6 +45,7 @@
 func (c *benchCommand) Execute([]string) error {
 	r, err := bench.Run(c.ctx, bench.Config{
 		Profile: c.Profile, Duration: c.Duration, Seed: c.Seed, Fault: bench.Fault(c.Fault), Repeat: c.Repeat,
+		Baseline: bench.Baseline(c.Baseline), Cost: c.Cost, Instances: c.Entries,
 		Sessions: c.Sessions, Think: c.Think, Lag: c.Lag, Say: c.out, Logs: c.logs(c.Logs),
 	})
 	return c.finish(r, err)
