--- a/internal/config/contacts.go
+++ b/internal/config/contacts.go
@@ -1,13 +1,11 @@
 package config
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/relaytree"
 )
 
 const (
@@ -22,8 +20,6 @@
 	// the end. Repair over such a fixed random graph still takes a number of
 	// rounds that grows with the logarithm of the fleet.
 	digestPeers = 3
-	// pushDegree is how many children an instance pushes a version to.
-	pushDegree = 4
 )
 
 // contacts derives from the fleet's view whom this instance talks to.
@@ -34,29 +30,20 @@
 	changed chan struct{}
 
 	mu     sync.Mutex
-	relay  bool
-	relays []platform.Instance
-	// below holds the other instances of the failure domain.
-	below  []platform.Instance
+	tree   relaytree.Tree
 	digest []platform.Instance
 }
 
 // refresh follows a change of the view.
 func (c *contacts) refresh() {
-	self := c.fleet.Self()
-	relays := c.fleet.Pick(relayDuty, c.relayCount)
-	digest := slices.DeleteFunc(c.fleet.Pick(digestDuty+self.ID, digestPeers), sameID(self.ID))
+	// The view is read under the lock, so that of two calls at one moment the
+	// later one has the newer view.
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.relays = slices.DeleteFunc(relays, func(i platform.Instance) bool { return i.FailureDomain != self.FailureDomain })
-	c.below = c.below[:0:0]
-	for _, i := range c.fleet.Live() {
-		if i.FailureDomain == self.FailureDomain && !slices.ContainsFunc(c.relays, sameID(i.ID)) {
-			c.below = append(c.below, i)
-		}
-	}
-	c.relay = slices.ContainsFunc(c.relays, sameID(self.ID))
-	c.digest = digest
+	self := c.fleet.Self()
+	relays := c.fleet.Pick(relayDuty, c.relayCount)
+	c.tree = relaytree.New(self.FailureDomain, relays, c.fleet.Live())
+	c.digest = slices.DeleteFunc(c.fleet.Pick(digestDuty+self.ID, digestPeers), sameID(self.ID))
 	select {
 	case c.changed <- struct{}{}:
 	default:
@@ -71,7 +58,7 @@
 func (c *contacts) isRelay() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.relay
+	return c.tree.IsRelay(c.fleet.Self().ID)
 }
 
 // digestTargets returns the addresses of the peers to exchange digests with.
@@ -85,47 +72,14 @@
 	return addresses
 }
 
-// children returns the addresses that this instance pushes a document to. The
-// instances of the failure domain form trees whose roots are the relays; each
-// other instance has one parent. The order below the relays depends on the
-// document, so that the work of inner nodes falls on different instances.
+// children returns the addresses that this instance pushes a document to.
 func (c *contacts) children(name string) []string {
 	c.mu.Lock()
-	relays, below := c.relays, c.below
+	tree := c.tree
 	c.mu.Unlock()
-	if len(below) == 0 {
-		return nil
-	}
-	order := slices.Concat(relays, orderFor(name, below))
-	position := slices.IndexFunc(order, sameID(c.fleet.Self().ID))
-	if position < 0 {
-		return nil
-	}
-	first := len(relays) + pushDegree*position
 	var addresses []string
-	for i := first; i < min(first+pushDegree, len(order)); i++ {
-		addresses = append(addresses, order[i].PeerAddress)
+	for _, i := range tree.Children(name, c.fleet.Self().ID) {
+		addresses = append(addresses, i.PeerAddress)
 	}
 	return addresses
 }
-
-// orderFor returns instances in an order that depends on a document and is the
-// same on every instance.
-func orderFor(name string, instances []platform.Instance) []platform.Instance {
-	type scored struct {
-		score    uint64
-		instance platform.Instance
-	}
-	list := make([]scored, len(instances))
-	for n, i := range instances {
-		list[n] = scored{score: xxhash.Sum64String(name + "\x00" + i.ID), instance: i}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.instance.ID, b.instance.ID))
-	})
-	order := make([]platform.Instance, len(list))
-	for n, s := range list {
-		order[n] = s.instance
-	}
-	return order
-}
--- a/internal/config/doc.go
+++ b/internal/config/doc.go
@@ -13,7 +13,8 @@
 // digest exchanged with one peer each second repairs what was lost, also
 // across failure domains; and a starting instance asks the platform and peers.
 //
-// Lock order: Store.adoption, then Store.mu, then Store.randMu. adoption is
+// Lock order: Store.adoption, then Store.mu, then Store.randMu; contacts.mu is
+// taken alone, apart from the locks of the fleet's view. adoption is
 // held while subscribers are called, so that they see versions in order; no
 // lock is held across a call to the platform or to a peer.
 package config
