Give slow members more time, and primaries that keep changing more patience

Cause: the probe's bound was fixed. A member that took longer, for distance or load, was deposed, and its successor after it; where all were slow, nobody was ever seen again, and no term was ever fenced.

The package comment now says exactly from when on a higher term is ruled out.

--- a/internal/failover/attacher.go
+++ b/internal/failover/attacher.go
@@ -15,12 +15,14 @@
 // calls are idempotent, carry the term, and name a primary that reported itself.
 type attacher struct {
 	c *Claimer
-	// detached is since when each member has been seen detached.
+	// detached is since when each member has been seen detached, and tries how
+	// often it was told to follow since then.
 	detached map[string]time.Time
+	tries    map[string]int
 }
 
 func newAttacher(c *Claimer) *attacher {
-	return &attacher{c: c, detached: make(map[string]time.Time)}
+	return &attacher{c: c, detached: make(map[string]time.Time), tries: make(map[string]int)}
 }
 
 // run attaches members until ctx ends.
@@ -37,6 +39,7 @@
 	address string
 	term    logpos.Term
 	primary string
+	bound   time.Duration
 }
 
 // due returns the members that have been detached for long enough. The wait is
@@ -49,6 +52,7 @@
 	for _, m := range s.Members {
 		if !healthy || m.Address == s.Primary || !answering(m) || !detached(m, s.Term) {
 			delete(a.detached, m.Address)
+			delete(a.tries, m.Address)
 			continue
 		}
 		since, seen := a.detached[m.Address]
@@ -58,7 +62,9 @@
 		}
 		if now.Sub(since) >= wait {
 			a.detached[m.Address] = now
-			orders = append(orders, order{address: m.Address, term: s.Term, primary: s.Primary})
+			bound := patience(a.c.Settings.Call, a.tries[m.Address])
+			a.tries[m.Address]++
+			orders = append(orders, order{address: m.Address, term: s.Term, primary: s.Primary, bound: bound})
 		}
 	}
 	return orders
@@ -86,7 +92,7 @@
 
 // attach makes one member enter the term and follow.
 func (a *attacher) attach(ctx context.Context, o order) error {
-	ctx, cancel := context.WithTimeout(ctx, a.c.Settings.Call)
+	ctx, cancel := context.WithTimeout(ctx, o.bound)
 	defer cancel()
 	control, err := a.c.Dialer.DialControl(ctx, o.address)
 	if err != nil {
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -67,7 +67,7 @@
 func (g *guard) expired(r Record, s *group.Snapshot) bool {
 	now := g.c.Clock.Now()
 	if g.rival.claim != r.Claim {
-		wait := g.c.Settings.Takeover + time.Duration(g.c.rank(s))*g.c.Settings.Stagger
+		wait := g.suspicion.takeover() + time.Duration(g.c.rank(s))*g.c.Settings.Stagger
 		g.rival = rival{claim: r.Claim, until: now.Add(wait)}
 	}
 	return !now.Before(g.rival.until)
--- a/internal/failover/settings.go
+++ b/internal/failover/settings.go
@@ -6,6 +6,9 @@
 type Settings struct {
 	// Detect is how long probes on new connections must have failed.
 	Detect time.Duration
+	// Calm is the time after which a rise of the term no longer lengthens the
+	// detection time.
+	Calm time.Duration
 	// MinFailures is how many of them must have failed. A process that was
 	// paused finds its probe in flight late, but only one; see Watcher.
 	MinFailures int
@@ -16,7 +19,7 @@
 	Takeover time.Duration
 	// Attempt bounds the work on one claimed term.
 	Attempt time.Duration
-	// Call bounds one call to a member, with its dial.
+	// Call bounds the first try of a call to a member, with its dial.
 	Call time.Duration
 	// Retry is the time between two tries of a call to a member.
 	Retry time.Duration
@@ -42,15 +45,16 @@
 	SwitchPause time.Duration
 }
 
-// DefaultSettings suits one-way latencies of up to about 5 ms and members that
+// DefaultSettings suits one-way latencies of a few milliseconds and members that
 // take about 10 ms to open a connection.
 func DefaultSettings() Settings {
 	return Settings{
 		Detect:      150 * time.Millisecond,
+		Calm:        time.Minute,
 		MinFailures: 3,
 		Stagger:     100 * time.Millisecond,
 		Takeover:    400 * time.Millisecond,
-		Attempt:     2 * time.Second,
+		Attempt:     5 * time.Second,
 		Call:        100 * time.Millisecond,
 		Retry:       20 * time.Millisecond,
 		Witness:     50 * time.Millisecond,
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -16,8 +16,16 @@
 	term  logpos.Term
 	cause Cause
 	since time.Time
+	// rises are the moments of late at which the term rose.
+	rises []time.Time
 }
 
+// maxPatience bounds how often the detection time doubles, once for each rise
+// of the term of late. Load that makes a primary answer late makes its successor
+// answer late as well; without more patience each time, they would depose each
+// other for as long as the load lasts.
+const maxPatience = 3
+
 // firstAttachFactor is how many times the stall time is added while no replica
 // has been attached in the term yet.
 const firstAttachFactor = 5
@@ -39,9 +47,9 @@
 	case CauseLost:
 		m, _ := s.Find(s.Primary)
 		began = m.Failing
-		wait += p.settings.Detect
+		wait += p.settings.Detect << min(len(p.rises), maxPatience)
 	case CauseLeaderless:
-		wait += p.settings.Takeover
+		wait += p.takeover()
 	case CauseStalled:
 		began = s.StalledSince
 		wait += p.settings.Stall
@@ -57,8 +65,21 @@
 	return verdict{cause: cause, began: began, due: began.Add(wait)}
 }
 
+// takeover is how long a claimed term may be without a primary. It doubles with
+// each further term of late: where everything is slow, claimers that give each
+// other no more time than usual would take the term from each other for ever.
+func (p *suspicion) takeover() time.Duration {
+	return p.settings.Takeover << min(max(len(p.rises)-1, 0), maxPatience)
+}
+
 // note keeps the time since which one cause has stood in one term.
 func (p *suspicion) note(now time.Time, term logpos.Term, c Cause) {
+	if p.term != 0 && term > p.term {
+		p.rises = append(p.rises, now)
+	}
+	for len(p.rises) > 0 && now.Sub(p.rises[0]) > p.settings.Calm {
+		p.rises = p.rises[1:]
+	}
 	if p.term != term || p.cause != c {
 		p.term, p.cause, p.since = term, c, now
 	}
--- a/internal/failover/ward.go
+++ b/internal/failover/ward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/member"
 )
@@ -58,8 +59,8 @@
 // persist calls until the member answers, the term has passed, or ctx ends. All
 // calls are idempotent within their term.
 func (w *ward) persist(ctx context.Context, f call) (member.Status, error) {
-	for {
-		s, err := w.try(ctx, f)
+	for tries := 0; ; tries++ {
+		s, err := w.try(ctx, f, patience(w.a.c.Settings.Call, tries))
 		if err == nil {
 			return s, nil
 		}
@@ -75,9 +76,18 @@
 	}
 }
 
-func (w *ward) try(ctx context.Context, f call) (member.Status, error) {
+// maxCallDoublings bounds how often the bound of a call doubles.
+const maxCallDoublings = 4
+
+// patience is the bound of a call after a number of failed tries. It doubles,
+// for a member that is merely slow would else never be fenced.
+func patience(least time.Duration, tries int) time.Duration {
+	return least << min(tries, maxCallDoublings)
+}
+
+func (w *ward) try(ctx context.Context, f call, bound time.Duration) (member.Status, error) {
 	c := w.a.c
-	ctx, cancel := context.WithTimeout(ctx, c.Settings.Call)
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	if w.control == nil {
 		control, err := c.Dialer.DialControl(ctx, w.address)
--- a/internal/group/doc.go
+++ b/internal/group/doc.go
@@ -16,14 +16,16 @@
 // position. Together with the primary these are a majority.
 //
 // Invariant: when Confirm or Barrier returns without error, no higher term had
-// fenced a majority of the members when the call began, and the position is on
-// a majority of the members in its term.
+// fenced a majority of the members when the primary reported the mark, which a
+// Barrier asks for after it began; and the position is on a majority of the
+// members in the mark's term.
 //
 // Why: a promotion in term t first makes a majority enter t. Two majorities
-// share a member. Had the fence been complete before the call, the shared member
-// would have reported t or more, because its report was asked for after the
-// call. Had it been fenced after its report, it held the position by then, and
-// the promotion takes a log at least as good as its own. A report that was asked
+// share a member. Had the fence been complete before the mark was reported, the
+// shared member would have reported t or more: the primary with the mark, or a
+// replica, whose report was asked for later still. Had it been fenced after its
+// report, it held the position by then, and the promotion takes a log at least
+// as good as its own. A report that was asked
 // for before the call proves the position too, but not the first half, so that
 // a read at a replaced primary would pass; hence the tickets. They are counters
 // and not times: a process that was paused cannot mistake an old report for a
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -20,8 +20,10 @@
 	index  int
 	dialer member.Dialer
 	kick   chan struct{}
-	// control is the kept connection; only run's goroutine uses it.
+	// control is the kept connection, and pace bounds its questions; only run's
+	// goroutine uses them.
 	control member.Control
+	pace    pace
 
 	// What follows is guarded by Watcher.mu.
 	view MemberView
@@ -92,6 +94,9 @@
 	f.finish(t, q, s, err)
 	switch {
 	case err == nil:
+		if !q.wait {
+			f.pace.took(f.w.clock.Now().Sub(t.at))
+		}
 		f.w.Observe(f.view.Address, t, s)
 	case errors.Is(err, member.ErrBusy):
 		// The member answered, only not with a report: it lives.
--- a/internal/group/intervals.go
+++ b/internal/group/intervals.go
@@ -11,7 +11,8 @@
 	// FastPoll replaces both while no write could be confirmed in the term.
 	FastPoll time.Duration
 	// Probe bounds a status call, and a probe on a new connection from its dial
-	// to its report. Failing probes start this far apart.
+	// to its report; both longer where answers of late took long. Failing probes
+	// start this far apart.
 	Probe time.Duration
 	// Wait bounds one wait for a position. It is also how long a connection
 	// that fell silent under such a wait goes unnoticed.
@@ -20,7 +21,7 @@
 	Away time.Duration
 }
 
-// DefaultIntervals suits one-way latencies of up to about 5 ms and members that
+// DefaultIntervals suits one-way latencies of a few milliseconds and members that
 // take about 10 ms to open a connection.
 func DefaultIntervals() Intervals {
 	return Intervals{
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -10,6 +10,11 @@
 // instances that started together do not ask together.
 const pollSpread = 0.1
 
+const (
+	failuresPerDoubling = 3
+	maxDoublings        = 4
+)
+
 // question is what a follower does next: sleep for delay, or ask.
 type question struct {
 	delay    time.Duration
@@ -23,7 +28,7 @@
 	f.w.mu.Lock()
 	defer f.w.mu.Unlock()
 	if f.control == nil {
-		return question{delay: f.until(f.probeInterval()), bound: f.w.intervals.Probe}
+		return question{delay: f.until(f.probeInterval()), bound: f.probeBound()}
 	}
 	if f.view.Address == f.w.primary {
 		return f.nextOfPrimary()
@@ -32,7 +37,7 @@
 }
 
 func (f *follower) nextOfPrimary() question {
-	q := question{bound: f.w.intervals.Probe}
+	q := question{bound: f.pace.bound(f.w.intervals.Probe)}
 	if !f.w.barrierWaits() {
 		q.delay = f.until(f.spread(f.w.intervals.PrimaryPoll))
 	}
@@ -40,7 +45,7 @@
 }
 
 func (f *follower) nextOfReplica() question {
-	status := question{bound: f.w.intervals.Probe}
+	status := question{bound: f.pace.bound(f.w.intervals.Probe)}
 	position, wanted := f.w.demand(f)
 	switch {
 	case wanted && attached(f.view.Status, f.w.term) && !f.idle:
@@ -67,6 +72,14 @@
 	return max(i.Probe, f.spread(min(i.Away, away)))
 }
 
+// probeBound is how long a probe on a new connection may take. It doubles with
+// every few failures in a row: a member that has become slower than any bound in
+// use would else never be heard again.
+func (f *follower) probeBound() time.Duration {
+	doublings := min(f.view.Failures/failuresPerDoubling, maxDoublings)
+	return f.pace.bound(f.w.intervals.Probe) << doublings
+}
+
 // until is the time left of an interval that began at the last question.
 func (f *follower) until(interval time.Duration) time.Duration {
 	return interval - f.w.clock.Now().Sub(f.askedAt)
