--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -49,8 +49,9 @@
 	network *memnet.Host
 }
 
-// cluster is a group of three members and one instance in each of three failure
-// domains, under virtual time. Member i and instance i share domain i.
+// cluster is a group of members and one instance in each of three failure domains,
+// under virtual time. Member i and instance i share domain i; members past the
+// third are spread over the domains again.
 type cluster struct {
 	t         *testing.T
 	seed      uint64
@@ -72,22 +73,29 @@
 // inCluster runs f with a started cluster, and checks afterwards that every
 // acknowledged write is in the log of the primary.
 func inCluster(t *testing.T, seed uint64, f func(x *cluster)) {
+	t.Helper()
+	inClusterOf(t, 3, seed, f)
+}
+
+func inClusterOf(t *testing.T, members int, seed uint64, f func(x *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		x := &cluster{t: t, seed: seed, net: memnet.New(), store: store.NewStore()}
 		defer x.stop()
-		x.start()
+		x.start(members)
 		x.after(time.Second)
 		f(x)
 		x.checkAcked()
 	})
 }
 
-func (x *cluster) start() {
+func (x *cluster) start(members int) {
 	x.store.SetFaults(store.Faults{Delay: platformDelay})
-	for i := range 3 {
+	for i := range members {
 		x.hosts = append(x.hosts, fmt.Sprintf("10.0.%d.1", i+1))
 		x.addresses = append(x.addresses, x.hosts[i]+":5432")
+	}
+	for i := range 3 {
 		x.instances = append(x.instances, &instance{ip: fmt.Sprintf("10.0.%d.9", i+1), Instance: platform.Instance{
 			ID: fmt.Sprintf("i%d", i+1), FailureDomain: domain(i), PeerAddress: fmt.Sprintf("10.0.%d.9:7000", i+1)}})
 	}
@@ -132,7 +140,7 @@
 	dialer := pgcontrol.NewDialer(i.network, pgcontrol.Options{User: "topazrock"})
 	var members []document.Member
 	for k, a := range x.addresses {
-		members = append(members, document.Member{Address: a, FailureDomain: domain(k)})
+		members = append(members, document.Member{Address: a, FailureDomain: domain(k % 3)})
 	}
 	r := func(part uint64) *rand.Rand { return rand.New(rand.NewPCG(x.seed, part+uint64(i.ID[1]))) }
 	i.w = group.NewWatcher(group.Config{Group: "g", Members: members, Clock: clock.System{}, Rand: r(100), Dialer: dialer})
