Tell the next holder of a freed seat at once; make tenures unique in a process

Cause: a Manager took its tenure from its random source. Two Managers of one group in a process, given sources with the same seed, would have had the same tenure and the same change IDs, and taken each other's seat and changes for their own. A counter of the process replaces it.

--- a/internal/shares/fake_test.go
+++ b/internal/shares/fake_test.go
@@ -283,6 +283,13 @@
 
 // start boots a new process on the machine.
 func (w *world) start(id, domain string) *machine {
+	m := w.build(id, domain)
+	m.run()
+	return m
+}
+
+// build makes a process that does not run yet.
+func (w *world) build(id, domain string) *machine {
 	w.mu.Lock()
 	old := w.machines[id]
 	m := &machine{w: w, id: id, domain: domain}
@@ -314,7 +321,6 @@
 	m.directory = NewDirectory(m.name())
 	m.directory.Add(m.manager)
 	w.set(func() { w.machines[id] = m })
-	m.run()
 	return m
 }
 
--- a/internal/shares/lending.go
+++ b/internal/shares/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -244,20 +245,22 @@
 		return s.Size != before
 	})
 	if returned {
-		m.tell(ctx, glad)
+		go m.tell(context.WithoutCancel(ctx), glad)
 	}
 }
 
-// tell points other holders at the changed ledger. Those that miss it read the
-// ledger on their own beat.
+// tell points other holders at the changed ledger and waits until they know.
+// Those that miss it read the ledger on their own beat.
 func (m *Manager) tell(ctx context.Context, addresses []string) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout/4)
+	defer cancel()
+	var all sync.WaitGroup
 	for _, address := range addresses {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
-			defer cancel()
+		all.Go(func() {
 			if err := m.cfg.Peers.Call(ctx, address, MethodReturn, Notice{Group: m.cfg.Group}, &Empty{}); err != nil {
 				m.failed("peer", err)
 			}
-		}()
+		})
 	}
+	all.Wait()
 }
--- a/internal/shares/manager.go
+++ b/internal/shares/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -47,12 +48,17 @@
 	allocation Allocation
 }
 
+// tenures counts the Managers of this process. It is no random number, because
+// two Managers of one group may be given sources with the same seed, and would
+// then take each other's seats and changes for their own.
+var tenures atomic.Uint64
+
 // New returns a Manager that holds nothing. A process has one Manager of a group
 // at a time: make the next one only after Close of the last returned nil.
 func New(cfg Config, a Allocation) *Manager {
 	cfg = cfg.withDefaults()
 	self := cfg.Self
-	self.Tenure = strconv.FormatUint(cfg.Rand.Uint64(), 36)
+	self.Tenure = strconv.FormatUint(tenures.Add(1), 36)
 	return &Manager{
 		cfg:  cfg,
 		self: self,
@@ -301,7 +307,7 @@
 // vacate writes that the seat is free. What the seat has above its target goes
 // to seats that are below theirs.
 func (m *Manager) vacate(ctx context.Context) error {
-	_, _, err := m.store.update(ctx, func(l *Ledger) bool {
+	l, stored, err := m.store.update(ctx, func(l *Ledger) bool {
 		s := l.seatOf(m.self)
 		if s == nil {
 			return false
@@ -311,5 +317,9 @@
 		s.Size = s.Size.Minus(extra).Plus(l.giveBack(s.Name, extra))
 		return true
 	})
+	if stored {
+		m.cfg.Metrics.changes.WithLabelValues(m.cfg.Group, changeVacate).Inc()
+		m.tell(ctx, l.others(m.self))
+	}
 	return err
 }
--- /dev/null
+++ b/internal/shares/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package shares
+
+const defaultBatches = 2
