Probe idle connections to a member that takes no new one

Cause: a machine that went without a word leaves idle connections that look sound. A statement sent on one ends as outcome unknown, and after a failover they hold the places that the new primary needs. Ruled out: closing them at the failed opening, because a member that is slow to accept would lose sound connections as well.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -84,7 +84,7 @@
 // hopeless returns the error for a wait that nothing can end in time: no
 // connection to the member exists and none will be opened before the deadline.
 func (p *Limited) hopeless(m *memberState, deadline time.Time) *result.Error {
-	if len(m.idle)+m.inUse+m.opening > 0 {
+	if len(m.idle)+m.inUse+m.opening+m.probing > 0 {
 		return nil
 	}
 	if !p.cfg.Clock.Now().Before(m.pausedUntil) {
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -229,6 +229,33 @@
 	})
 }
 
+func TestFailedOpeningMakesOldConnectionsSuspect(t *testing.T) {
+	// A member's machine is gone without a word: its idle connections are silent
+	// and new ones fail. The first failed opening has the idle ones probed and
+	// closed, so that no statement is sent on one and their places are free for
+	// the new primary.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(4)
+		defer closePool(t, p)
+		held := fill(t, p, firstMember, 3)
+		for _, c := range held {
+			members.silent[c] = true
+		}
+		releaseAll(p, held[:2])
+		members.down[firstMember] = true
+		busy := fill(t, p, firstMember, 2)
+		_, err := p.Acquire(t.Context(), firstMember)
+		is.Equal(code(err), result.UpstreamUnreachable)
+		releaseAll(p, busy)
+		after(DefaultProbeTimeout + roundTrip)
+		is.Equal(p.Stats().Idle, 0)
+		is.Equal(p.Stats().InUse, 1)
+		p.Release(held[2])
+	})
+}
+
 func TestSuspectConnectionThatAnswersIsKept(t *testing.T) {
 	// One connection went silent, others of its age did not. Those that answer
 	// the probe are used again; one in use is probed when it is released.
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -102,24 +102,28 @@
 func (p *Limited) Suspect(address string, opened time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := p.member(address)
-	newest := opened.Add(suspectWindow)
+	p.suspect(p.member(address), opened.Add(suspectWindow))
+	p.dispatch()
+}
+
+// suspect has all connections to m that are no younger than newest probed
+// before their next use. It runs under the lock.
+func (p *Limited) suspect(m *memberState, newest time.Time) {
 	for _, e := range p.entries {
 		if e.member == m && !e.conn.Opened().After(newest) {
 			e.suspect = true
 		}
 	}
-	kept := m.idle[:0]
-	for _, e := range m.idle {
+	idle := m.idle
+	m.idle = nil
+	for _, e := range idle {
 		if !e.suspect {
-			kept = append(kept, e)
+			m.idle = append(m.idle, e)
 			continue
 		}
 		p.idle--
 		p.startProbe(e)
 	}
-	m.idle = kept
-	p.dispatch()
 }
 
 // SetLeaving replaces the set of members that get no new work. Their idle
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -13,6 +13,7 @@
 	idle    []*entry
 	inUse   int
 	opening int
+	probing int
 	// pause is the present length of the pause between failed openings; zero
 	// after one that went well.
 	pause       time.Duration
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -86,8 +86,12 @@
 	if m.refused {
 		return
 	}
+	// A member that takes no new connection has often lost the old ones too. A
+	// statement sent on one would end as outcome unknown, and after a failover
+	// they would hold the places that the new primary needs.
+	p.suspect(m, now)
 	refuse := p.waiting.Len()
-	if m.inUse > 0 {
+	if m.inUse+m.probing > 0 {
 		refuse = 1
 	}
 	p.refuseWaiters(m, refuse, p.unreachable(m).WithCause(err))
@@ -111,6 +115,7 @@
 	}
 	e.state = stateProbing
 	p.probing++
+	e.member.probing++
 	go p.probe(e)
 }
 
@@ -121,6 +126,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probing--
+	e.member.probing--
 	e.suspect = false
 	if err != nil {
 		p.startClose(e, closedSilent)
