--- a/internal/shares/race_test.go
+++ b/internal/shares/race_test.go
@@ -3,6 +3,6 @@
 package shares
 
 // defaultBatches is lower with the race detector: its runtime has crashed with
-// SIGSEGV in a timer of a synctest bubble in 1 of some 20 long runs, and a second
-// batch shows it no schedule that the first one does not.
+// SIGSEGV in a timer of a synctest bubble in 1 of some 20 long runs. Both batches
+// run without it.
 const defaultBatches = 1
