Refuse a write before sending when the primary is lost or its replicas stand still

Cause: a primary that had failed its probes, or whose replicas got nothing any more, was still sent writes. Their callers waited for a timeout and heard that the outcome is unknown, where a refusal would have been certain and at once.

Ruled out: refusing after one failed probe; one can fail by itself.

Conclusion: three failed probes in a row, or a stall longer than a confirmation may take, refuse the write with a did-not-run code.

--- a/internal/executor/confirm_test.go
+++ b/internal/executor/confirm_test.go
@@ -67,3 +67,41 @@
 	g.reportRefused("m", result.New(result.UpstreamUnreachable, "no route"))
 	is.Equal(tracker.failures, 1)
 }
+
+// shown is a tracker that shows one snapshot.
+type shown struct {
+	group.Tracker
+	snapshot group.Snapshot
+}
+
+// Snapshot implements group.Tracker.
+func (s *shown) Snapshot() *group.Snapshot { return &s.snapshot }
+
+// A write that cannot be confirmed is refused before it is sent: the primary does
+// not answer, no replica has been heard of, or none has got on for as long as a
+// confirmation may take.
+func TestWriteThatCannotBeConfirmedIsNotSent(t *testing.T) {
+	now := time.Now()
+	healthy := group.Snapshot{Term: 1, Primary: "p", ConfirmedAt: now, Members: []group.MemberView{{Address: "p"}}}
+	for name, c := range map[string]struct {
+		change func(*group.Snapshot)
+		code   result.Code
+	}{
+		"healthy":      {func(*group.Snapshot) {}, 0},
+		"one probe":    {func(s *group.Snapshot) { s.Members = []group.MemberView{{Address: "p", Failures: 1}} }, 0},
+		"brief stall":  {func(s *group.Snapshot) { s.StalledSince = now.Add(-100 * time.Millisecond) }, 0},
+		"none known":   {func(s *group.Snapshot) { s.Primary = "" }, result.NoPrimary},
+		"lost":         {func(s *group.Snapshot) { s.Members = []group.MemberView{{Address: "p", Failures: 3}} }, result.NoPrimary},
+		"long stall":   {func(s *group.Snapshot) { s.StalledSince = now.Add(-time.Minute) }, result.NoConfirmingReplica},
+		"none replies": {func(s *group.Snapshot) { s.ConfirmedAt = now.Add(-time.Minute) }, result.NoConfirmingReplica},
+	} {
+		s := healthy
+		c.change(&s)
+		service := &document.Service{Limits: document.Limits{ConfirmTimeout: time.Second}}
+		g := &Group{Config: Config{Clock: clock.System{}, Tracker: &shown{snapshot: s}, Service: func() *document.Service { return service }}}
+		_, err := g.writablePrimary()
+		if e, _ := result.As(err); (err == nil) != (c.code == 0) || (e != nil && e.Code != c.code) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -24,18 +24,32 @@
 	return nil, g.settle(ctx, u, err)
 }
 
-// writablePrimary returns the primary if a write to it can be confirmed.
+// lostProbes is how many probes in a row must have failed for units not to be
+// sent to a primary: as many as a failover needs.
+const lostProbes = 3
+
+// writablePrimary returns the primary if a write to it can be confirmed. A
+// refusal before sending is worth more to a caller than an unknown outcome.
 func (g *Group) writablePrimary() (*group.Snapshot, error) {
 	s := g.Tracker.Snapshot()
-	if s.Primary == "" {
+	m, known := s.Find(s.Primary)
+	if !known || m.Failures >= lostProbes {
 		return nil, result.New(result.NoPrimary, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
 	}
-	if g.Clock.Now().Sub(s.ConfirmedAt) > confirmationAge {
+	if !g.confirmable(s) {
 		return nil, result.New(result.NoConfirmingReplica, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
 	}
 	return s, nil
 }
 
+// confirmable reports whether replicas have answered lately, and get on: where
+// none has for as long as a confirmation may take, none will in that time.
+func (g *Group) confirmable(s *group.Snapshot) bool {
+	now := g.Clock.Now()
+	stalled := !s.StalledSince.IsZero() && now.Sub(s.StalledSince) > g.Service().Limits.ConfirmTimeout
+	return now.Sub(s.ConfirmedAt) <= confirmationAge && !stalled
+}
+
 // atPrimary sends the unit to the primary and confirms it. It calls release
 // when the member has finished: confirmation needs no slot.
 func (g *Group) atPrimary(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error, release func()) (*execution.Reply, error) {
