Test that a new group gets its first primary

Cause: a group with no term, no primary and no object on the platform was covered by no test; it takes the same path as a group without a leader.

Conclusion: it has a primary in term 1, and writes are confirmed.

--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/topazrock/topazrock/internal/logpos"
+	standin "github.com/topazrock/topazrock/internal/standin/member"
 )
 
 const seed = 7
@@ -419,3 +420,30 @@
 		x.wantWritable(x.instances[1], "k")
 	})
 }
+
+// Three members that have entered no term come up. The group has no object on
+// the platform and no primary to lose; it must get its first one all the same.
+func TestNewGroupGetsItsFirstPrimary(t *testing.T) {
+	inCluster(t, seed, func(x *cluster) {
+		for k, n := range x.nodes {
+			n.Stop()
+			x.nodes[k] = standin.New(standin.Options{
+				Address: x.addresses[k], Network: x.net.Host(x.hosts[k]), ConnectDelay: connectDelay, ReplicationLag: lag})
+		}
+		for _, i := range x.instances {
+			i.cancel()
+			<-i.done
+		}
+		for _, n := range x.nodes {
+			if err := n.Start(); err != nil {
+				x.t.Fatal(err)
+			}
+		}
+		for _, i := range x.instances {
+			x.run(i)
+		}
+		x.after(4 * time.Second)
+		x.wantPrimary(1)
+		x.wantWritable(x.instances[0], "first")
+	})
+}
--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -105,8 +105,8 @@
 			x.net.SetLatency(a, b, oneWay)
 		}
 	}
-	nodes, err := standin.StartGroup(standin.Options{ConnectDelay: connectDelay, ReplicationLag: lag},
-		func(ip string) netio.Network { return x.net.Host(ip) }, x.addresses...)
+	options := standin.Options{ConnectDelay: connectDelay, ReplicationLag: lag}
+	nodes, err := standin.StartGroup(options, func(ip string) netio.Network { return x.net.Host(ip) }, x.addresses...)
 	if err != nil {
 		x.t.Fatal(err)
 	}
