Ask one holder after the other until one lends

Cause: a borrower asked one holder, chosen at random, and after a refusal paused for up to ten seconds. Busy holders hid an idle one for several pauses.

Ruled out: the lender's memory of its peak use as the whole cause; it holds a freed share for one window or two, which is 20 s at most.

Conclusion: what is left is the peak window, which keeps share from going back and forth.

--- a/internal/shares/lending.go
+++ b/internal/shares/lending.go
@@ -125,12 +125,8 @@
 	if m.change(call, changeBorrow, func(l *Ledger) bool { return m.takeSpare(l, want) }) {
 		return
 	}
-	address, ok := m.lender(want)
-	if !ok {
-		return
-	}
 	// In its own goroutine, because two holders may ask each other.
-	go m.borrow(ctx, address, want)
+	go m.borrow(ctx, m.lenders(want), want)
 }
 
 // takeSpare moves what free seats have above their floor to this instance's.
@@ -153,8 +149,8 @@
 	return !taken.IsZero()
 }
 
-// lender picks one of the holders that have more than their floor.
-func (m *Manager) lender(want Amount) (string, bool) {
+// lenders returns the holders that have more than their floor, in random order.
+func (m *Manager) lenders(want Amount) []string {
 	var addresses []string
 	for _, s := range m.ledger.Seats {
 		if s.free() || s.Holder.same(m.self) || s.Size.Over(s.Floor).Min(want).IsZero() {
@@ -162,20 +158,22 @@
 		}
 		addresses = append(addresses, s.Holder.Address)
 	}
-	if len(addresses) == 0 {
-		return "", false
-	}
-	return addresses[m.cfg.Rand.IntN(len(addresses))], true
+	m.cfg.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
 }
 
-// borrow asks one holder. Its answer only says that the ledger is worth reading.
-func (m *Manager) borrow(ctx context.Context, address string, want Amount) {
+// borrow asks holders one after the other until one lends: with one question a
+// pause, busy holders would hide an idle one for several pauses. The answer only
+// says that the ledger is worth reading.
+func (m *Manager) borrow(ctx context.Context, addresses []string, want Amount) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
 	defer cancel()
 	request := BorrowRequest{Group: m.cfg.Group, Borrower: m.self, Want: want}
 	var reply BorrowReply
-	if err := m.cfg.Peers.Call(ctx, address, MethodBorrow, request, &reply); err != nil {
-		m.failed("peer", err)
+	for i := 0; i < len(addresses) && reply.Lent.IsZero() && ctx.Err() == nil; i++ {
+		if err := m.cfg.Peers.Call(ctx, addresses[i], MethodBorrow, request, &reply); err != nil {
+			m.failed("peer", err)
+		}
 	}
 	m.notify()
 }
