Let preparing a statement not wait for the lag

Cause: drivers prepare a statement on a connection before they run it there. The unit that only prepares and describes took a barrier (a fresh read) or was confirmed (a write), and the unit that runs it did so again. The first use of each statement on a connection then waited for the replication lag twice.

What only prepares shows no rows and changes none. It runs at a replica that has reached the session's token, and its answer from the primary needs no confirmation. A session without a token that has done nothing here yet goes the old way, since it may have created what the statement names; so does a statement that a replica answers with an error, and a token of a later term.

Ruled out: batches of the stand-in's replication; each record is taken when it is as old as the lag.

--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -22,6 +22,11 @@
 
 // read runs a declared read at a replica that can prove enough, or at the primary.
 func (g *Group) read(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
+	if onlyPrepares(u) {
+		if reply, done, err := g.prepareAtReplica(ctx, u, p, partial); done {
+			return reply, err
+		}
+	}
 	n, err := g.need(ctx, u, p)
 	if err != nil {
 		return nil, err
@@ -40,6 +45,32 @@
 	}
 }
 
+// onlyPrepares reports that a unit shows no rows and changes none. What its
+// statements name must still be there, so a session that may have made it
+// elsewhere a moment ago is not meant.
+func onlyPrepares(u *execution.Unit) bool {
+	return !u.Runs() && !(u.Roaming && u.Token.IsZero())
+}
+
+// prepareAtReplica runs a unit that only prepares or describes statements at a
+// replica that has the session's own work. It shows no rows, so a barrier would
+// only let each new statement wait twice for the lag: here and when it runs. The
+// second value is false when the usual way must decide, as it must when the
+// member answers with an error: what the statement names may be newer than it.
+func (g *Group) prepareAtReplica(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, bool, error) {
+	position, known := routing.RequiredPosition(g.Tracker.Snapshot(), u.Token)
+	if !known {
+		return nil, false, nil
+	}
+	n := need{position: position, token: u.Token}
+	m, ok := g.pickReplica(n, nil)
+	if !ok {
+		return nil, false, nil
+	}
+	reply, streamed, err := g.atReplica(ctx, u, p, m, n, partial)
+	return reply, streamed || err == nil && !reply.Failed, err
+}
+
 // need works out what the read must see. A read that must be fresh, and the
 // first read of a session whose past is not known, take a barrier.
 func (g *Group) need(ctx context.Context, u *execution.Unit, p plan) (need, error) {
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -130,7 +130,7 @@
 	if refusedAsReadOnly(x.answer) {
 		return nil, result.New(result.NoPrimary, "member %s no longer leads", x.conn.Address()).WithRetryAfter(retryAfterFailover)
 	}
-	if x.answer.failure != nil && x.answer.completed == 0 {
+	if x.answer.failure != nil && x.answer.completed == 0 || onlyPrepares(u) && u.Token.Term <= x.term {
 		// Nothing took effect, so there is nothing to confirm.
 		return g.reply(u.Token, x, false), nil
 	}
--- a/internal/instance/session_test.go
+++ b/internal/instance/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -99,3 +100,42 @@
 		b.is.Equal(b.value(b.mustConnect(1, ""), "a", freshRead), "2")
 	})
 }
+
+// Other sessions write all the time and the replicas are half a second behind. A
+// driver prepares a session's first read and first write before it runs them. The
+// session then waits for the lag once for each: what is prepared shows no rows
+// and changes nothing.
+func TestPreparingDoesNotWaitForTheLag(t *testing.T) {
+	const (
+		lag     = 500 * time.Millisecond
+		writers = 10
+	)
+	inBed(t, func(b *bed) {
+		c := b.mustConnect(2, "")
+		b.exec(c, "INSERT INTO kv (k, v) VALUES ('a', '1')")
+		for _, n := range b.nodes {
+			n.SetReplicationLag(lag)
+		}
+		var wg sync.WaitGroup
+		for i := range writers {
+			other := b.mustConnect(i%len(b.instances), "")
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * lag / writers)
+				for j := range 8 {
+					b.exec(other, "INSERT INTO kv (k, v) VALUES ($1, 'x')", pgx.QueryExecModeExec, fmt.Sprintf("%d/%d", i, j))
+				}
+			})
+		}
+		time.Sleep(2 * lag)
+		start := time.Now()
+		b.is.Equal(b.value(c, "a", freshRead), "1")
+		read := time.Since(start)
+		start = time.Now()
+		b.exec(c, "INSERT INTO kv (k, v) VALUES ($1, 'y')", "b")
+		write := time.Since(start)
+		wg.Wait()
+		t.Logf("at a lag of %v the first read took %v, the first write %v", lag, read, write)
+		b.is.True(read < lag+lag/2)
+		b.is.True(write < lag+lag/2)
+	})
+}
