--- a/internal/config/harness_test.go
+++ b/internal/config/harness_test.go
@@ -30,14 +30,16 @@
 	handlers map[string]map[string]peer.Handler
 	cut      map[string]bool
 	// lose drops calls of a method.
-	lose  map[string]bool
-	calls map[string]int
-	bytes map[string]int
+	lose map[string]bool
+	// onCall runs before the next call of a method.
+	onCall map[string]func()
+	calls  map[string]int
+	bytes  map[string]int
 }
 
 func newNetwork() *network {
 	return &network{handlers: map[string]map[string]peer.Handler{}, cut: map[string]bool{},
-		lose: map[string]bool{}, calls: map[string]int{}, bytes: map[string]int{}}
+		lose: map[string]bool{}, onCall: map[string]func(){}, calls: map[string]int{}, bytes: map[string]int{}}
 }
 
 // endpoint is one instance's side of the network.
@@ -61,6 +63,13 @@
 		return err
 	}
 	e.net.mu.Lock()
+	onCall := e.net.onCall[method]
+	delete(e.net.onCall, method)
+	e.net.mu.Unlock()
+	if onCall != nil {
+		onCall()
+	}
+	e.net.mu.Lock()
 	h := e.net.handlers[address][method]
 	blocked := h == nil || e.net.cut[e.address] || e.net.cut[address] || e.net.lose[method]
 	e.net.calls[method]++
@@ -97,6 +106,8 @@
 	shut context.CancelFunc
 	// onPut replaces the next Puts; forward does what Put would have done.
 	onPut func(forward func() (platform.Object, error)) (platform.Object, error)
+	// onGet runs before the next Get.
+	onGet func()
 }
 
 // lostBefore loses a Put on its way to the platform.
@@ -122,6 +133,13 @@
 	}
 }
 
+// beforeGet runs f before the next Get.
+func (g *gate) beforeGet(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onGet = f
+}
+
 func newGate(api platform.API) *gate {
 	g := &gate{API: api}
 	g.heal()
@@ -150,6 +168,13 @@
 }
 
 func (g *gate) Get(ctx context.Context, k platform.Kind, name string) (platform.Object, error) {
+	g.mu.Lock()
+	onGet := g.onGet
+	g.onGet = nil
+	g.mu.Unlock()
+	if onGet != nil {
+		onGet()
+	}
 	if _, err := g.enter(); err != nil {
 		return platform.Object{}, err
 	}
@@ -355,3 +380,10 @@
 	}
 	return o
 }
+
+// on runs f before the next call of a method.
+func (n *network) on(method string, f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onCall[method] = f
+}
