Strike every fault at every step; mend the four faults that this showed

Cause: no proof put all faults at all steps. The matrix runs callers that write, pay, transact and roam while one of 16 faults strikes at one of 19 steps, and compares what they were told with the rows that are left. It showed: - a peer that could not be dialled held up every call to it, whatever their deadlines, under the link's lock (cells of "cut domain" hung); - a peer call that timed out closed the connection under all other calls; - units at a cut-off primary held their home's slots until the statement timeout, so that the gap of a cut was 8 s and not 0.3 s; - silent connections were found out one member at a time, each at the price of a statement timeout ("instance 0 does not serve 15s after the fault"); - a frozen member was probed on ever more new connections: "72 connections, total 35".

Ruled out: narrowing the check of the connection total to connections open at both ends (it holds as it stands, once a home has at most one control connection to a member in its handshake).

TestUnitsAtALostPrimaryGiveTheirSlotsBack is red without endDoomed ("not true: <-waiting < 2*time.Second").

Conclusion: dials are shared and outlive no caller's patience, a connection is retired before it is closed, doomed units end when their member is known to be lost, and one silent connection puts all idle ones in doubt.

--- a/internal/executor/bounds.go
+++ b/internal/executor/bounds.go
@@ -24,6 +24,9 @@
 	// settleReserve is the time that a keyed request keeps for settling its
 	// outcome: about a failover and two round trips.
 	settleReserve = time.Second
+	// silenceWindow is how recently an idle connection must have been used to be
+	// left alone when another one has gone silent.
+	silenceWindow = 100 * time.Millisecond
 	// reapInterval is how often idle transactions are looked for.
 	reapInterval = time.Second
 )
--- a/internal/executor/intransaction.go
+++ b/internal/executor/intransaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
@@ -121,9 +122,17 @@
 	g.end(tx, true)
 }
 
-// Run ends transactions that were idle for too long, until ctx ends. Their
-// locks and connections are held for callers that may be gone for good.
+// Run ends what must not be waited for any longer, until ctx ends.
 func (g *Group) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	parts.Go(func() { g.endDoomed(ctx) })
+	parts.Go(func() { g.endIdle(ctx) })
+	parts.Wait()
+}
+
+// endIdle ends transactions that were idle for too long. Their locks and
+// connections are held for callers that may be gone for good.
+func (g *Group) endIdle(ctx context.Context) {
 	for clock.Sleep(ctx, g.Clock, reapInterval) == nil {
 		limit := g.Service().Limits.TransactionIdleTimeout
 		for _, tx := range g.transactions.idleSince(g.Clock.Now().Add(-limit)) {
--- a/internal/executor/running.go
+++ b/internal/executor/running.go
@@ -57,6 +57,19 @@
 	return u.conn
 }
 
+// interrupt ends the reads and writes of every unit at a member. The units
+// spoil their connections, and the lock keeps one from being handed on before.
+func (r *running) interrupt(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range r.units {
+		if u.conn.Address() == address {
+			u.cancelled = true
+			_ = u.conn.SetDeadline(pastDeadline)
+		}
+	}
+}
+
 func (r *running) at(address string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -190,6 +190,7 @@
 func (g *Group) reportBroken(c *upstream.Conn, err error) {
 	if isTimeout(err) {
 		g.Pool.Suspect(c.Address(), c.Opened())
+		g.Pool.ProbeIdle(g.Clock.Now().Add(-silenceWindow))
 	}
 	g.Tracker.ReportFailure(c.Address())
 }
--- a/internal/group/config.go
+++ b/internal/group/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -24,6 +25,9 @@
 	Logger hclog.Logger
 	// Metrics may be nil. All watchers of an instance share one.
 	Metrics *Metrics
+	// OnSilence, if set, is told when a connection did not answer and a new one
+	// to the same member does. since is when the silent one was last asked.
+	OnSilence func(since time.Time)
 	// Intervals default to DefaultIntervals.
 	Intervals Intervals
 }
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -20,10 +20,12 @@
 	index  int
 	dialer member.Dialer
 	kick   chan struct{}
-	// control is the kept connection, and pace bounds its questions; only run's
-	// goroutine uses them.
-	control member.Control
-	pace    pace
+	// control is the kept connection, pace bounds its questions, and silentSince
+	// is when one was sent on an earlier connection that never answered; only
+	// run's goroutine uses them.
+	control     member.Control
+	pace        pace
+	silentSince time.Time
 
 	// What follows is guarded by Watcher.mu.
 	view MemberView
@@ -92,6 +94,7 @@
 	t := f.begin(cancel, fresh)
 	s, err := f.call(ctx, q)
 	f.finish(t, q, s, err)
+	f.noteSilence(t, fresh, err)
 	switch {
 	case err == nil:
 		if !q.wait {
@@ -110,6 +113,18 @@
 	}
 }
 
+// noteSilence tells of a kept connection that never answered while a new one
+// does: something between the two ends has lost track of open connections.
+func (f *follower) noteSilence(t Ticket, fresh bool, err error) {
+	switch {
+	case !fresh && errors.Is(err, context.DeadlineExceeded):
+		f.silentSince = t.at
+	case fresh && err == nil && !f.silentSince.IsZero():
+		f.w.onSilence(f.silentSince)
+		f.silentSince = time.Time{}
+	}
+}
+
 // call dials if there is no connection, and asks.
 func (f *follower) call(ctx context.Context, q question) (member.Status, error) {
 	if f.control == nil {
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -20,6 +21,7 @@
 	log       hclog.Logger
 	metrics   *Metrics
 	intervals Intervals
+	onSilence func(since time.Time)
 	// quorum is how many replicas make a majority together with the primary.
 	quorum   int
 	snapshot atomic.Pointer[Snapshot]
@@ -54,6 +56,10 @@
 		rand:      c.Rand,
 		waiters:   make(map[*waiter]struct{}),
 		changed:   make(chan struct{}),
+		onSilence: c.OnSilence,
+	}
+	if w.onSilence == nil {
+		w.onSilence = func(time.Time) {}
 	}
 	if w.log == nil {
 		w.log = hclog.NewNullLogger()
--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/settings"
 	"github.com/topazrock/topazrock/internal/standin/member"
@@ -27,9 +30,12 @@
 )
 
 const (
-	bedGroup    = "base-1"
-	bedPassword = "tagua"
-	callerHost  = "10.0.9.1"
+	bedGroup = "base-1"
+	// bedConnections is the group's total.
+	bedConnections = 35
+	bedLag         = 5 * time.Millisecond
+	bedPassword    = "tagua"
+	callerHost     = "10.0.9.1"
 )
 
 // bed is a whole system in memory: one group of three members in three failure
@@ -44,6 +50,16 @@
 	stop      []context.CancelFunc
 	ended     []chan error
 	callers   []*pgx.Conn
+	// views are the platform as each instance reaches it.
+	views []*platformView
+	// draining says which instances were told to stop.
+	draining map[int]bool
+	// dead holds the ends of processes that were replaced.
+	dead []chan error
+	// started counts processes, which gives each a seed of its own.
+	started uint64
+	// failoverHook is called at the steps of every instance's claims.
+	failoverHook atomic.Pointer[func(failover.Step)]
 }
 
 var bedDomains = []string{"poa-a", "poa-b", "fln-c"}
@@ -56,7 +72,7 @@
 // inBed runs f in a bubble of virtual time with a bed that has started.
 func inBed(t *testing.T, f func(b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bed{t: t, is: is.New(t), net: memnet.New(), store: standin.NewStore()}
+		b := &bed{t: t, is: is.New(t), net: memnet.New(), store: standin.NewStore(), draining: make(map[int]bool)}
 		b.startMembers()
 		b.startInstances()
 		time.Sleep(time.Second)
@@ -80,7 +96,9 @@
 	}
 	for i := range b.instances {
 		b.stop[i]()
-		<-b.ended[i]
+	}
+	for _, ended := range append(b.dead, b.ended...) {
+		<-ended
 	}
 	for _, n := range b.nodes {
 		n.Stop()
@@ -88,48 +106,94 @@
 }
 
 func (b *bed) startMembers() {
-	base := member.Options{ConnectDelay: 10 * time.Millisecond, ReplicationLag: 5 * time.Millisecond, ConnectionTotal: 35}
+	base := member.Options{ConnectDelay: 10 * time.Millisecond, ReplicationLag: bedLag, ConnectionTotal: 35}
 	network := func(ip string) netio.Network { return b.net.Host(ip) }
 	nodes, err := member.StartGroup(base, network, memberAddress(0), memberAddress(1), memberAddress(2))
 	b.is.NoErr(err)
 	b.nodes = nodes
 }
 
-func (b *bed) startInstances() {
+// inventory is the right list of instances.
+func (b *bed) inventory() platform.Inventory {
 	var list platform.Inventory
 	for i, d := range bedDomains {
 		list.Instances = append(list.Instances, platform.Instance{
 			ID: fmt.Sprintf("i%d", i), FailureDomain: d, PeerAddress: instanceHost(i) + ":7432",
 		})
 	}
-	b.store.SetInventory(list)
+	return list
+}
+
+func (b *bed) startInstances() {
+	b.store.SetInventory(b.inventory())
+	n := len(bedDomains)
+	b.views = make([]*platformView, n)
+	b.instances = make([]*Instance, n)
+	b.stop = make([]context.CancelFunc, n)
+	b.ended = make([]chan error, n)
 	for i := range bedDomains {
-		b.startInstance(i)
+		b.startInstanceAt(i)
 	}
 }
 
-func (b *bed) startInstance(i int) {
+// startInstanceAt starts a process in place of instance i.
+func (b *bed) startInstanceAt(i int) {
 	s := &settings.Settings{}
 	s.Instance = settings.Instance{ID: fmt.Sprintf("i%d", i), FailureDomain: bedDomains[i]}
 	s.Caller.Address = instanceAddress(i)
 	s.Peer.Address = instanceHost(i) + ":7432"
 	s.Homes.PerFailureDomain = 1
 	s.Upstream.User = "topazrock"
-	n := New(Options{
-		Settings: s,
-		Network:  b.net.Host(instanceHost(i)),
-		Clock:    clock.System{},
-		Seed:     1,
-		Platform: b.store,
-		Logger:   hclog.NewNullLogger(),
-		Registry: prometheus.NewRegistry(),
+	b.started++
+	b.views[i] = &platformView{store: b.store}
+	b.instances[i] = New(Options{
+		Settings:     s,
+		Network:      b.net.Host(instanceHost(i)),
+		Clock:        clock.System{},
+		Seed:         b.started,
+		Platform:     b.views[i],
+		Logger:       bedLogger(),
+		Registry:     prometheus.NewRegistry(),
+		FailoverHook: b.callFailoverHook,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
+	n := b.instances[i]
 	go func() { ended <- n.Run(ctx) }()
-	b.instances = append(b.instances, n)
-	b.stop = append(b.stop, cancel)
-	b.ended = append(b.ended, ended)
+	b.stop[i] = cancel
+	b.ended[i] = ended
+}
+
+// bedLogger shows the instances' logs where TOPAZROCK_BED_LOG is set.
+func bedLogger() hclog.Logger {
+	if os.Getenv("TOPAZROCK_BED_LOG") == "" {
+		return hclog.NewNullLogger()
+	}
+	return hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: os.Stderr})
+}
+
+func (b *bed) onFailoverStep(f func(failover.Step)) { b.failoverHook.Store(&f) }
+
+func (b *bed) callFailoverHook(s failover.Step) {
+	if f := b.failoverHook.Load(); f != nil {
+		(*f)(s)
+	}
+}
+
+// applyAgain applies the document in force once more, through instance 1, and
+// returns the version if it was accepted.
+func (b *bed) applyAgain() int64 {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	current, ok := b.instances[1].store.Current("base")
+	if !ok {
+		return 0
+	}
+	o, err := b.instances[1].store.Apply(ctx, "base", current.Text, current.Version, "operator")
+	if err != nil || o.State != config.Accepted {
+		return 0
+	}
+	return o.Version
 }
 
 // bedDocument is the service document of the bed's one service.
@@ -148,7 +212,7 @@
 
 [group %s]
 members = %s
-connections = 35
+connections = %d
 slots = 5
 
 [user clerk]
@@ -173,7 +237,7 @@
 [request note]
 repeat = allowed
 priority = 4
-`, bedGroup, strings.Join(members, ", "), verifier)
+`, bedGroup, strings.Join(members, ", "), bedConnections, verifier)
 }
 
 // config returns a caller's settings for instance i, with a token if not empty.
--- a/internal/instance/failover.go
+++ b/internal/instance/failover.go
@@ -23,6 +23,7 @@
 		Logger:     n.options.Logger,
 		Metrics:    n.metrics.failover,
 		OnFailover: n.options.OnFailover,
+		Hook:       n.options.FailoverHook,
 	})
 }
 
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/document"
@@ -40,13 +41,14 @@
 func (n *Instance) newHome(g document.Group, version int64) *home {
 	h := &home{group: g, router: n.router}
 	h.watcher = group.NewWatcher(group.Config{
-		Group:   g.Name,
-		Members: g.Members,
-		Clock:   n.options.Clock,
-		Rand:    n.random("watcher/" + g.Name),
-		Dialer:  n.control,
-		Logger:  n.options.Logger,
-		Metrics: n.metrics.group,
+		Group:     g.Name,
+		Members:   g.Members,
+		Clock:     n.options.Clock,
+		Rand:      n.random("watcher/" + g.Name),
+		Dialer:    n.control,
+		Logger:    n.options.Logger,
+		Metrics:   n.metrics.group,
+		OnSilence: func(since time.Time) { h.pool.ProbeIdle(since) },
 	})
 	h.claimer = n.newClaimer(g, h.watcher)
 	h.pool = n.newPool(g)
--- /dev/null
+++ b/internal/instance/invariants_test.go
@@ -0,0 +1,84 @@
+package instance
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/member"
+)
+
+// verdict checks what must hold at the end of a run, when faults are healed.
+func (l *load) verdict() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := append([]string(nil), l.faults...)
+	rows := l.bed.finalRows()
+	payments := make(map[string]int)
+	for key := range rows {
+		if payment, _, ok := strings.Cut(key, "-try"); ok {
+			payments[payment]++
+		}
+		if half, ok := strings.CutSuffix(key, "a"); ok && strings.HasPrefix(key, "t-") {
+			if _, ok := rows[half+"b"]; !ok {
+				found = append(found, "half a transaction: "+half)
+			}
+		}
+	}
+	for payment, n := range payments {
+		if n > 1 {
+			found = append(found, fmt.Sprintf("payment %s ran %d times", payment, n))
+		}
+	}
+	for key, f := range l.fates {
+		_, there := rows[key]
+		if f == fateAcknowledged && !there {
+			found = append(found, "acknowledged and lost: "+key)
+		}
+		if f == fateDidNotRun && there {
+			found = append(found, "told that it did not run, and ran: "+key)
+		}
+	}
+	if l.connections > bedConnections {
+		found = append(found, fmt.Sprintf("%d connections, total %d", l.connections, bedConnections))
+	}
+	return found
+}
+
+// finalRows returns the rows of the group's present primary: the one of the
+// highest term.
+func (b *bed) finalRows() map[string]string {
+	var best *struct {
+		term uint64
+		rows map[string]string
+	}
+	for _, n := range b.nodes {
+		s := n.Status()
+		if s.Role == member.RolePrimary && (best == nil || uint64(s.Entered) > best.term) {
+			best = &struct {
+				term uint64
+				rows map[string]string
+			}{uint64(s.Entered), n.Rows("kv")}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.rows
+}
+
+// sampleConnections keeps the highest number of connections that the members
+// had open at one moment, those for control included.
+func (l *load) sampleConnections() {
+	for l.ctx.Err() == nil {
+		sum := 0
+		for _, n := range l.bed.nodes {
+			c := n.Connections()
+			sum += c.Open + c.ControlOpen
+		}
+		l.mu.Lock()
+		l.connections = max(l.connections, sum)
+		l.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
--- a/internal/instance/once_test.go
+++ b/internal/instance/once_test.go
@@ -85,3 +85,28 @@
 		b.is.Equal(b.value(c, "fee", freshRead), "paid")
 	})
 }
+
+// The primary is cut off while callers write to it, and its successor leads
+// within a second. Units that wait for the lost one are ended then, and do not
+// hold the home's slots until the statement timeout of five seconds: another
+// caller's write goes through in the meantime.
+func TestUnitsAtALostPrimaryGiveTheirSlotsBack(t *testing.T) {
+	inBed(t, func(b *bed) {
+		waiting := make(chan time.Duration, 3)
+		for range 3 {
+			c := b.mustConnect(1, "")
+			go func() {
+				start := time.Now()
+				_, _ = c.Exec(ctx, "SELECT pg_sleep(0.3)")
+				waiting <- time.Since(start)
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+		b.cutDomain()
+		time.Sleep(1500 * time.Millisecond)
+		b.exec(b.mustConnect(1, ""), "INSERT INTO kv (k, v) VALUES ('a', '1')")
+		for range 3 {
+			b.is.True(<-waiting < 2*time.Second)
+		}
+	})
+}
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -30,6 +30,8 @@
 	// measurements that compare other designs with this one; a wrapper can take
 	// every promise away, so the product never sets it.
 	WrapTracker func(group.Tracker) group.Tracker
+	// FailoverHook, if set, is called at every step of a claim. Tests strike there.
+	FailoverHook func(failover.Step)
 }
 
 const (
--- /dev/null
+++ b/internal/instance/steps_test.go
@@ -0,0 +1,113 @@
+package instance
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/failover"
+)
+
+// matrixStep is one column of the fault matrix: a named point of a flow at
+// which the fault strikes.
+type matrixStep struct {
+	flow, name string
+	// arm makes strike run once when the point is reached, and starts whatever
+	// leads to it.
+	arm func(b *bed, strike func())
+}
+
+// allSteps are the columns of the fault matrix.
+var allSteps = []matrixStep{
+	{"write", "statement arrives", atMember(0, "statement.before")},
+	{"write", "before commit", atMember(0, "commit.before")},
+	{"write", "committed, not answered", atMember(0, "commit.after_before_answer")},
+	{"write", "before a replica takes it", atMember(1, "replica.take.before")},
+	{"read", "statement arrives at a replica", atMember(1, "statement.before")},
+	{"read", "barrier asks the primary", atMember(0, "control.status.before")},
+	{"failover", "suspected", afterKill(failoverStep(failover.StepSuspected))},
+	{"failover", "term not yet claimed", afterKill(atPlatform("groups.put.before"))},
+	{"failover", "term claimed, not answered", afterKill(atPlatform("groups.put.after_before_answer"))},
+	{"failover", "member not yet fenced", afterKill(atAnyMember("control.enter_term.before"))},
+	{"failover", "member fenced, not answered", afterKill(atAnyMember("control.enter_term.after_before_answer"))},
+	{"failover", "not yet promoted", afterKill(atAnyMember("control.promote.before"))},
+	{"failover", "promoted, not answered", afterKill(atAnyMember("control.promote.after_before_answer"))},
+	{"failover", "replica not yet attached", afterKill(atAnyMember("replica.attach.before"))},
+	{"apply", "not yet stored", whileApplying(atPlatform("services.put.before"))},
+	{"apply", "stored, not answered", whileApplying(atPlatform("services.put.after_before_answer"))},
+	{"drain", "drain begins", atDrain},
+	{"lend", "seat not yet changed", whileReseating(atPlatform("shares.put.before"))},
+	{"lend", "seat changed, not answered", whileReseating(atPlatform("shares.put.after_before_answer"))},
+}
+
+// once returns a hook that strikes the first time its point is reached. The
+// fault strikes beside the hook's caller, which then goes on a moment later. A
+// sync.Once would not do: those who wait for it hold virtual time.
+func once(point string, strike func()) func(string) {
+	var struck atomic.Bool
+	return func(at string) {
+		if at == point && struck.CompareAndSwap(false, true) {
+			go strike()
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func atMember(i int, point string) func(*bed, func()) {
+	return func(b *bed, strike func()) { b.nodes[i].SetHook(once(point, strike)) }
+}
+
+func atAnyMember(point string) func(*bed, func()) {
+	return func(b *bed, strike func()) {
+		hook := once(point, strike)
+		for _, n := range b.nodes {
+			n.SetHook(hook)
+		}
+	}
+}
+
+func atPlatform(point string) func(*bed, func()) {
+	return func(b *bed, strike func()) { b.store.SetHook(once(point, strike)) }
+}
+
+func failoverStep(s failover.Step) func(*bed, func()) {
+	return func(b *bed, strike func()) {
+		hook := once(string(s), strike)
+		b.onFailoverStep(func(s failover.Step) { hook(string(s)) })
+	}
+}
+
+// afterKill arms the point and kills the primary, so that a failover begins.
+func afterKill(arm func(*bed, func())) func(*bed, func()) {
+	return func(b *bed, strike func()) {
+		arm(b, strike)
+		b.killMember(0)
+	}
+}
+
+// whileApplying arms the point and applies a document.
+func whileApplying(arm func(*bed, func())) func(*bed, func()) {
+	return func(b *bed, strike func()) {
+		arm(b, strike)
+		go b.applyAgain()
+	}
+}
+
+// whileReseating arms the point and moves a home: the instance of fln-c leaves
+// the list and comes back, so that it gives its seat up and takes one.
+func whileReseating(arm func(*bed, func())) func(*bed, func()) {
+	return func(b *bed, strike func()) {
+		arm(b, strike)
+		list := b.inventory()
+		list.Instances[2].Leaving = true
+		b.store.SetInventory(list)
+		time.Sleep(3 * time.Second)
+		b.store.SetInventory(b.inventory())
+	}
+}
+
+// atDrain starts the graceful stop of an instance and strikes beside it.
+func atDrain(b *bed, strike func()) {
+	b.draining[1] = true
+	b.stop[1]()
+	go strike()
+}
--- a/internal/member/pgcontrol/dialer.go
+++ b/internal/member/pgcontrol/dialer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
@@ -30,39 +31,43 @@
 }
 
 // Dialer implements member.Dialer.
+//
+// At most one connection to each member is in its handshake at a time.
+//
+// Lock order: Dialer.mu, then handshake.mu.
 type Dialer struct {
 	network netio.Dialer
 	options Options
+
+	mu       sync.Mutex
+	underWay map[string]*handshake
 }
 
 // NewDialer returns a Dialer that opens its connections with network.
 func NewDialer(network netio.Dialer, options Options) *Dialer {
-	return &Dialer{network: network, options: options}
+	return &Dialer{network: network, options: options, underWay: make(map[string]*handshake)}
 }
 
 // DialControl implements member.Dialer. The address is an IP and a port.
 func (d *Dialer) DialControl(ctx context.Context, address string) (member.Control, error) {
-	cfg, err := d.config(address)
-	if err != nil {
-		return nil, err
-	}
-	c := &control{}
-	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
-		// pgconn dials again to cancel a call whose context ended. The control
-		// calls need no cancel, and to a dead member it would only add a dial.
-		if c.raw != nil {
-			return nil, errOneDial
+	for {
+		h, err := d.join(address)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-h.done:
+		case <-ctx.Done():
+			d.leave(address, h)
+			return nil, fmt.Errorf("pgcontrol: connect to %s: %w", address, ctx.Err())
+		}
+		if h.err != nil {
+			return nil, fmt.Errorf("pgcontrol: connect to %s: %w", address, h.err)
+		}
+		if d.take(address, h) {
+			return h.control, nil
 		}
-		raw, err := d.network.Dial(ctx, address)
-		c.raw = raw
-		return raw, err
-	}
-	conn, err := pgconn.ConnectConfig(ctx, cfg)
-	if err != nil {
-		return nil, connectError(address, err)
 	}
-	c.conn = conn
-	return c, nil
 }
 
 // config builds the pgconn settings for one address.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -19,25 +19,22 @@
 
 // Client calls peers over one kept connection each.
 //
-// Lock order: Client.mu, then link.mu. Neither is held across a call; link.mu is
-// held while its one connection is dialled.
+// Lock order: Client.mu, link.mu, channel.mu. None is held across I/O.
 type Client struct {
 	self   string
 	dialer netio.Dialer
+	// life ends with Close, and every dial with it.
+	life context.Context
+	end  context.CancelFunc
 
 	mu    sync.Mutex
 	links map[string]*link
 }
 
-// link is the connection to one peer.
-type link struct {
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
-}
-
 // NewClient returns a Client that names itself self.
 func NewClient(self string, d netio.Dialer) *Client {
-	return &Client{self: self, dialer: d, links: make(map[string]*link)}
+	life, end := context.WithCancel(context.Background())
+	return &Client{self: self, dialer: d, life: life, end: end, links: make(map[string]*link)}
 }
 
 // Call implements Caller. An error that wraps ErrNotSent says that the peer did
@@ -47,41 +44,27 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	conn, err := c.connect(ctx, address)
+	channel, err := c.link(address).begin(ctx, func() (net.Conn, error) { return c.dial(address) })
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	err = conn.Call(ctx, method, envelope{From: c.self, Params: raw}, reply)
-	if err == nil {
-		return nil
-	}
+	err = channel.conn.Call(ctx, method, envelope{From: c.self, Params: raw}, reply)
+	// After a timeout the connection may have gone silent for good, so new calls
+	// get another one.
+	channel.end(errors.Is(err, context.DeadlineExceeded))
 	var wire *jsonrpc2.Error
 	if errors.As(err, &wire) {
 		return decodeError(wire)
 	}
-	if ctx.Err() != nil {
-		// The connection may have gone silent. New calls get a new one, and the
-		// old one ends when its other calls do.
-		c.drop(address, conn)
-	}
 	return err
 }
 
-func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	l := c.link(address)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil && !disconnected(l.conn) {
-		return l.conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// dial opens a connection that several calls wait for, so it is bound to none of
+// their contexts.
+func (c *Client) dial(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(c.life, dialTimeout)
 	defer cancel()
-	conn, err := c.dialer.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	l.conn = jsonrpc2.NewConn(context.Background(), stream(conn), refuseCalls{}, quiet)
-	return l.conn, nil
+	return c.dialer.Dial(ctx, address)
 }
 
 func (c *Client) link(address string) *link {
@@ -95,40 +78,23 @@
 	return l
 }
 
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
-	l := c.link(address)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn == conn {
-		l.conn = nil
-	}
-	go conn.Close()
-}
-
 // Connected reports whether a connection to the peer at an address is open.
 func (c *Client) Connected(address string) bool {
 	c.mu.Lock()
 	l := c.links[address]
 	c.mu.Unlock()
-	if l == nil || !l.mu.TryLock() {
-		return false
-	}
-	defer l.mu.Unlock()
-	return l.conn != nil && !disconnected(l.conn)
+	return l != nil && l.connected()
 }
 
 // Close ends all connections.
 func (c *Client) Close() {
+	c.end()
 	c.mu.Lock()
 	links := c.links
 	c.links = make(map[string]*link)
 	c.mu.Unlock()
 	for _, l := range links {
-		l.mu.Lock()
-		if l.conn != nil {
-			l.conn.Close()
-		}
-		l.mu.Unlock()
+		l.close()
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -57,7 +57,7 @@
 func (s *Server) add(conn net.Conn) {
 	handler := jsonrpc2.HandlerWithError(s.answer)
 	handler.SuppressErrClosed()
-	c := jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(handler), quiet)
+	c := jsonrpc2.NewConn(context.Background(), stream(boundedWrites{conn}), jsonrpc2.AsyncHandler(handler), quiet)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
--- a/internal/pool/entry.go
+++ b/internal/pool/entry.go
@@ -1,6 +1,10 @@
 package pool
 
-import "github.com/topazrock/topazrock/internal/upstream"
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/upstream"
+)
 
 // state is where a connection stands.
 type state int
@@ -19,4 +23,6 @@
 	state  state
 	// suspect says that the connection must be probed before its next use.
 	suspect bool
+	// heardAt is when the connection last became idle, with every answer read.
+	heardAt time.Time
 }
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -114,6 +114,27 @@
 			e.suspect = true
 		}
 	}
+	p.probeSuspects(m)
+}
+
+// ProbeIdle implements Pool. What loses track of connections rarely loses those
+// to one member only. Were the others left alone, requests would find the
+// silence out member by member, each at the price of a statement timeout and of
+// a slot held for so long.
+func (p *Limited) ProbeIdle(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		for _, e := range m.idle {
+			e.suspect = e.suspect || e.heardAt.Before(since)
+		}
+		p.probeSuspects(m)
+	}
+	p.dispatch()
+}
+
+// probeSuspects begins the probes of a member's idle connections in doubt.
+func (p *Limited) probeSuspects(m *memberState) {
 	idle := m.idle
 	m.idle = nil
 	for _, e := range idle {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,4 +28,8 @@
 	// Suspect tells that a connection to address opened at opened went silent:
 	// all of that age are probed before they are used again.
 	Suspect(address string, opened time.Time)
+	// ProbeIdle probes every idle connection, to whatever member, that was not
+	// used since a moment. It is for signs that something between this instance
+	// and the members has lost track of connections.
+	ProbeIdle(since time.Time)
 }
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -49,6 +49,7 @@
 		p.startProbe(e)
 	default:
 		e.state = stateIdle
+		e.heardAt = p.cfg.Clock.Now()
 		e.member.idle = append(e.member.idle, e)
 		p.idle++
 	}
--- a/internal/standin/member/node.go
+++ b/internal/standin/member/node.go
@@ -119,6 +119,13 @@
 	n.life = nil
 }
 
+// Running reports whether the process is alive.
+func (n *Node) Running() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.life != nil
+}
+
 // Stop kills the node and waits until all its work has ended.
 func (n *Node) Stop() {
 	n.Kill()
--- a/internal/standin/member/session.go
+++ b/internal/standin/member/session.go
@@ -165,6 +165,9 @@
 	if s.tx == nil {
 		s.tx = newTransaction(s.life)
 	}
+	if st.verb != verbControl {
+		s.node.at("statement.before")
+	}
 	ctx, done := s.running()
 	defer done()
 	return s.execute(ctx, st, args)
