--- a/internal/standin/plots/plots.go
+++ b/internal/standin/plots/plots.go
@@ -114,7 +114,13 @@
 }
 
 // label names a run.
-func label(r bench.Report) string { return fmt.Sprintf("%s, %s", r.Profile, r.Fault) }
+func label(r bench.Report) string {
+	l := fmt.Sprintf("%s, %s", r.Profile, r.Fault)
+	if r.Baseline != "" {
+		l += ", baseline " + string(r.Baseline)
+	}
+	return l
+}
 
 // addBars adds series of bars side by side, one group of bars for each label.
 func addBars(p *plot.Plot, labels, names []string, series ...plotter.Values) error {
