Let a restarted test instance keep its own peer connections

Cause: the race detector found the end of an instance's first life closing the connections of its second one in TestNewGroupGetsItsFirstPrimary.

Conclusion: the closing function holds what it closes.

--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -164,18 +164,20 @@
 		x.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	i.cancel, i.done = cancel, make(chan struct{})
+	done := make(chan struct{})
+	i.cancel, i.done = cancel, done
+	server, caller, watcher := i.server, i.caller, i.w
 	var wg sync.WaitGroup
-	wg.Go(func() { i.w.Run(ctx) })
+	wg.Go(func() { watcher.Run(ctx) })
 	wg.Go(func() { claimer.Run(ctx) })
-	wg.Go(func() { _ = i.server.Serve(listener) })
+	wg.Go(func() { _ = server.Serve(listener) })
 	context.AfterFunc(ctx, func() {
 		_ = listener.Close()
-		i.server.Close()
-		i.caller.Close()
+		server.Close()
+		caller.Close()
 	})
 	go func() {
-		defer close(i.done)
+		defer close(done)
 		wg.Wait()
 	}()
 }
