--- a/internal/instance/matrix_test.go
+++ b/internal/instance/matrix_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,20 +54,31 @@
 // miss its own write, the connections stay within their total, and every
 // instance serves again. Each cell of the matrix is one such run.
 func TestFaultMatrix(t *testing.T) {
-	for _, f := range allFaults {
-		for _, s := range allSteps {
-			if !strings.Contains(cellName(f, s), *matrixOnly) {
-				continue
-			}
-			t.Run(cellName(f, s), func(t *testing.T) {
-				t.Parallel()
-				c := runCell(t, f, s, *matrixSeed)
-				for _, found := range c.found {
-					t.Errorf("%s", found)
+	var mu sync.Mutex
+	cells := make(map[string]cell)
+	t.Run("cells", func(t *testing.T) {
+		for _, f := range allFaults {
+			for _, s := range allSteps {
+				name := cellName(f, s)
+				if !strings.Contains(name, *matrixOnly) {
+					continue
 				}
-				t.Logf("%s: %d reads, %d writes acknowledged", c.verdict(), c.reads, c.writes)
-			})
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					c := runCell(t, f, s, *matrixSeed)
+					for _, found := range c.found {
+						t.Errorf("%s", found)
+					}
+					t.Logf("%s: %d reads, %d writes acknowledged", c.verdict(), c.reads, c.writes)
+					mu.Lock()
+					defer mu.Unlock()
+					cells[name] = c
+				})
+			}
 		}
+	})
+	if *matrixOnly == "" {
+		checkMatrixPage(t, cells)
 	}
 }
 
--- a/internal/member/pgcontrol/dialer.go
+++ b/internal/member/pgcontrol/dialer.go
@@ -32,7 +32,7 @@
 
 // Dialer implements member.Dialer.
 //
-// At most one connection to each member is in its handshake at a time.
+// At most two connections to each member are in their handshake at a time.
 //
 // Lock order: Dialer.mu, then handshake.mu.
 type Dialer struct {
@@ -41,11 +41,13 @@
 
 	mu       sync.Mutex
 	underWay map[string]*handshake
+	// count is how many handshakes with each member have not ended.
+	count map[string]int
 }
 
 // NewDialer returns a Dialer that opens its connections with network.
 func NewDialer(network netio.Dialer, options Options) *Dialer {
-	return &Dialer{network: network, options: options, underWay: make(map[string]*handshake)}
+	return &Dialer{network: network, options: options, underWay: make(map[string]*handshake), count: make(map[string]int)}
 }
 
 // DialControl implements member.Dialer. The address is an IP and a port.
--- a/internal/member/pgcontrol/handshake.go
+++ b/internal/member/pgcontrol/handshake.go
@@ -9,8 +9,16 @@
 	"github.com/jackc/pgx/v5/pgconn"
 )
 
-// handshakeTimeout bounds a handshake that nobody waits for any more.
-const handshakeTimeout = 5 * time.Second
+const (
+	// handshakeTimeout bounds a handshake that nobody waits for any more.
+	handshakeTimeout = 5 * time.Second
+	// secondAfter is how long a handshake may stand before a second one begins
+	// beside it. One connection may have gone silent for good while new ones
+	// work; a single one would make a sound member look lost for so long.
+	secondAfter = 250 * time.Millisecond
+	// maxHandshakes bounds the handshakes under way with one member.
+	maxHandshakes = 2
+)
 
 // handshake is a connection on its way: dialled or being dialled, and not yet
 // authenticated. It outlives the call that began it once the network connection
@@ -25,6 +33,9 @@
 	control *control
 	err     error
 
+	// began is when the handshake began.
+	began time.Time
+
 	mu sync.Mutex
 	// standing says that the network connection is open; users counts the calls
 	// that wait.
@@ -35,7 +46,8 @@
 // begin starts a handshake with the member at an address.
 func (d *Dialer) begin(address string, cfg *pgconn.Config) *handshake {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-	h := &handshake{cancel: cancel, done: make(chan struct{})}
+	h := &handshake{cancel: cancel, done: make(chan struct{}), began: time.Now()}
+	d.count[address]++
 	c := &control{}
 	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
 		// pgconn dials again to cancel a call whose context ended. The control
@@ -70,7 +82,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := d.underWay[address]
-	if h == nil {
+	if h == nil || d.count[address] < maxHandshakes && time.Since(h.began) > secondAfter {
 		cfg, err := d.config(address)
 		if err != nil {
 			return nil, err
@@ -125,10 +137,12 @@
 	h.mu.Lock()
 	unwanted := h.users == 0
 	h.mu.Unlock()
-	if h.err != nil || unwanted {
+	d.count[address]--
+	current := d.underWay[address] == h
+	if current && (h.err != nil || unwanted) {
 		delete(d.underWay, address)
 	}
-	if h.err == nil && unwanted {
+	if h.err == nil && (unwanted || !current) {
 		_ = h.control.Close()
 	}
 	close(h.done)
