--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -57,6 +57,9 @@
 	Fault    Fault
 	// Baseline is the other design that is measured, if any.
 	Baseline Baseline
+	// Fleets is how many fleets are run one after the other, with seeds that
+	// follow each other; zero is one.
+	Fleets int
 	// Repeat is how often the primary is lost or paused, one after the other.
 	Repeat int
 	// Sessions is the number of callers, and Think their mean pause.
@@ -90,8 +93,21 @@
 	falsePromotions int
 }
 
-// Run runs one bench and returns its report.
+// Run runs the bench and returns its report.
 func Run(ctx context.Context, c Config) (*Report, error) {
+	sum, err := runFleet(ctx, c)
+	for i := 1; i < c.Fleets && err == nil; i++ {
+		c.Seed++
+		var r *Report
+		if r, err = runFleet(ctx, c); r != nil {
+			sum.add(r)
+		}
+	}
+	return sum, err
+}
+
+// runFleet runs one fleet and returns its report.
+func runFleet(ctx context.Context, c Config) (*Report, error) {
 	p, ok := profiles[c.Profile]
 	switch c.Fault {
 	case FaultNone, FaultPrimaryKill, FaultPrimaryCut, FaultPrimaryPause, FaultPlatformDown, FaultReplicaLag:
--- a/internal/standin/bench/report.go
+++ b/internal/standin/bench/report.go
@@ -44,9 +44,12 @@
 	// Refused is how long it took to tell callers of requests that did not run.
 	Refused Class `json:"refused"`
 	// FalsePromotions counts the terms that began while a primary was only paused.
-	FalsePromotions int              `json:"false_promotions"`
-	Gaps            *GapReport       `json:"gaps,omitempty"`
-	Classes         map[string]Class `json:"classes"`
+	FalsePromotions int        `json:"false_promotions"`
+	Gaps            *GapReport `json:"gaps,omitempty"`
+	// Fleets is how many fleets the counts and gaps sum up. Latencies, shares and
+	// rates are those of the first.
+	Fleets  int              `json:"fleets"`
+	Classes map[string]Class `json:"classes"`
 	// ConnectionsHighest is the highest sum that any member saw.
 	ConnectionsHighest int `json:"connections_highest"`
 	ConnectionsTotal   int `json:"connections_total"`
@@ -81,6 +84,24 @@
 	// Split gives the median and the 99th percentile of each phase, as the
 	// claimers saw it. Detect begins at the first failed probe.
 	Split map[string][2]float64 `json:"split_p50_p99_ms"`
+	all   []gap
+}
+
+// add takes in the counts and gaps of another fleet.
+func (r *Report) add(o *Report) {
+	for sum, n := range map[*int]int{
+		&r.Fleets: o.Fleets, &r.Reads: o.Reads, &r.WritesAcked: o.WritesAcked, &r.AckedLost: o.AckedLost,
+		&r.StaleOwnReads: o.StaleOwnReads, &r.StaleFreshReads: o.StaleFreshReads, &r.WrongAnswers: o.WrongAnswers,
+		&r.RefusedDidNotRun: o.RefusedDidNotRun, &r.RefusedButRan: o.RefusedButRan,
+		&r.OutcomeUnknown: o.OutcomeUnknown, &r.FalsePromotions: o.FalsePromotions,
+	} {
+		*sum += n
+	}
+	r.ConnectionsHighest = max(r.ConnectionsHighest, o.ConnectionsHighest)
+	if r.Gaps != nil && o.Gaps != nil {
+		r.Gaps = gapReport(append(r.Gaps.all, o.Gaps.all...))
+		r.FailoverGapMS = &r.Gaps.P50MS
+	}
 }
 
 // Failed reports whether a promise was broken: an acknowledged write is gone, a
@@ -98,8 +119,8 @@
 	r := &Report{
 		Profile: b.config.Profile, Fault: b.config.Fault, Seed: b.config.Seed,
 		Baseline: b.config.Baseline, Instances: b.profile.instances, Sessions: b.config.Sessions,
-		FalsePromotions: b.falsePromotions,
-		DurationS:       round(took.Seconds()), LagMS: milliseconds(b.config.Lag),
+		FalsePromotions: b.falsePromotions, Fleets: 1,
+		DurationS: round(took.Seconds()), LagMS: milliseconds(b.config.Lag),
 		Classes: map[string]Class{}, PlatformCalls: map[standin.Call]float64{},
 		ConnectionsTotal: b.profile.connections,
 	}
@@ -168,7 +189,7 @@
 	}
 	r := &GapReport{
 		Count: len(gaps), P50MS: quantile(totals, 0.5), P99MS: quantile(totals, 0.99),
-		MaxMS: milliseconds(slices.Max(totals)), Split: map[string][2]float64{},
+		MaxMS: milliseconds(slices.Max(totals)), Split: map[string][2]float64{}, all: gaps,
 	}
 	for phase, d := range split {
 		r.Split[phase] = [2]float64{quantile(d, 0.5), quantile(d, 0.99)}
--- a/internal/standin/command/bench.go
+++ b/internal/standin/command/bench.go
@@ -31,6 +31,7 @@
 	Seed     uint64        `long:"seed" default:"1" description:"seed of every random choice"`
 	Fault    string        `long:"fault" default:"none" choice:"none" choice:"primary-kill" choice:"primary-cut" choice:"primary-pause" choice:"platform-down" choice:"replica-lag" description:"what happens half way"`
 	Baseline string        `long:"baseline" choice:"own-word" choice:"primary-reads" choice:"naive" description:"another design in the product's place: no confirmation, fresh reads at the primary, or both"`
+	Fleets   int           `long:"fleets" default:"1" description:"how many fleets to run one after the other, each with the next seed"`
 	Repeat   int           `long:"repeat" default:"1" description:"how often the primary is lost or paused"`
 	Sessions int           `long:"sessions" default:"48" description:"number of callers"`
 	Think    time.Duration `long:"think" default:"100ms" description:"mean pause of a caller between requests"`
@@ -44,7 +45,7 @@
 // Execute implements flags.Commander.
 func (c *benchCommand) Execute([]string) error {
 	r, err := bench.Run(c.ctx, bench.Config{
-		Profile: c.Profile, Duration: c.Duration, Seed: c.Seed, Fault: bench.Fault(c.Fault), Repeat: c.Repeat,
+		Profile: c.Profile, Duration: c.Duration, Seed: c.Seed, Fault: bench.Fault(c.Fault), Fleets: c.Fleets, Repeat: c.Repeat,
 		Baseline: bench.Baseline(c.Baseline), Cost: c.Cost, Instances: c.Entries,
 		Sessions: c.Sessions, Think: c.Think, Lag: c.Lag, Say: c.out, Logs: c.logs(c.Logs),
 	})
