--- a/internal/shares/config.go
+++ b/internal/shares/config.go
@@ -44,8 +44,8 @@
 	// Control is how many connections a holder uses beside Connections.
 	Control int
 	// SeatChanged is called with true after a seat was taken and with false
-	// before one is given up; the latter must return only when the control
-	// connections are closed. It may be nil.
+	// before one is given up, in turn; the latter must return only when the
+	// control connections are closed. It may be nil.
 	SeatChanged func(seated bool)
 	// ReserveSeats is how many seats no failure domain owns.
 	ReserveSeats int
--- a/internal/shares/ledger.go
+++ b/internal/shares/ledger.go
@@ -106,6 +106,30 @@
 	return amount
 }
 
+// settleFree takes from free seats what they have above their target: first what
+// the total has no room for, then what other seats lack. Seats that no allocation
+// names any more go. It reports whether anything changed.
+func (l *Ledger) settleFree() bool {
+	changed := false
+	for i := range l.Seats {
+		s := &l.Seats[i]
+		over := s.Size.Over(s.Target)
+		if !s.free() || over.IsZero() {
+			continue
+		}
+		dropped := over.Min(l.Sum().Over(l.Total))
+		over = over.Minus(dropped)
+		moved := over.Minus(l.giveBack(s.Name, over))
+		s.Size = s.Size.Minus(dropped).Minus(moved)
+		changed = changed || !dropped.Plus(moved).IsZero()
+	}
+	before := len(l.Seats)
+	l.Seats = slices.DeleteFunc(l.Seats, func(s Seat) bool {
+		return s.free() && s.Target.IsZero() && s.Size.IsZero()
+	})
+	return changed || len(l.Seats) != before
+}
+
 // checkStep returns an error unless the step from before to after keeps the
 // sum within the total. Past a total that was just lowered the sum may only fall.
 func checkStep(before, after *Ledger) error {
--- a/internal/shares/lending.go
+++ b/internal/shares/lending.go
@@ -186,6 +186,9 @@
 	if mine == nil {
 		return false
 	}
+	if m.change(ctx, changeSettle, (*Ledger).settleFree) {
+		return false
+	}
 	over := mine.Size.Over(mine.Target)
 	excess := m.ledger.Sum().Over(m.ledger.Total)
 	switch {
--- a/internal/shares/manager.go
+++ b/internal/shares/manager.go
@@ -33,9 +33,12 @@
 	seekAfter   time.Time
 	seekPause   time.Duration
 	seatPause   time.Duration
-	suspicion   suspicion
+	// suspicions holds the holders that seem to have vanished, by seat.
+	suspicions map[string]suspicion
 	// doubtful says that a change failed and the ledger should be read soon.
 	doubtful bool
+	// announced is what SeatChanged was last told.
+	announced bool
 
 	mu sync.Mutex
 	// seated is true while this Manager uses a seat.
@@ -73,6 +76,7 @@
 		loans:      make(chan loan),
 		noticed:    make(chan struct{}, 1),
 		done:       make(chan struct{}),
+		suspicions: make(map[string]suspicion),
 		allocation: a,
 	}
 }
@@ -210,6 +214,9 @@
 	m.ledger = l
 	mine := l.seatOf(m.self)
 	switch {
+	case mine != nil && mine.Target.IsZero():
+		m.apply(Amount{})
+		m.announce(false)
 	case mine != nil:
 		if !mine.Size.Within(m.Limit()) {
 			m.seekPause, m.seekAfter = 0, time.Time{}
@@ -217,19 +224,28 @@
 		m.apply(mine.Size)
 		if !m.Seated() {
 			m.setSeated(true)
-			m.cfg.SeatChanged(true)
+			m.announce(true)
 		}
 	case m.Seated():
 		// The seat was given to another while this process was gone from
 		// everything for longer than AgeOut.
 		m.log.Warn("Lost the seat, closing all connections.", "group", m.cfg.Group)
 		m.apply(Amount{})
-		m.cfg.SeatChanged(false)
+		m.announce(false)
 	default:
 		m.setSeated(false)
 	}
 }
 
+// announce calls SeatChanged when there is something new to tell.
+func (m *Manager) announce(seated bool) {
+	if m.announced == seated {
+		return
+	}
+	m.announced = seated
+	m.cfg.SeatChanged(seated)
+}
+
 // apply bounds the resources.
 func (m *Manager) apply(size Amount) {
 	m.mu.Lock()
@@ -288,7 +304,7 @@
 		return ctx.Err()
 	}
 	m.apply(Amount{})
-	m.cfg.SeatChanged(false)
+	m.announce(false)
 	if err := m.settle(ctx); err != nil {
 		return err
 	}
--- a/internal/shares/manager_test.go
+++ b/internal/shares/manager_test.go
@@ -333,6 +333,46 @@
 	})
 }
 
+func TestSeatFreedAboveItsTargetIsSettled(t *testing.T) {
+	// A home that borrowed stops as planned after the total was lowered. What
+	// its seat has above the target is in nobody's hands: the next holder to
+	// look drops what the total has no room for and hands the rest on.
+	is := is.New(t)
+	l := Ledger{Total: Amount{20, 4}, Seats: []Seat{
+		{Name: "x", Target: Amount{8, 2}, Size: Amount{14, 3}},
+		{Name: "y", Target: Amount{8, 2}, Size: Amount{6, 1}, Holder: &Holder{Instance: "y1"}},
+		{Name: "z", Target: Amount{4, 0}, Size: Amount{4, 0}},
+		{Name: "gone"},
+	}}
+	is.True(l.settleFree())
+	is.Equal(l.Sum(), l.Total)
+	is.Equal(l.seat("x").Size, Amount{8, 2})
+	is.Equal(l.seat("y").Size, Amount{8, 2})
+	is.True(l.seat("gone") == nil)
+	is.True(!l.settleFree())
+}
+
+func TestRemovedFailureDomainGivesItsSeatUp(t *testing.T) {
+	// The operator moves the group out of a failure domain. Its home closes all,
+	// control connections included, gives the seat up, and goes on from a
+	// reserve seat; at no moment does it hold more than its seat.
+	run(t, func(is *is.I, w *world) {
+		a, b, c := w.three()
+		for _, m := range []*machine{a, b, c} {
+			m.connections.demand(30)
+		}
+		after(time.Second)
+		for _, m := range []*machine{a, b, c} {
+			m.manager.SetAllocation(Allocation{Document: 2, Total: Amount{30, 5}, FailureDomains: []string{"poa-a", "poa-b"}})
+		}
+		after(2 * time.Minute)
+		l := w.ledger()
+		is.True(l.seat("fln-c") == nil)
+		is.Equal(w.seatName(c), "reserve-1")
+		is.Equal(l.Sum(), Amount{30, 5})
+	})
+}
+
 func TestSmallTotalsAreDivided(t *testing.T) {
 	is := is.New(t)
 	for connections := 4; connections <= 60; connections++ {
--- a/internal/shares/metrics.go
+++ b/internal/shares/metrics.go
@@ -16,6 +16,7 @@
 	changeProved  = "seat_taken_on_proof"
 	changeContest = "mark_removed"
 	changeMark    = "marked"
+	changeSettle  = "free_seats_settled"
 	changeShrink  = "shrunk"
 	refusedIdle   = "nothing_idle"
 	refusedSettle = "not_closed_in_time"
--- a/internal/shares/seating.go
+++ b/internal/shares/seating.go
@@ -7,9 +7,9 @@
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-// suspicion is what is known of a holder that seems to have vanished.
+// suspicion is what is known of a holder that seems to have vanished: since when
+// this process has seen the mark on its seat.
 type suspicion struct {
-	seat  string
 	epoch int64
 	mark  string
 	since time.Time
@@ -26,6 +26,8 @@
 	switch {
 	case mine == nil && m.Seated():
 		return m.retire(ctx)
+	case mine != nil && mine.Target.IsZero():
+		return m.leave(ctx)
 	case mine != nil && mine.Mark != nil:
 		m.change(ctx, changeContest, m.contest)
 	}
@@ -93,13 +95,25 @@
 	return false
 }
 
+// leave gives up a seat that the service document has no place for any more.
+// What it has left may be too small for the control connections.
+func (m *Manager) leave(ctx context.Context) bool {
+	if m.settle(ctx) == nil {
+		m.setSeated(false)
+		if err := m.vacate(ctx); err != nil {
+			m.failed("platform", err)
+		}
+	}
+	return false
+}
+
 // takeFree takes the free seat of the failure domain, or else a reserve seat.
 // From a reserve seat it moves to the domain's seat.
 func (m *Manager) takeFree(l *Ledger) bool {
 	mine := l.seatOf(m.self)
 	for i := range l.Seats {
 		s := &l.Seats[i]
-		if s.free() && s.FailureDomain == m.self.FailureDomain {
+		if s.free() && s.FailureDomain == m.self.FailureDomain && !s.Target.IsZero() {
 			return m.moveTo(l, mine, s)
 		}
 	}
@@ -134,9 +148,6 @@
 
 // succeed looks for a seat whose holder is gone.
 func (m *Manager) succeed(ctx context.Context) {
-	if s := m.ledger.seat(m.suspicion.seat); s == nil || s.Epoch != m.suspicion.epoch {
-		m.suspicion = suspicion{}
-	}
 	for _, s := range m.ledger.Seats {
 		if s.free() || s.Holder.same(m.self) || !m.wants(s) {
 			continue
@@ -151,7 +162,7 @@
 				return
 			}
 		case holderAlive:
-			m.trust(s)
+			delete(m.suspicions, s.Name)
 		}
 	}
 }
@@ -196,7 +207,7 @@
 // takeOver takes a seat from a holder that is gone, if it is still the same
 // holder's.
 func (m *Manager) takeOver(ctx context.Context, gone Seat, kind string) {
-	m.suspicion = suspicion{}
+	delete(m.suspicions, gone.Name)
 	if m.ledger.seatOf(m.self) == nil {
 		m.setClaiming()
 	}
@@ -209,32 +220,25 @@
 	})
 }
 
-// trust ends the suspicion against a holder that answered.
-func (m *Manager) trust(s Seat) {
-	if m.suspicion.seat == s.Name {
-		m.suspicion = suspicion{}
-	}
-}
-
-// agedOut reports whether a silent holder's seat may be taken without proof. It
-// follows one seat at a time. The wait is measured here, from when this process
-// first saw the mark stored, and starts again when the holder removes it.
+// agedOut reports whether a silent holder's seat may be taken without proof. The
+// wait is measured here, from when this process first saw the mark stored, and
+// starts again when the holder removes it.
 func (m *Manager) agedOut(ctx context.Context, s Seat) bool {
 	if s.Holder.FailureDomain != m.self.FailureDomain || m.listed(ctx, s.Holder.Instance) {
-		m.trust(s)
-		return false
-	}
-	if m.suspicion.seat != "" && m.suspicion.seat != s.Name {
+		delete(m.suspicions, s.Name)
 		return false
 	}
 	if s.Mark == nil {
 		m.mark(ctx, s)
 		return false
 	}
-	if m.suspicion.mark != s.Mark.ID {
-		m.suspicion = suspicion{seat: s.Name, epoch: s.Epoch, mark: s.Mark.ID, since: m.cfg.Clock.Now()}
+	now := m.cfg.Clock.Now()
+	known := m.suspicions[s.Name]
+	if known.epoch != s.Epoch || known.mark != s.Mark.ID {
+		known = suspicion{epoch: s.Epoch, mark: s.Mark.ID, since: now}
+		m.suspicions[s.Name] = known
 	}
-	return m.cfg.Clock.Now().Sub(m.suspicion.since) >= m.cfg.AgeOut
+	return now.Sub(known.since) >= m.cfg.AgeOut
 }
 
 // mark writes on a seat that its holder seems to have vanished.
