--- a/internal/frontend/hints.go
+++ b/internal/frontend/hints.go
@@ -2,6 +2,12 @@
 
 import "strings"
 
+// The marks around a comment in SQL.
+const (
+	commentStart = "/*"
+	commentEnd   = "*/"
+)
+
 // firstWord returns the first word of an SQL text in lower case, past leading
 // comments and blanks. It is a hint that saves round trips; no promise rests on it.
 func firstWord(sql string) string {
@@ -18,14 +24,15 @@
 func skipComments(sql string) string {
 	for {
 		sql = strings.TrimLeft(sql, " \t\r\n")
-		if !strings.HasPrefix(sql, "/*") {
+		comment, ok := strings.CutPrefix(sql, commentStart)
+		if !ok {
 			return sql
 		}
-		i := strings.Index(sql, "*/")
-		if i < 0 {
+		_, rest, ended := strings.Cut(comment, commentEnd)
+		if !ended {
 			return sql
 		}
-		sql = sql[i+2:]
+		sql = rest
 	}
 }
 
--- a/internal/frontend/tag.go
+++ b/internal/frontend/tag.go
@@ -46,16 +46,17 @@
 // the one at its start.
 func outerComment(sql string) (string, bool) {
 	sql = strings.TrimRight(sql, "; \t\r\n")
-	if strings.HasSuffix(sql, "*/") {
-		if i := strings.LastIndex(sql, "/*"); i >= 0 {
-			return sql[i+2 : len(sql)-2], true
+	if before, ok := strings.CutSuffix(sql, commentEnd); ok {
+		// The marks must not share a byte: of "/*/" no comment is left between
+		// them, and to cut there would bring the instance down.
+		if i := strings.LastIndex(before, commentStart); i >= 0 {
+			return before[i+len(commentStart):], true
 		}
 	}
 	sql = strings.TrimLeft(sql, " \t\r\n")
-	if strings.HasPrefix(sql, "/*") {
-		if i := strings.Index(sql, "*/"); i >= 0 {
-			return sql[2:i], true
-		}
+	if after, ok := strings.CutPrefix(sql, commentStart); ok {
+		inside, _, ended := strings.Cut(after, commentEnd)
+		return inside, ended
 	}
 	return "", false
 }
