--- a/internal/frontend/batch.go
+++ b/internal/frontend/batch.go
@@ -65,7 +65,7 @@
 	case 'D':
 		b.addDescribe(f)
 	case 'E':
-		b.pass(f, execution.StepExecute)
+		b.addExecute(f)
 	case 'C':
 		b.addClose(f)
 	default:
@@ -163,6 +163,18 @@
 	b.encode(&m, execution.StepDescribe)
 }
 
+// addExecute looks into a message that goes on as it came: a member that cannot
+// read it may close the connection, and the caller would be told that its
+// outcome is unknown where nothing ran.
+func (b *batch) addExecute(f frame) {
+	var m pgproto3.Execute
+	if err := m.Decode(f.body()); err != nil {
+		b.malformed(err)
+		return
+	}
+	b.pass(f, execution.StepExecute)
+}
+
 func (b *batch) addClose(f frame) {
 	var m pgproto3.Close
 	if err := m.Decode(f.body()); err != nil {
