Let writes wait through a failover; detect a loss out of a calm at once

Cause: a write that met a group without a primary was refused at once, although most failovers are over within half a second and nothing had been sent. In a failure domain that is cut off each fresh read waited the whole confirmation timeout for a barrier that nobody could confirm.

Ruled out: waiting without an end (a group that has been without a primary for a second may be so for long; then callers are told at once).

Conclusion: a write or barrier waits for a primary for at most a second from when the group was first found without one, in a bounded number of each class. Patience ends when a group was calm for 5 s, and not a minute after a rise.

--- a/internal/executor/bounds.go
+++ b/internal/executor/bounds.go
@@ -19,6 +19,8 @@
 	retryAfterFailover = 250 * time.Millisecond
 	// maxReadAttempts bounds the members that one read is sent to.
 	maxReadAttempts = 3
+	// maxWriteAttempts bounds how often a write that did not run is sent again.
+	maxWriteAttempts = 4
 	// tokenWait bounds the wait for a token's term to be learned.
 	tokenWait = 500 * time.Millisecond
 	// settleReserve is the time that a keyed request keeps for settling its
--- a/internal/executor/confirm_test.go
+++ b/internal/executor/confirm_test.go
@@ -98,7 +98,7 @@
 		s := healthy
 		c.change(&s)
 		service := &document.Service{Limits: document.Limits{ConfirmTimeout: time.Second}}
-		g := &Group{Config: Config{Clock: clock.System{}, Tracker: &shown{snapshot: s}, Service: func() *document.Service { return service }}}
+		g := &Group{standby: newStandby(), Config: Config{Clock: clock.System{}, Tracker: &shown{snapshot: s}, Service: func() *document.Service { return service }}}
 		_, err := g.writablePrimary()
 		if e, _ := result.As(err); (err == nil) != (c.code == 0) || (e != nil && e.Code != c.code) {
 			t.Errorf("%s: got %v", name, err)
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -8,9 +8,9 @@
 // unless the request's key proves otherwise. A connection belongs to one unit or
 // one transaction at a time.
 //
-// Lock order: transaction.mu, then transactions.mu, running.mu or Group.randomMu.
-// The last three are never held together, and none is held across I/O but transaction.mu,
-// which no other transaction waits for.
+// Lock order: transaction.mu, then transactions.mu, running.mu, standby.mu or
+// Group.randomMu. The last four are never held together. None is held across I/O
+// but transaction.mu, which no other transaction waits for.
 package executor
 
 import (
@@ -53,6 +53,7 @@
 	Config
 	transactions *transactions
 	running      *running
+	standby      *standby
 	// atWork counts units between the router's look-up and their answer.
 	atWork atomic.Int64
 	// randomMu guards Random.
@@ -66,6 +67,7 @@
 		Config:       c,
 		transactions: newTransactions(c.Instance + transactionSeparator + c.Group),
 		running:      newRunning(),
+		standby:      newStandby(),
 	}
 }
 
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -93,6 +93,9 @@
 	if _, err := g.snapshotOf(ctx, u.Token); err != nil {
 		return need{}, err
 	}
+	if err := g.barrierPossible(ctx, p); err != nil {
+		return need{}, err
+	}
 	bounded, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
 	defer cancel()
 	mark, err := g.Tracker.Barrier(bounded)
@@ -105,6 +108,17 @@
 	return need{position: mark.Position, token: g.token(mark)}, nil
 }
 
+// barrierPossible refuses a barrier that no replica would confirm: at once where
+// the group has been without a primary for longer than a failover takes, as in a
+// failure domain that is cut off, and after that time otherwise.
+func (g *Group) barrierPossible(ctx context.Context, p plan) error {
+	_, err := g.writablePrimary()
+	if err == nil || g.awaitPrimary(ctx, p) {
+		return nil
+	}
+	return g.barrierFailed(err)
+}
+
 // barrierFailed says that the read was never sent.
 func (g *Group) barrierFailed(err error) error {
 	return result.New(result.NoReplicaFresh, "no barrier").WithCause(err).WithRetryAfter(retryAfterFailover)
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -11,17 +11,30 @@
 	"github.com/topazrock/topazrock/internal/upstream"
 )
 
-// write runs a unit at the primary, once.
+// write runs a unit at the primary, once. It is sent again only where it was
+// proved not to have run.
 func (g *Group) write(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
+	for attempt := 1; ; attempt++ {
+		reply, err := g.writeOnce(ctx, u, p, partial)
+		if err == nil {
+			return reply, nil
+		}
+		if g.mayResend(ctx, p, err, attempt) {
+			continue
+		}
+		if p.keyed(u) {
+			err = g.settle(ctx, u, err)
+		}
+		return nil, err
+	}
+}
+
+func (g *Group) writeOnce(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
 	release, err := g.enter(ctx, p, false)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := g.atPrimary(ctx, u, p, partial, release)
-	if err == nil || !p.keyed(u) {
-		return reply, err
-	}
-	return nil, g.settle(ctx, u, err)
+	return g.atPrimary(ctx, u, p, partial, release)
 }
 
 // lostProbes is how many probes in a row must have failed for units not to be
@@ -31,6 +44,12 @@
 // writablePrimary returns the primary if a write to it can be confirmed. A
 // refusal before sending is worth more to a caller than an unknown outcome.
 func (g *Group) writablePrimary() (*group.Snapshot, error) {
+	s, err := g.findWritable()
+	g.standby.found(g.Clock.Now(), err == nil)
+	return s, err
+}
+
+func (g *Group) findWritable() (*group.Snapshot, error) {
 	s := g.Tracker.Snapshot()
 	m, known := s.Find(s.Primary)
 	if !known || m.Failures >= lostProbes {
--- /dev/null
+++ b/internal/failover/calm_test.go
@@ -0,0 +1,50 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+)
+
+// Primaries are killed one after the other. One that is lost right behind a
+// change is waited for longer; one that is lost out of a calm is replaced as
+// fast as the first, however often that happens.
+func TestLossOutOfACalmIsDetectedAtOnce(t *testing.T) {
+	is := is.New(t)
+	settings := DefaultSettings()
+	p := &suspicion{settings: settings}
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	detection := func(term logpos.Term, at time.Duration) time.Duration {
+		now := start.Add(at)
+		healthy := lostSnapshot(term, time.Time{}, now)
+		p.assess(now, healthy, 0)
+		lost := lostSnapshot(term, now, now)
+		v := p.assess(now, lost, 0)
+		is.Equal(v.cause, CauseLost)
+		return v.due.Sub(now)
+	}
+	is.Equal(detection(1, 0), settings.Detect)
+	is.Equal(detection(2, time.Second), 2*settings.Detect)
+	is.Equal(detection(3, 2*time.Second), 4*settings.Detect)
+	after := 2*time.Second + settings.Calm + time.Millisecond
+	is.Equal(detection(3, after), settings.Detect)
+}
+
+// lostSnapshot is a group of three whose primary fails since a moment, or not
+// at all when it is zero.
+func lostSnapshot(term logpos.Term, failing, now time.Time) *group.Snapshot {
+	primary := group.MemberView{Address: "a", SeenAt: now, Failing: failing}
+	if !failing.IsZero() {
+		primary.Failures = 3
+	}
+	return &group.Snapshot{
+		Term:        term,
+		Primary:     "a",
+		ConfirmedAt: now,
+		Members:     []group.MemberView{primary, {Address: "b", SeenAt: now}, {Address: "c", SeenAt: now}},
+	}
+}
--- a/internal/failover/settings.go
+++ b/internal/failover/settings.go
@@ -6,8 +6,8 @@
 type Settings struct {
 	// Detect is how long probes on new connections must have failed.
 	Detect time.Duration
-	// Calm is the time after which a rise of the term no longer lengthens the
-	// detection time.
+	// Calm is how long the term must not have risen, and its primary not have
+	// missed a probe, for past rises no longer to lengthen the detection.
 	Calm time.Duration
 	// MinFailures is how many of them must have failed. A process that was
 	// paused finds its probe in flight late, but only one; see Watcher.
@@ -50,7 +50,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Detect:      150 * time.Millisecond,
-		Calm:        time.Minute,
+		Calm:        5 * time.Second,
 		MinFailures: 3,
 		Stagger:     100 * time.Millisecond,
 		Takeover:    400 * time.Millisecond,
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -16,14 +16,17 @@
 	term  logpos.Term
 	cause Cause
 	since time.Time
-	// rises are the moments of late at which the term rose.
-	rises []time.Time
+	// rises counts the rises of the term since the group was last calm, and
+	// troubled is when the term last rose or its primary last missed a probe.
+	rises    int
+	troubled time.Time
 }
 
 // maxPatience bounds how often the detection time doubles, once for each rise
-// of the term of late. Load that makes a primary answer late makes its successor
-// answer late as well; without more patience each time, they would depose each
-// other for as long as the load lasts.
+// of the term since the group was calm. Load that makes a primary answer late
+// makes its successor answer late as well; without more patience each time, they
+// would depose each other for as long as the load lasts. A primary that is lost
+// out of a calm is replaced as fast as the first.
 const maxPatience = 3
 
 // firstAttachFactor is how many times the stall time is added while no replica
@@ -41,13 +44,13 @@
 // assess looks at a snapshot. rank is this instance's place among claimers.
 func (p *suspicion) assess(now time.Time, s *group.Snapshot, rank int) verdict {
 	cause := p.causeOf(s)
-	p.note(now, s.Term, cause)
+	p.note(now, s, cause)
 	began, wait := p.since, time.Duration(rank)*p.settings.Stagger
 	switch cause {
 	case CauseLost:
 		m, _ := s.Find(s.Primary)
 		began = m.Failing
-		wait += p.settings.Detect << min(len(p.rises), maxPatience)
+		wait += p.settings.Detect << min(p.rises, maxPatience)
 	case CauseLeaderless:
 		wait += p.takeover()
 	case CauseStalled:
@@ -69,19 +72,25 @@
 // each further term of late: where everything is slow, claimers that give each
 // other no more time than usual would take the term from each other for ever.
 func (p *suspicion) takeover() time.Duration {
-	return p.settings.Takeover << min(max(len(p.rises)-1, 0), maxPatience)
+	return p.settings.Takeover << min(max(p.rises-1, 0), maxPatience)
 }
 
-// note keeps the time since which one cause has stood in one term.
-func (p *suspicion) note(now time.Time, term logpos.Term, c Cause) {
-	if p.term != 0 && term > p.term {
-		p.rises = append(p.rises, now)
+// note keeps the time since which one cause has stood in one term, and how often
+// the term rose since the group was calm.
+func (p *suspicion) note(now time.Time, s *group.Snapshot, c Cause) {
+	if now.Sub(p.troubled) > p.settings.Calm {
+		p.rises = 0
 	}
-	for len(p.rises) > 0 && now.Sub(p.rises[0]) > p.settings.Calm {
-		p.rises = p.rises[1:]
+	m, _ := s.Find(s.Primary)
+	rose := p.term != 0 && s.Term > p.term
+	if rose {
+		p.rises++
+	}
+	if rose || m.Failures > 0 || s.Primary == "" {
+		p.troubled = now
 	}
-	if p.term != term || p.cause != c {
-		p.term, p.cause, p.since = term, c, now
+	if p.term != s.Term || p.cause != c {
+		p.term, p.cause, p.since = s.Term, c, now
 	}
 }
 
--- a/internal/instance/once_test.go
+++ b/internal/instance/once_test.go
@@ -110,3 +110,26 @@
 		}
 	})
 }
+
+// The primary dies and a caller writes in the middle of the failover. The write
+// was not sent, so it waits for the new primary and runs there, once. When no
+// primary comes, because two of three members are gone, a caller is refused
+// after the time of a failover, and later ones at once.
+func TestWriteWaitsThroughAFailover(t *testing.T) {
+	inBed(t, func(b *bed) {
+		c := b.mustConnect(1, "")
+		b.killMember(0)
+		time.Sleep(100 * time.Millisecond)
+		b.exec(c, "INSERT INTO kv (k, v) VALUES ('a', '1')")
+		b.is.Equal(b.value(c, "a", freshRead), "1")
+		b.killMember(1)
+		b.killMember(2)
+		time.Sleep(2 * time.Second)
+		_, err := c.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('b', '1')")
+		b.is.Equal(state(err), "TD004")
+		start := time.Now()
+		_, err = c.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('c', '1')")
+		b.is.Equal(state(err), "TD004")
+		b.is.True(time.Since(start) < 50*time.Millisecond)
+	})
+}
