Let a starting instance that is no relay ask peers first

Every instance listed all documents at its start: 31 MB each and 33 GB for a failure domain of 1,057 that returns, at 5,000 documents. Now only relays list; the others wait 5 s for a peer before they do.

The metric of the last reading now tells the age of the list in use also on instances that get it from a peer.

--- a/internal/config/contacts.go
+++ b/internal/config/contacts.go
@@ -26,8 +26,9 @@
 type contacts struct {
 	fleet      Fleet
 	relayCount int
-	// changed holds a token after a change of the view.
-	changed chan struct{}
+	// viewed is closed when the view names a peer for the first time.
+	viewed      chan struct{}
+	closeViewed func()
 
 	mu     sync.Mutex
 	tree   relaytree.Tree
@@ -44,9 +45,8 @@
 	relays := c.fleet.Pick(relayDuty, c.relayCount)
 	c.tree = relaytree.New(self.FailureDomain, relays, c.fleet.Live())
 	c.digest = slices.DeleteFunc(c.fleet.Pick(digestDuty+self.ID, digestPeers), sameID(self.ID))
-	select {
-	case c.changed <- struct{}{}:
-	default:
+	if len(c.digest) > 0 {
+		c.closeViewed()
 	}
 }
 
--- a/internal/config/repair.go
+++ b/internal/config/repair.go
@@ -35,14 +35,10 @@
 func (s *Store) awaitPeers(ctx context.Context) {
 	t := s.options.Clock.NewTimer(digestBeat)
 	defer t.Stop()
-	for len(s.contact.digestTargets()) == 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			return
-		case <-s.contact.changed:
-		}
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-s.contact.viewed:
 	}
 }
 
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -58,7 +58,8 @@
 		settled: make(map[string]Outcome),
 	}
 	s.contact.fleet, s.contact.relayCount = o.Fleet, o.Relays
-	s.contact.changed = make(chan struct{}, 1)
+	s.contact.viewed = make(chan struct{})
+	s.contact.closeViewed = sync.OnceFunc(func() { close(s.contact.viewed) })
 	s.contact.refresh()
 	o.Fleet.Subscribe(s.contact.refresh)
 	s.register()
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -13,7 +13,10 @@
 	unlisted = -1
 	// relayBeat is how often an instance that is no relay looks whether it has
 	// become one.
-	relayBeat = time.Second
+	relayBeat = 500 * time.Millisecond
+	// peersFirst is how long a starting instance that is no relay waits for
+	// peers before it lists the platform.
+	peersFirst = 5 * time.Second
 	// firstBackoff and lastBackoff bound the wait after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 3 * time.Second
@@ -28,18 +31,25 @@
 	failing bool
 }
 
-// watchLoop follows the platform while this instance is a relay, and lists
-// once while nobody else has told it anything.
+// watchLoop follows the platform while this instance is a relay. Another
+// instance lists the platform only if no peer tells it anything for a while
+// after its start: when a failure domain returns, a thousand instances start at
+// one moment, and each list holds every document.
 func (s *Store) watchLoop(ctx context.Context) {
+	s.awaitPeers(ctx)
 	w := &watcher{store: s, revision: unlisted}
+	patience := s.options.Clock.Now().Add(peersFirst)
 	for ctx.Err() == nil {
-		if !s.contact.isRelay() && s.informed() {
-			s.noteContact(platformContact, errNotRelay)
-			w.revision = unlisted
-			_ = clock.Sleep(ctx, s.options.Clock, s.jittered(relayBeat))
+		informed := s.informed()
+		if s.contact.isRelay() || (!informed && s.options.Clock.Now().After(patience)) {
+			w.step(ctx)
 			continue
 		}
-		w.step(ctx)
+		if informed {
+			s.noteContact(platformContact, errNotRelay)
+		}
+		w.revision = unlisted
+		_ = clock.Sleep(ctx, s.options.Clock, s.jittered(relayBeat))
 	}
 }
 
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -99,6 +99,7 @@
 	}
 	changed = next.root != m.held.root
 	m.held = next
+	m.metrics.dated(next.readAt)
 	return changed, nil
 }
 
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -24,7 +24,7 @@
 		refreshes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "topazrock_membership_refreshes_total",
 			Help: "Readings of the platform's instance list by outcome."}, []string{"outcome"}),
 		lastGood: prometheus.NewGauge(prometheus.GaugeOpts{Name: "topazrock_membership_last_refresh_timestamp_seconds",
-			Help: "When the instance list was last read."}),
+			Help: "When the platform gave the instance list in use, to this instance or to a peer."}),
 	}
 	if r != nil {
 		r.MustRegister(m.live, m.leaving, m.refreshes, m.lastGood)
@@ -37,11 +37,13 @@
 	m.leaving.Set(float64(len(s.leaving)))
 }
 
-func (m *Metrics) refreshed(err error, now time.Time) {
+func (m *Metrics) refreshed(err error) {
 	if err != nil {
 		m.refreshes.WithLabelValues("failed").Inc()
 		return
 	}
 	m.refreshes.WithLabelValues("read").Inc()
-	m.lastGood.Set(float64(now.Unix()))
 }
+
+// dated records when the platform gave the list in use.
+func (m *Metrics) dated(readAt time.Time) { m.lastGood.Set(float64(readAt.Unix())) }
--- a/internal/membership/pull.go
+++ b/internal/membership/pull.go
@@ -62,6 +62,7 @@
 	defer m.mu.Unlock()
 	if m.held.root == root && readAt.After(m.held.readAt) {
 		m.held.readAt = readAt
+		m.metrics.dated(readAt)
 	}
 }
 
--- a/internal/membership/refresh.go
+++ b/internal/membership/refresh.go
@@ -94,7 +94,7 @@
 	if err == nil {
 		err = m.accept(newList(inventory.Instances, leavingOf(inventory.Upstreams), asked))
 	}
-	m.metrics.refreshed(err, m.options.Clock.Now())
+	m.metrics.refreshed(err)
 	return err
 }
 
