--- a/internal/config/progress.go
+++ b/internal/config/progress.go
@@ -18,21 +18,21 @@
 func (s *Store) noteContact(c contact, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sync.tried[c] = true
-	s.sync.heard[c] = s.sync.heard[c] || err == nil
+	s.progress.tried[c] = true
+	s.progress.heard[c] = s.progress.heard[c] || err == nil
 }
 
 func (s *Store) peersTried() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.sync.tried[peerContact]
+	return s.progress.tried[peerContact]
 }
 
 // informed reports whether the platform or a peer has told what it has.
 func (s *Store) informed() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.sync.heard[platformContact] || s.sync.heard[peerContact]
+	return s.progress.heard[platformContact] || s.progress.heard[peerContact]
 }
 
 // Ready reports whether this instance has documents and has asked both the
@@ -42,7 +42,7 @@
 func (s *Store) Ready() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	p := s.sync
+	p := s.progress
 	asked := p.tried[platformContact] && p.tried[peerContact]
 	heard := p.heard[platformContact] || p.heard[peerContact]
 	return asked && heard && len(s.table.documents) > 0
--- a/internal/config/settle.go
+++ b/internal/config/settle.go
@@ -49,7 +49,7 @@
 		s.mu.RUnlock()
 		for _, p := range open {
 			if outcome, done := s.settle(ctx, p); done {
-				s.close(p, outcome)
+				s.conclude(p, outcome)
 			}
 		}
 	}
@@ -77,8 +77,8 @@
 	return Outcome{State: NoEffect, Version: b.Version, By: b.By}, true
 }
 
-// close records the outcome of a change that was open.
-func (s *Store) close(p *pending, o Outcome) {
+// conclude records the outcome of a change that was open.
+func (s *Store) conclude(p *pending, o Outcome) {
 	o.ChangeID = p.change.ID
 	s.mu.Lock()
 	s.pending = slices.DeleteFunc(s.pending, func(q *pending) bool { return q == p })
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -28,10 +28,10 @@
 	table table
 	// refused holds the newest version of each document that did not pass its
 	// checks, so that it is neither checked nor asked for again.
-	refused map[string]Change
-	sync    progress
-	pending []*pending
-	settled map[string]Outcome
+	refused  map[string]Change
+	progress progress
+	pending  []*pending
+	settled  map[string]Outcome
 
 	// randMu guards the random source, which is not safe for concurrent use.
 	randMu sync.Mutex
