--- a/internal/member/pgcontrol/dialer.go
+++ b/internal/member/pgcontrol/dialer.go
@@ -64,7 +64,7 @@
 			return nil, fmt.Errorf("pgcontrol: connect to %s: %w", address, ctx.Err())
 		}
 		if h.err != nil {
-			return nil, fmt.Errorf("pgcontrol: connect to %s: %w", address, h.err)
+			return nil, connectError(address, h.err)
 		}
 		if d.take(address, h) {
 			return h.control, nil
