Tell a borrower that was refused when there is share to lend

Cause: a freed share was usable elsewhere after p50 18.01 s, max 25.95 s. The holder kept a peak of 10 to 20 s, and the refused borrower asked again only at the end of a pause of up to 10 s. Now the peak reaches back 3 to 6 s, and a holder that refused sends a notice as soon as it has something idle. The notice is a hint: losing it costs the pause. Ruled out: no window at all, for homes whose load varies from second to second would close, lend and open the same connections again and again.

--- a/internal/shares/directory.go
+++ b/internal/shares/directory.go
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	if m, ok := d.find(n.Group); ok {
-		m.notify()
+		m.hear()
 	}
 	return Empty{}, nil
 }
--- a/internal/shares/lending.go
+++ b/internal/shares/lending.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -48,6 +50,7 @@
 	}
 	part := m.idle(mine).Min(q.Want)
 	if part.IsZero() {
+		m.turnedAway[q.Borrower.Address] = struct{}{}
 		return m.refuse(refusedIdle)
 	}
 	before := mine.Size
@@ -101,7 +104,11 @@
 	m.connections.sample(now, inUse, waiting)
 	inUse, waiting = m.cfg.Slots.Use()
 	m.slots.sample(now, inUse, waiting)
-	if m.ledger.seatOf(m.self) == nil || now.Before(m.seekAfter) {
+	if m.ledger.seatOf(m.self) == nil {
+		return
+	}
+	m.offer(ctx)
+	if !m.takeOffer() && now.Before(m.seekAfter) {
 		return
 	}
 	want := Amount{m.connections.wanted(), m.slots.wanted()}
@@ -118,6 +125,17 @@
 	m.seek(ctx, want)
 }
 
+// offer tells those that were refused a loan that there is idle share now. They
+// would ask again only after a pause of up to maxSeekPause.
+func (m *Manager) offer(ctx context.Context) {
+	if len(m.turnedAway) == 0 || m.idle(m.ledger.seatOf(m.self)).IsZero() {
+		return
+	}
+	addresses := slices.Collect(maps.Keys(m.turnedAway))
+	clear(m.turnedAway)
+	go m.tell(context.WithoutCancel(ctx), addresses)
+}
+
 // seek takes from free seats what they can spare, or else asks another holder.
 func (m *Manager) seek(ctx context.Context, want Amount) {
 	call, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
--- a/internal/shares/manager.go
+++ b/internal/shares/manager.go
@@ -35,6 +35,8 @@
 	seatPause   time.Duration
 	// suspicions holds the holders that seem to have vanished, by seat.
 	suspicions map[string]suspicion
+	// turnedAway holds the addresses of borrowers that were refused.
+	turnedAway map[string]struct{}
 	// doubtful says that a change failed and the ledger should be read soon.
 	doubtful bool
 	// announced is what SeatChanged was last told.
@@ -46,7 +48,9 @@
 	// claiming is true from before a seat is taken until the outcome is known.
 	// A peer that meets this instance in the ledger meanwhile must not be told
 	// that it holds nothing: it would take the seat, and both would use it.
-	claiming   bool
+	claiming bool
+	// offered says that another holder has share to lend or gave some back.
+	offered    bool
 	size       Amount
 	allocation Allocation
 }
@@ -77,6 +81,7 @@
 		noticed:    make(chan struct{}, 1),
 		done:       make(chan struct{}),
 		suspicions: make(map[string]suspicion),
+		turnedAway: make(map[string]struct{}),
 		allocation: a,
 	}
 }
@@ -141,6 +146,24 @@
 	return m.allocation
 }
 
+// hear takes another holder's notice that the ledger is worth reading and that
+// asking for share is worth while.
+func (m *Manager) hear() {
+	m.mu.Lock()
+	m.offered = true
+	m.mu.Unlock()
+	m.notify()
+}
+
+// takeOffer reports whether there was a notice since the last call.
+func (m *Manager) takeOffer() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	offered := m.offered
+	m.offered = false
+	return offered
+}
+
 // notify makes Run read the ledger soon.
 func (m *Manager) notify() {
 	select {
--- a/internal/shares/messages.go
+++ b/internal/shares/messages.go
@@ -4,7 +4,7 @@
 const (
 	// MethodBorrow asks a holder to lend; BorrowRequest and BorrowReply.
 	MethodBorrow = "shares.borrow"
-	// MethodReturn tells that share was given back; Notice and Empty.
+	// MethodReturn tells that share was given back or can be lent; Notice and Empty.
 	MethodReturn = "shares.return"
 	// MethodHolder asks who answers at an address; HolderRequest and HolderReply.
 	MethodHolder = "shares.holder"
@@ -24,7 +24,8 @@
 	Lent Amount `json:"lent"`
 }
 
-// Notice tells that the ledger of a group changed in the receiver's favour.
+// Notice tells that the ledger of a group changed in the receiver's favour, or
+// that the sender can lend what it refused before.
 type Notice struct {
 	Group string `json:"group"`
 }
--- a/internal/shares/usage.go
+++ b/internal/shares/usage.go
@@ -3,7 +3,9 @@
 import "time"
 
 // peakWindow is how far back a peak of use reaches: between one window and two.
-const peakWindow = 10 * time.Second
+// It keeps share from going back and forth between homes whose load varies from
+// second to second.
+const peakWindow = 3 * time.Second
 
 // usage follows how much of a resource is needed.
 type usage struct {
