--- a/internal/standin/plots/plots.go
+++ b/internal/standin/plots/plots.go
@@ -20,9 +20,11 @@
 )
 
 const (
-	width    = 18 * vg.Centimeter
+	leastWidth = 18 * vg.Centimeter
+	// runWidth is the room that each run gets.
+	runWidth = 3 * vg.Centimeter
 	height   = 11 * vg.Centimeter
-	barWidth = 14 * vg.Millimeter / 2
+	barWidth = 7 * vg.Millimeter
 	// headroom leaves the legend a place above the highest bar.
 	headroom = 1.3
 	// maxLine bounds one report, in bytes.
@@ -68,7 +70,7 @@
 		}
 		for _, form := range []string{".png", ".svg"} {
 			file := filepath.Join(folder, name+form)
-			if err := p.Save(width, height, file); err != nil {
+			if err := p.Save(max(leastWidth, runWidth*vg.Length(len(reports))), height, file); err != nil {
 				return nil, err
 			}
 			names = append(names, file)
@@ -85,7 +87,7 @@
 		if r.Gaps == nil || r.Gaps.Count == 0 {
 			continue
 		}
-		labels = append(labels, fmt.Sprintf("%s, %d gaps", label(r), r.Gaps.Count))
+		labels = append(labels, fmt.Sprintf("%s, gaps: %d", label(r), r.Gaps.Count))
 		median = append(median, r.Gaps.P50MS)
 		high = append(high, r.Gaps.P99MS)
 		longest = append(longest, r.Gaps.MaxMS)
@@ -138,7 +140,10 @@
 		}
 	}
 	p.Legend.Top = true
-	p.Y.Min, p.Y.Max = 0, headroom*p.Y.Max
+	p.Y.Min = 0
+	if len(series) > 1 {
+		p.Y.Max *= headroom
+	}
 	p.X.Min, p.X.Max = -0.6, float64(len(labels))-0.4
 	p.Add(plotter.NewGrid())
 	p.NominalX(wrap(labels)...)
