--- /dev/null
+++ b/internal/shares/gateresource.go
@@ -0,0 +1,15 @@
+package shares
+
+import "github.com/topazrock/topazrock/internal/admission"
+
+// Gate makes a gate a Resource.
+func Gate(c *admission.Controller) Resource { return gateResource{c} }
+
+type gateResource struct{ *admission.Controller }
+
+func (r gateResource) Set(n int) { r.SetSlots(n) }
+
+func (r gateResource) Use() (inUse, waiting int) {
+	s := r.Stats()
+	return s.Running, s.Waiting
+}
