Give a probe whichever handshake ends first

A thawed member stayed out of reach of the probes that had waited for it.

Ruled out: one handshake at a time (a connection that goes silent in it would make a sound member look lost for 5 s).

Conclusion: calls wait for any handshake with the member.

--- a/internal/member/pgcontrol/handshake.go
+++ b/internal/member/pgcontrol/handshake.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -27,27 +27,81 @@
 // each opened one more would use up the group's connections in a second; instead
 // the next call waits on for the same one.
 type handshake struct {
+	began  time.Time
 	cancel context.CancelFunc
-	// done is closed at the end, after control and err were set.
-	done    chan struct{}
-	control *control
-	err     error
+	// done is closed at the end, after err was set.
+	done chan struct{}
+	err  error
+	// standing says that the network connection is open.
+	standing atomic.Bool
+}
+
+// handshakes are those under way with one member, and the calls that wait for
+// any of them. Dialer.mu guards it, but for ready.
+type handshakes struct {
+	// count is how many have not ended, newest the one that began last.
+	count  int
+	newest *handshake
+	// waiting counts the calls; ready holds connections for them.
+	waiting int
+	ready   chan *control
+}
+
+// join counts one more waiting call.
+func (d *Dialer) join(address string) *handshakes {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.underWay[address]
+	if q == nil {
+		q = &handshakes{ready: make(chan *control, maxHandshakes)}
+		d.underWay[address] = q
+	}
+	q.waiting++
+	return q
+}
 
-	// began is when the handshake began.
-	began time.Time
+// leave counts a call that no longer waits. With the last one, connections that
+// nobody took are closed and a dial that has not been answered is given up; a
+// standing connection is waited for by the next call.
+func (d *Dialer) leave(address string, q *handshakes) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.waiting--
+	if q.waiting > 0 {
+		return
+	}
+	for len(q.ready) > 0 {
+		_ = (<-q.ready).Close()
+	}
+	if h := q.newest; h != nil && !h.standing.Load() {
+		h.cancel()
+	}
+	if q.count == 0 {
+		delete(d.underWay, address)
+	}
+}
 
-	mu sync.Mutex
-	// standing says that the network connection is open; users counts the calls
-	// that wait.
-	standing bool
-	users    int
+// current returns the newest handshake with a member, or begins one.
+func (d *Dialer) current(address string, q *handshakes) (*handshake, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := q.newest
+	if h != nil && (q.count >= maxHandshakes || time.Since(h.began) <= secondAfter) {
+		return h, nil
+	}
+	cfg, err := d.config(address)
+	if err != nil {
+		return nil, err
+	}
+	q.count++
+	q.newest = d.begin(address, q, cfg)
+	return q.newest, nil
 }
 
-// begin starts a handshake with the member at an address.
-func (d *Dialer) begin(address string, cfg *pgconn.Config) *handshake {
+// begin starts a handshake.
+func (d *Dialer) begin(address string, q *handshakes, cfg *pgconn.Config) *handshake {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-	h := &handshake{cancel: cancel, done: make(chan struct{}), began: time.Now()}
-	d.count[address]++
+	h := &handshake{began: time.Now(), cancel: cancel, done: make(chan struct{})}
 	c := &control{}
 	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
 		// pgconn dials again to cancel a call whose context ended. The control
@@ -56,94 +110,41 @@
 			return nil, errOneDial
 		}
 		raw, err := d.network.Dial(ctx, address)
-		if err == nil {
-			h.stand()
-		}
+		h.standing.Store(err == nil)
 		c.raw = raw
 		return raw, err
 	}
 	go func() {
 		defer cancel()
 		c.conn, h.err = pgconn.ConnectConfig(ctx, cfg)
-		h.control = c
-		d.finish(address, h)
+		d.finish(address, q, h, c)
 	}()
 	return h
 }
 
-func (h *handshake) stand() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.standing = true
-}
-
-// join returns the handshake under way with a member, or a new one.
-func (d *Dialer) join(address string) (*handshake, error) {
+// finish hands the connection to the calls that wait, or closes it if none does.
+func (d *Dialer) finish(address string, q *handshakes, h *handshake, c *control) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h := d.underWay[address]
-	if h == nil || d.count[address] < maxHandshakes && time.Since(h.began) > secondAfter {
-		cfg, err := d.config(address)
-		if err != nil {
-			return nil, err
-		}
-		h = d.begin(address, cfg)
-		d.underWay[address] = h
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.users++
-	return h, nil
-}
-
-// take gives the connection of a finished handshake to one caller. The others
-// begin anew.
-func (d *Dialer) take(address string, h *handshake) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.underWay[address] != h {
-		return false
+	q.count--
+	if q.newest == h {
+		q.newest = nil
 	}
-	delete(d.underWay, address)
-	return true
-}
-
-// leave counts a call that gave up waiting. If the handshake has finished with
-// no other call waiting, the connection is closed.
-func (d *Dialer) leave(address string, h *handshake) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.users--
-	if h.users > 0 || d.underWay[address] != h {
-		return
+	if h.err == nil && (q.waiting == 0 || !offer(q.ready, c)) {
+		_ = c.Close()
 	}
-	select {
-	case <-h.done:
+	if q.count == 0 && q.waiting == 0 {
 		delete(d.underWay, address)
-		_ = h.control.Close()
-	default:
-		if !h.standing {
-			h.cancel()
-		}
 	}
+	close(h.done)
 }
 
-// finish tells the waiting calls. A connection that nobody waits for is closed.
-func (d *Dialer) finish(address string, h *handshake) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	h.mu.Lock()
-	unwanted := h.users == 0
-	h.mu.Unlock()
-	d.count[address]--
-	current := d.underWay[address] == h
-	if current && (h.err != nil || unwanted) {
-		delete(d.underWay, address)
-	}
-	if h.err == nil && (unwanted || !current) {
-		_ = h.control.Close()
+// offer puts a connection into ready unless it is full.
+func offer(ready chan *control, c *control) bool {
+	select {
+	case ready <- c:
+		return true
+	default:
+		return false
 	}
-	close(h.done)
 }
