Refuse a group whose connections would all be spent on control

Cause: a document with as many connections as members was accepted, and the group then served nothing: one home needs a connection to each member and one more, so the total could not be divided. The operator is told now, with the range. Also: a holder whose domain comes back into the document before it gave its seat up opens its control connections again.

--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -67,8 +67,8 @@
 
 func upTo(d time.Duration) string { return "up to " + d.String() }
 
-// checkGroups refuses groups that would count a member's connections twice or
-// whose slots no connection could serve.
+// checkGroups refuses groups that would count a member's connections twice, whose
+// connections would all be spent on control, or whose slots no connection could serve.
 func checkGroups(f *inifile.File) {
 	owner := make(map[string]string)
 	for _, sec := range f.All(sectionGroup) {
@@ -81,6 +81,10 @@
 			owner[m.Address] = sec.Name
 		}
 		connections := sec.Int("connections")
+		// One home keeps a control connection to each member and needs one more.
+		if least := len(list) + 1; connections > 0 && connections < least {
+			f.Refuse(sec, "connections", "too few for the members", fmt.Sprintf("%d to %d", least, maxConnections))
+		}
 		if slots := sec.Int("slots"); connections > 0 && slots > connections {
 			f.Refuse(sec, "slots", "more slots than connections", fmt.Sprintf("1 to %d", connections))
 		}
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -115,18 +115,19 @@
 func TestChecksAcrossKeys(t *testing.T) {
 	base := smallDocument
 	cases := map[string]struct{ text, want string }{
-		"more slots than connections": {strings.Replace(base, "slots = 2", "slots = 11", 1), "more slots than connections; allowed: 1 to 10"},
-		"shared member":               {base + "[group other]\nmembers = a/10.0.0.1:5432, b/10.0.0.8:5432, c/10.0.0.9:5432\nconnections = 5\nslots = 1\n", "member 10.0.0.1:5432 belongs to group orders"},
-		"confirm past request":        {base + "[limits]\nconfirm_timeout = 20s\n", "longer than request_timeout; allowed: up to 15s"},
-		"no group":                    {"[service]\nname = x\n[user a]\nverifier = " + testVerifier, "[group]: the section is missing"},
-		"member twice":                {strings.Replace(base, "10.0.0.2", "10.0.0.1", 1), "member 10.0.0.1:5432 stands twice"},
-		"missing key":                 {base + "[request pay]\n", "orders.ini:9: [request pay] repeat: the key is missing; allowed: never or allowed"},
-		"nameless":                    {base + "[read]\n", "the section needs a name"},
-		"needless name":               {base + "[limits x]\n", "the section takes no name"},
-		"control character":           {base + "[read a\x00b]\n", "control character"},
-		"not UTF-8":                   {base + "[read a\xff]\n", "not valid UTF-8"},
-		"multi-line value":            {base + "[read r]\nmax_age = \"\"\"1s\n", "over several lines"},
-		"too large":                   {base + strings.Repeat("# padding\n", MaxSize/10), "allowed: up to 262144 bytes"},
+		"connections for control only": {strings.Replace(base, "connections = 10", "connections = 3", 1), "too few for the members; allowed: 4 to 10000"},
+		"more slots than connections":  {strings.Replace(base, "slots = 2", "slots = 11", 1), "more slots than connections; allowed: 1 to 10"},
+		"shared member":                {base + "[group other]\nmembers = a/10.0.0.1:5432, b/10.0.0.8:5432, c/10.0.0.9:5432\nconnections = 5\nslots = 1\n", "member 10.0.0.1:5432 belongs to group orders"},
+		"confirm past request":         {base + "[limits]\nconfirm_timeout = 20s\n", "longer than request_timeout; allowed: up to 15s"},
+		"no group":                     {"[service]\nname = x\n[user a]\nverifier = " + testVerifier, "[group]: the section is missing"},
+		"member twice":                 {strings.Replace(base, "10.0.0.2", "10.0.0.1", 1), "member 10.0.0.1:5432 stands twice"},
+		"missing key":                  {base + "[request pay]\n", "orders.ini:9: [request pay] repeat: the key is missing; allowed: never or allowed"},
+		"nameless":                     {base + "[read]\n", "the section needs a name"},
+		"needless name":                {base + "[limits x]\n", "the section takes no name"},
+		"control character":            {base + "[read a\x00b]\n", "control character"},
+		"not UTF-8":                    {base + "[read a\xff]\n", "not valid UTF-8"},
+		"multi-line value":             {base + "[read r]\nmax_age = \"\"\"1s\n", "over several lines"},
+		"too large":                    {base + strings.Repeat("# padding\n", MaxSize/10), "allowed: up to 262144 bytes"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/shares/adopt.go
+++ b/internal/shares/adopt.go
@@ -20,10 +20,8 @@
 			m.seekPause, m.seekAfter = 0, time.Time{}
 		}
 		m.apply(mine.Size)
-		if !m.Seated() {
-			m.setSeated(true)
-			m.announce(true)
-		}
+		m.setSeated(true)
+		m.announce(true)
 	case m.Seated():
 		// The seat was given to another while this process was gone from
 		// everything for longer than AgeOut.
