Let memory follow the bytes that arrived, before and after the password

Cause: a message's claimed length was set aside before its body came. After the start that was up to 16 MiB for each caller for 30 s. Before the password, the codec has no bound at all: five bytes claimed up to 2 GB, from anybody who reaches the port. Found while reading readFrame for its fuzz target.

Now a message is read in pieces, 16 KiB first and then as much as has come; and the codec of the start refuses bodies of more than 16 KiB.

Ruled out: a smaller bound for units (large requests are allowed) and a count of bytes over all callers (one slow caller could then keep others out).

--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"io"
 	"net"
 	"strings"
 
@@ -12,12 +13,25 @@
 // the instance leaves to the balancer in front of it.
 const refusedEncryption = 'N'
 
+// maxStartupBody bounds each message before the caller is authenticated, in
+// bytes. Those of SCRAM are a few hundred.
+const maxStartupBody = 16 << 10
+
+// newBackend returns the codec of a connection's start. The codec has no bound
+// of its own and sets aside what a message claims to hold: anybody who reaches
+// the port could take gigabytes with five bytes, before any password.
+func newBackend(conn io.ReadWriter) *pgproto3.Backend {
+	b := pgproto3.NewBackend(conn, conn)
+	b.SetMaxBodyLen(maxStartupBody)
+	return b
+}
+
 // refuse tells a caller that was never registered why.
 func (s *Server) refuse(conn net.Conn, err error) {
 	e, _ := result.As(err)
 	s.config.Metrics.refused(e)
 	_ = conn.SetDeadline(s.now().Now().Add(s.config.StartupTimeout))
-	backend := pgproto3.NewBackend(conn, conn)
+	backend := newBackend(conn)
 	message, receiveErr := receiveStartup(conn, backend)
 	if receiveErr != nil {
 		return
@@ -37,7 +51,7 @@
 	if err := n.conn.SetDeadline(deadline); err != nil {
 		return false
 	}
-	backend := pgproto3.NewBackend(n.conn, n.conn)
+	backend := newBackend(n.conn)
 	message, err := receiveStartup(n.conn, backend)
 	if err != nil {
 		n.broken(err)
--- a/internal/frontend/wire.go
+++ b/internal/frontend/wire.go
@@ -5,12 +5,17 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 )
 
 // headerSize is the size of a message's type and length, in bytes.
 const headerSize = 5
 
+// firstRead is how much of a message is read at first, in bytes; then as much
+// again as has arrived.
+const firstRead = 16 << 10
+
 // readerSize is the size of a pooled read buffer, in bytes.
 const readerSize = 4096
 
@@ -45,10 +50,29 @@
 	if length > limit {
 		return frame{}, errMessageTooLarge
 	}
-	bytes := make([]byte, length)
-	copy(bytes, header[:])
-	if _, err := io.ReadFull(r, bytes[headerSize:]); err != nil {
+	bytes, err := readRest(r, header[:], length)
+	if err != nil {
 		return frame{}, err
 	}
 	return frame{kind: kind, bytes: bytes}, nil
 }
+
+// readRest reads a message up to its length, behind what is there of it. Memory
+// follows what has arrived: callers that claim large messages and send nothing
+// would otherwise hold the bound of a unit each until the message timeout.
+func readRest(r io.Reader, begun []byte, length int) ([]byte, error) {
+	bytes := append(make([]byte, 0, min(length, firstRead)), begun...)
+	for len(bytes) < length {
+		start := len(bytes)
+		n := min(length-start, max(start, firstRead-start))
+		bytes = slices.Grow(bytes, n)[:start+n]
+		_, err := io.ReadFull(r, bytes[start:])
+		if errors.Is(err, io.EOF) && start > len(begun) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return bytes, nil
+}
