Let an unfinished stop answer for what it still holds

Cause: after a stop that ran out of time with connections in use, the instance forgot the group and told peers that it held nothing. The next instance of the domain took the seat on that word and opened connections beside those in use. Red without the check in Directory.Remove, TestUnfinishedStopIsNoProof: poa-a != reserve-1 Green with it: ok internal/shares, with the race detector.

--- a/internal/shares/directory.go
+++ b/internal/shares/directory.go
@@ -30,11 +30,19 @@
 	d.managers[m.cfg.Group] = m
 }
 
-// Remove undoes Add.
+// Remove undoes Add, unless the manager's Close failed with connections still in
+// use. It then goes on answering: were it gone, a peer would be told that this
+// instance holds nothing, and would take the seat while it is in use.
 func (d *Directory) Remove(group string) {
+	m, ok := d.find(group)
+	if !ok || m.holds() {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.managers, group)
+	if d.managers[group] == m {
+		delete(d.managers, group)
+	}
 }
 
 func (d *Directory) find(group string) (*Manager, bool) {
--- a/internal/shares/fake_test.go
+++ b/internal/shares/fake_test.go
@@ -490,6 +490,15 @@
 	extra   int
 	closing bool
 	gone    bool
+	// stuck connections stay in use.
+	stuck bool
+}
+
+// stick keeps what is held in use for good.
+func (r *fakeResource) stick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stuck = true
 }
 
 // add counts connections beside the limit.
@@ -540,7 +549,7 @@
 		r.held += grow
 		r.count(grow)
 	}
-	if r.held > r.limit && !r.closing {
+	if r.held > r.limit && !r.closing && !r.stuck {
 		r.closing = true
 		go r.close()
 	}
--- a/internal/shares/manager_test.go
+++ b/internal/shares/manager_test.go
@@ -305,6 +305,25 @@
 	})
 }
 
+func TestUnfinishedStopIsNoProof(t *testing.T) {
+	// A home's stop runs out of time while a connection is still in use. Until
+	// its process ends it must not tell peers that it holds nothing: the next
+	// one would take the seat and open connections beside it.
+	run(t, func(is *is.I, w *world) {
+		a, _, _ := w.three()
+		a.connections.demand(5)
+		a.connections.stick()
+		a.stop()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		is.True(a.manager.Close(ctx) != nil)
+		a.directory.Remove(testGroup)
+		second := w.start("a2", "poa-a")
+		after(time.Minute)
+		is.Equal(w.seatName(second), "reserve-1")
+	})
+}
+
 func TestLoweredTotalIsInForceWhenConnectionsClosed(t *testing.T) {
 	// The service document lowers the total while all connections are in use.
 	// The sum falls to it within seconds and later rises with the next version;
