Bound forwarded units by their class; let no bare answer end a session's roaming

A unit forwarded over a connection that went silent was waited for up to ten minutes, because only the home knew its class's time. A session's first answer ended its roaming even when it carried no token, as that of BEGIN, so that a later aged read could miss the session's own write. A request that must not be repeated was taken without a key inside of a transaction. No test had an instance that is not home.

Ruled out: a barrier at every BEGIN (most transactions are on the primary).

Conclusion: the entry bounds a unit as its home does, and only a token tells of a session's past.

--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -121,3 +121,16 @@
 	}
 	return User{}, false
 }
+
+// TimeoutOf returns the time that a request of a class may take, from arrival to
+// answer; an unknown class gets that of requests without one.
+func (s *Service) TimeoutOf(class string) time.Duration {
+	timeout := s.Limits.RequestTimeout
+	if r, ok := s.FindRead(class); ok && r.Timeout > 0 {
+		timeout = r.Timeout
+	}
+	if w, ok := s.FindWrite(class); ok && w.Timeout > 0 {
+		timeout = w.Timeout
+	}
+	return timeout
+}
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -79,8 +79,7 @@
 	if len(u.Key) > maxKeyLength {
 		return result.New(result.KeyTooLong, "%d bytes, at most %d", len(u.Key), maxKeyLength)
 	}
-	inTransaction := u.Transaction != ""
-	if p.atMostOnce && u.Key == "" && !inTransaction {
+	if p.atMostOnce && u.Key == "" {
 		return result.New(result.KeyRequired, "class %q", u.Class)
 	}
 	return nil
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -133,7 +133,7 @@
 			return s, nil
 		}
 		if !g.Clock.Now().Before(deadline) {
-			return nil, result.New(result.TokenUnreachable, "term %d is not known", t.Term)
+			return nil, result.New(result.TokenUnreachable, "term %d is not known", t.Term).WithRetryAfter(retryAfterFailover)
 		}
 		if err := g.pause(ctx); err != nil {
 			return nil, result.New(result.TokenUnreachable, "term %d is not known", t.Term).WithCause(err)
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -88,7 +88,9 @@
 // answer passes on a unit's reply.
 func (n *session) answer(r *execution.Reply) bool {
 	n.transaction = r.Transaction
-	n.roaming = false
+	// An answer without a token proves nothing about the session's past: after a
+	// bare BEGIN, say, the next read must still take a barrier.
+	n.roaming = n.roaming && r.Token.IsZero()
 	bytes := r.Messages
 	if r.Token != n.token {
 		n.token = r.Token
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -278,13 +278,23 @@
 	u.Token = n.token
 	u.Roaming = n.roaming
 	u.Transaction = n.transaction
-	u.Timeout = maxTimeout
+	u.Timeout = n.timeout(t.class)
 	u.Begins = hintBegins(sql)
 	u.Ends = hintEnds(sql)
 }
 
-// maxTimeout is the longest that a unit may take; classes set shorter ones.
-const maxTimeout = 10 * time.Minute
+// timeout returns the time that the service document gives a class. The entry
+// instance needs it too: a home that falls silent never answers in time.
+func (n *session) timeout(class string) time.Duration {
+	service, ok := n.server.config.Directory.FindService(n.group)
+	if !ok {
+		return defaultTimeout
+	}
+	return service.TimeoutOf(class)
+}
+
+// defaultTimeout bounds a unit whose group no document names any more.
+const defaultTimeout = 5 * time.Second
 
 // forget drops statements whose definition the member refused.
 func (n *session) forget(names []string) {
--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -52,6 +52,8 @@
 	callers   []*pgx.Conn
 	// views are the platform as each instance reaches it.
 	views []*platformView
+	// size is the number of instances.
+	size int
 	// draining says which instances were told to stop.
 	draining map[int]bool
 	// dead holds the ends of processes that were replaced.
@@ -66,13 +68,25 @@
 
 func memberHost(i int) string      { return fmt.Sprintf("10.0.%d.1", i+1) }
 func memberAddress(i int) string   { return memberHost(i) + ":5432" }
-func instanceHost(i int) string    { return fmt.Sprintf("10.0.%d.2", i+1) }
 func instanceAddress(i int) string { return instanceHost(i) + ":6432" }
 
-// inBed runs f in a bubble of virtual time with a bed that has started.
-func inBed(t *testing.T, f func(b *bed)) {
+// instanceHost returns the host of an instance. The first three are in the three
+// failure domains, the next three again.
+func instanceHost(i int) string {
+	return fmt.Sprintf("10.0.%d.%d", i%len(bedDomains)+1, 2+i/len(bedDomains))
+}
+
+func domainOf(i int) string { return bedDomains[i%len(bedDomains)] }
+
+// inBed runs f in a bubble of virtual time with a bed of three instances that
+// has started.
+func inBed(t *testing.T, f func(b *bed)) { inBedOf(t, len(bedDomains), f) }
+
+// inBedOf is inBed with another number of instances. From the fourth on, some
+// are not home to the group.
+func inBedOf(t *testing.T, instances int, f func(b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bed{t: t, is: is.New(t), net: memnet.New(), store: standin.NewStore(), draining: make(map[int]bool)}
+		b := &bed{t: t, is: is.New(t), net: memnet.New(), store: standin.NewStore(), draining: make(map[int]bool), size: instances}
 		b.startMembers()
 		b.startInstances()
 		time.Sleep(time.Second)
@@ -116,9 +130,9 @@
 // inventory is the right list of instances.
 func (b *bed) inventory() platform.Inventory {
 	var list platform.Inventory
-	for i, d := range bedDomains {
+	for i := range b.size {
 		list.Instances = append(list.Instances, platform.Instance{
-			ID: fmt.Sprintf("i%d", i), FailureDomain: d, PeerAddress: instanceHost(i) + ":7432",
+			ID: fmt.Sprintf("i%d", i), FailureDomain: domainOf(i), PeerAddress: instanceHost(i) + ":7432",
 		})
 	}
 	return list
@@ -126,12 +140,12 @@
 
 func (b *bed) startInstances() {
 	b.store.SetInventory(b.inventory())
-	n := len(bedDomains)
+	n := b.size
 	b.views = make([]*platformView, n)
 	b.instances = make([]*Instance, n)
 	b.stop = make([]context.CancelFunc, n)
 	b.ended = make([]chan error, n)
-	for i := range bedDomains {
+	for i := range b.size {
 		b.startInstanceAt(i)
 	}
 }
@@ -139,7 +153,7 @@
 // startInstanceAt starts a process in place of instance i.
 func (b *bed) startInstanceAt(i int) {
 	s := &settings.Settings{}
-	s.Instance = settings.Instance{ID: fmt.Sprintf("i%d", i), FailureDomain: bedDomains[i]}
+	s.Instance = settings.Instance{ID: fmt.Sprintf("i%d", i), FailureDomain: domainOf(i)}
 	s.Caller.Address = instanceAddress(i)
 	s.Peer.Address = instanceHost(i) + ":7432"
 	s.Homes.PerFailureDomain = 1
