Stop and resume the primary's process under load

Cause: separate processes were proved under SIGTERM and SIGKILL of instances only.

Ruled out: a frozen member in virtual time alone; a stopped process also keeps its kernel's sockets open, which the in-memory network does not show.

Conclusion: writes go on at a successor, the old primary follows when it goes on, and every acknowledged row is read back through all three instances.

--- a/cmd/topazrock/processes_test.go
+++ b/cmd/topazrock/processes_test.go
@@ -22,6 +22,7 @@
 func TestSeparateProcesses(t *testing.T) {
 	p := startProcesses(t)
 	t.Run("write through one, read through another", p.testRoam)
+	t.Run("SIGSTOP of the primary moves the lead", p.testStop)
 	t.Run("SIGTERM cuts no request", p.testTerminate)
 	t.Run("SIGKILL rolls back", p.testKill)
 }
@@ -37,6 +38,41 @@
 	p.is.Equal(v, "1")
 }
 
+// testStop freezes the primary's process while callers write. Writes go on at a
+// successor; when the old primary goes on, it has to follow, and every
+// acknowledged row is there.
+func (p *processes) testStop(t *testing.T) {
+	ctx := context.Background()
+	primary := p.running[1]
+	writer := p.mustConnect(2)
+	var acknowledged []string
+	write := func(key string) bool {
+		_, err := writer.Exec(ctx, "INSERT INTO kv (k, v) VALUES ($1, '1')", key)
+		if err == nil {
+			acknowledged = append(acknowledged, key)
+		}
+		return err == nil
+	}
+	p.is.True(write("before"))
+	p.signal(primary, syscall.SIGSTOP)
+	attempt := 0
+	p.eventually("a write goes through without the old primary", func() bool {
+		attempt++
+		return write(fmt.Sprintf("stopped-%d", attempt))
+	})
+	p.signal(primary, syscall.SIGCONT)
+	for i := range 20 {
+		p.is.True(write(fmt.Sprintf("resumed-%d", i)))
+	}
+	for _, key := range acknowledged {
+		var v string
+		for i := range processDomains {
+			err := p.mustConnect(i).QueryRow(ctx, "SELECT v FROM kv WHERE k = $1 /*request='application'*/", key).Scan(&v)
+			p.is.NoErr(err)
+		}
+	}
+}
+
 // testTerminate stops instance 0 while callers write through it. Every request
 // either is answered or was never taken: the only error a caller may see is the
 // notice of the shutdown, and each acknowledged row is there.
