--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -43,6 +43,7 @@
 					if differs {
 						source.held = lists[i%2]
 						source.held.readAt = time.Now()
+						follower.held.readAt = time.Now().Add(-time.Second)
 					}
 					if err := follower.pull(context.Background(), all[1].PeerAddress); err != nil {
 						b.Fatal(err)
