Replace a refused primary without patience; end units of a cut-off domain soon

Ruled out: a shorter calm (primaries that stall every few seconds would depose each other again and again).

Conclusion: patience doubles twice at most, and only for probes that fall silent. Units at the known primary end once it has failed for the time of a failover.

--- a/internal/executor/standby.go
+++ b/internal/executor/standby.go
@@ -27,15 +27,16 @@
 
 func newStandby() *standby { return &standby{waiting: make(map[string]int)} }
 
-// found notes whether the group has a primary to write to.
-func (s *standby) found(now time.Time, primary bool) {
+// found notes whether the group has a primary to write to, and since when it
+// has none.
+func (s *standby) found(since time.Time, primary bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case primary:
 		s.since = time.Time{}
 	case s.since.IsZero():
-		s.since = now
+		s.since = since
 	}
 }
 
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
@@ -45,10 +46,19 @@
 // refusal before sending is worth more to a caller than an unknown outcome.
 func (g *Group) writablePrimary() (*group.Snapshot, error) {
 	s, err := g.findWritable()
-	g.standby.found(g.Clock.Now(), err == nil)
+	g.standby.found(g.lostSince(), err == nil)
 	return s, err
 }
 
+// lostSince returns since when the known primary has failed, or now.
+func (g *Group) lostSince() time.Time {
+	s := g.Tracker.Snapshot()
+	if m, known := s.Find(s.Primary); known && !m.Failing.IsZero() {
+		return m.Failing
+	}
+	return g.Clock.Now()
+}
+
 func (g *Group) findWritable() (*group.Snapshot, error) {
 	s := g.Tracker.Snapshot()
 	m, known := s.Find(s.Primary)
--- a/internal/failover/calm_test.go
+++ b/internal/failover/calm_test.go
@@ -10,9 +10,9 @@
 	"github.com/topazrock/topazrock/internal/logpos"
 )
 
-// Primaries are killed one after the other. One that is lost right behind a
-// change is waited for longer; one that is lost out of a calm is replaced as
-// fast as the first, however often that happens.
+// Primaries are lost one after the other. One that falls silent right behind a
+// change is waited for longer; one that is lost out of a calm, or whose machine
+// refuses connections, is replaced as fast as the first.
 func TestLossOutOfACalmIsDetectedAtOnce(t *testing.T) {
 	is := is.New(t)
 	settings := DefaultSettings()
@@ -30,7 +30,10 @@
 	is.Equal(detection(1, 0), settings.Detect)
 	is.Equal(detection(2, time.Second), 2*settings.Detect)
 	is.Equal(detection(3, 2*time.Second), 4*settings.Detect)
-	after := 2*time.Second + settings.Calm + time.Millisecond
+	refused := lostSnapshot(3, start.Add(3*time.Second), start.Add(3*time.Second))
+	refused.Members[0].Refused = true
+	is.Equal(p.assess(start.Add(3*time.Second), refused, 0).due, start.Add(3*time.Second+settings.Detect))
+	after := 3*time.Second + settings.Calm + time.Millisecond
 	is.Equal(detection(3, after), settings.Detect)
 }
 
--- a/internal/failover/settings.go
+++ b/internal/failover/settings.go
@@ -50,7 +50,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Detect:      150 * time.Millisecond,
-		Calm:        2 * time.Second,
+		Calm:        5 * time.Second,
 		MinFailures: 3,
 		Stagger:     100 * time.Millisecond,
 		Takeover:    400 * time.Millisecond,
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -27,7 +27,7 @@
 // makes its successor answer late as well; without more patience each time, they
 // would depose each other for as long as the load lasts. A primary that is lost
 // out of a calm is replaced as fast as the first.
-const maxPatience = 3
+const maxPatience = 2
 
 // firstAttachFactor is how many times the stall time is added while no replica
 // has been attached in the term yet.
@@ -50,7 +50,7 @@
 	case CauseLost:
 		m, _ := s.Find(s.Primary)
 		began = m.Failing
-		wait += p.settings.Detect << min(p.rises, maxPatience)
+		wait += p.detection(m)
 	case CauseLeaderless:
 		wait += p.takeover()
 	case CauseStalled:
@@ -68,6 +68,15 @@
 	return verdict{cause: cause, began: began, due: began.Add(wait)}
 }
 
+// detection is how long the primary must have failed. A refused probe is no
+// matter of patience: a process that is slow does not refuse.
+func (p *suspicion) detection(m group.MemberView) time.Duration {
+	if m.Refused {
+		return p.settings.Detect
+	}
+	return p.settings.Detect << min(p.rises, maxPatience)
+}
+
 // takeover is how long a claimed term may be without a primary. It doubles with
 // each further term of late: where everything is slow, claimers that give each
 // other no more time than usual would take the term from each other for ever.
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/document"
@@ -204,7 +205,7 @@
 		return
 	}
 	f.w.log.Info("Member answers again.", "group", f.w.group, "member", f.view.Address)
-	f.view.Failing, f.view.Failures = time.Time{}, 0
+	f.view.Failing, f.view.Failures, f.view.Refused = time.Time{}, 0, false
 	f.w.notify()
 }
 
@@ -218,6 +219,7 @@
 		f.view.Failing = t.at
 	}
 	f.view.Failures++
+	f.view.Refused = errors.Is(err, syscall.ECONNREFUSED)
 	f.w.notify()
 	f.w.publish()
 }
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -23,6 +23,9 @@
 	Failing time.Time
 	// Failures counts the probes that have failed since Failing.
 	Failures int
+	// Refused says that the last failed probe was refused: the machine answers,
+	// and no process listens on it.
+	Refused bool
 	// Leaving says that the platform lists the member as leaving.
 	Leaving bool
 }
--- a/internal/instance/once_test.go
+++ b/internal/instance/once_test.go
@@ -169,3 +169,33 @@
 		})
 	}
 }
+
+// A failure domain is cut off while its callers wait for answers of the primary,
+// which is in another domain and stays the only one that they know. Their units
+// end after the time of a failover and not at the statement timeout, and callers
+// that come later are refused at once.
+func TestCutOffDomainAnswersItsCallersSoon(t *testing.T) {
+	inBed(t, func(b *bed) {
+		c := b.mustConnect(1, "")
+		start := time.Now()
+		done := make(chan string)
+		go func() {
+			_, err := c.Exec(ctx, "SELECT pg_sleep(2)")
+			done <- state(err)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range []string{memberHost(1), instanceHost(1)} {
+			for _, i := range []int{0, 2} {
+				b.net.Cut(in, memberHost(i))
+				b.net.Cut(in, instanceHost(i))
+			}
+		}
+		b.views[1].set(true)
+		b.is.Equal(<-done, "TU003")
+		b.is.True(time.Since(start) < 2*time.Second)
+		start = time.Now()
+		_, err := b.mustConnect(1, "").Exec(ctx, "INSERT INTO kv (k, v) VALUES ('a', '1')")
+		b.is.Equal(state(err), "TD004")
+		b.is.True(time.Since(start) < 200*time.Millisecond)
+	})
+}
