One way to run an exchange; more process IDs than callers

Cause: read as a newcomer, the executor had three functions that set a deadline, put missing statements in front, and ran an exchange. And an instance with more than 65,535 callers, which the settings allow, would have looked for a free process ID for ever with the table of sessions locked.

Ruled out: a bound on callers instead (200,000 are allowed, and a process ID has room for a million beside twelve bits of the instance).

Conclusion: parts are listed in one place for each kind of unit, and converse runs them all.

--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -28,6 +28,9 @@
 	committed bool
 	// keyOutcome is the row that a look-up of a key returned.
 	keyOutcome string
+	// keyed says that the outcome can be settled by a request key, for which some
+	// of the time is kept back.
+	keyed bool
 	// term is the one that the member led in when the exchange was begun.
 	term logpos.Term
 	// status is the report pipelined behind the unit; nil when it was not asked
--- a/internal/executor/intransaction.go
+++ b/internal/executor/intransaction.go
@@ -31,7 +31,8 @@
 	}
 	x := newExchange(tx.conn, u, p.limits.AnswerBuffer, partial)
 	x.term = tx.term
-	err = g.converseIn(ctx, u, p, x, tx)
+	x.keyed = tx.key != ""
+	err = g.converse(ctx, u, p, x, transactionParts(u, p, tx))
 	release()
 	if err != nil {
 		g.end(tx, true)
@@ -42,26 +43,17 @@
 	return g.concludeIn(ctx, u, p, x, tx)
 }
 
-func (g *Group) converseIn(ctx context.Context, u *execution.Unit, p plan, x *exchange, tx *transaction) error {
-	if err := tx.conn.SetDeadline(g.statementDeadline(ctx, p, tx.key != "")); err != nil {
-		return err
-	}
+// transactionParts lists what is sent for a unit inside of a transaction.
+func transactionParts(u *execution.Unit, p plan, tx *transaction) []part {
 	var parts []part
-	if prepare, names, ok := preparePart(x.conn, u); ok {
-		x.prepared = names
-		parts = append(parts, prepare)
-	}
 	if p.keyed(u) {
-		parts = append(parts, queryPart(partKey, insertKey(u.Key, keyRan)))
+		parts = append(parts, keyPart(u))
 	}
-	parts = append(parts, part{kind: partUnit, bytes: u.Messages})
+	parts = append(parts, unitPart(u))
 	if u.Ends && !tx.replica {
 		parts = append(parts, statusPart())
 	}
-	g.running.start(u.ID, x.conn)
-	err := x.run(parts)
-	g.running.stop(u.ID, x.conn)
-	return err
+	return parts
 }
 
 // concludeIn replies to a unit in a transaction and ends the transaction when
--- a/internal/executor/part.go
+++ b/internal/executor/part.go
@@ -33,6 +33,11 @@
 	return part{kind: kind, bytes: mustEncode(&q)}
 }
 
+func unitPart(u *execution.Unit) part { return part{kind: partUnit, bytes: u.Messages} }
+
+// keyPart inserts the row of the unit's key.
+func keyPart(u *execution.Unit) part { return queryPart(partKey, insertKey(u.Key, keyRan)) }
+
 func statusPart() part { return queryPart(partStatus, pgcontrol.StatusStatement) }
 
 // Outcomes of a key row.
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -189,7 +189,7 @@
 		return nil, false, err
 	}
 	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
-	if err := g.converseRead(ctx, u, p, x); err != nil {
+	if err := g.converse(ctx, u, p, x, []part{unitPart(u)}); err != nil {
 		g.Pool.Release(c)
 		g.reportBroken(c, err)
 		return nil, x.answer.streamed, unknown(ctx, err)
@@ -202,23 +202,6 @@
 	return g.reply(n.token, x, true), false, nil
 }
 
-// converseRead is converse without the report of a primary.
-func (g *Group) converseRead(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
-	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p, false)); err != nil {
-		return err
-	}
-	var parts []part
-	if prepare, names, ok := preparePart(x.conn, u); ok {
-		x.prepared = names
-		parts = append(parts, prepare)
-	}
-	parts = append(parts, part{kind: partUnit, bytes: u.Messages})
-	g.running.start(u.ID, x.conn)
-	err := x.run(parts)
-	g.running.stop(u.ID, x.conn)
-	return err
-}
-
 // mayRetryRead decides on one more attempt, and waits for its turn. Reads on
 // replicas are idempotent: a replica refuses anything that writes.
 func (g *Group) mayRetryRead(ctx context.Context, err error, attempt int) bool {
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -95,7 +95,8 @@
 	}
 	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
 	x.term = s.Term
-	err = g.converse(ctx, u, p, x)
+	x.keyed = p.keyed(u)
+	err = g.converse(ctx, u, p, x, primaryParts(u, p))
 	release()
 	if err != nil {
 		g.Pool.Release(c)
@@ -105,41 +106,36 @@
 	return g.concludeAtPrimary(ctx, u, p, x)
 }
 
-// converse runs the unit's exchange within the statement's time.
-func (g *Group) converse(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
-	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p, p.keyed(u))); err != nil {
+// converse runs the unit's exchange within the statement's time, behind the
+// definitions of statements that the connection lacks.
+func (g *Group) converse(ctx context.Context, u *execution.Unit, p plan, x *exchange, parts []part) error {
+	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p, x.keyed)); err != nil {
 		return err
 	}
+	if prepare, names, ok := preparePart(x.conn, u); ok {
+		x.prepared = names
+		parts = append([]part{prepare}, parts...)
+	}
 	g.running.start(u.ID, x.conn)
-	err := x.run(g.parts(u, p, x))
+	err := x.run(parts)
 	g.running.stop(u.ID, x.conn)
 	return err
 }
 
-// parts lists what is sent for a unit outside of a transaction.
-func (g *Group) parts(u *execution.Unit, p plan, x *exchange) []part {
-	var parts []part
-	if prepare, names, ok := preparePart(x.conn, u); ok {
-		x.prepared = names
-		parts = append(parts, prepare)
-	}
-	unit := part{kind: partUnit, bytes: u.Messages}
+// primaryParts lists what is sent to the primary for a unit outside of a
+// transaction.
+func primaryParts(u *execution.Unit, p plan) []part {
+	unit := unitPart(u)
 	switch {
 	case p.keyed(u) && u.Begins:
-		return append(parts, unit, queryPart(partKey, insertKey(u.Key, keyRan)))
+		return []part{unit, keyPart(u)}
 	case p.keyed(u):
-		parts = append(parts,
-			queryPart(partBegin, "BEGIN"),
-			queryPart(partKey, insertKey(u.Key, keyRan)),
-			unit,
-			queryPart(partCommit, "COMMIT"))
+		return []part{queryPart(partBegin, "BEGIN"), keyPart(u), unit, queryPart(partCommit, "COMMIT"), statusPart()}
+	case u.Begins:
+		return []part{unit}
 	default:
-		parts = append(parts, unit)
-	}
-	if u.Begins {
-		return parts
+		return []part{unit, statusPart()}
 	}
-	return append(parts, statusPart())
 }
 
 // concludeAtPrimary turns the finished exchange into a reply: an open
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -64,7 +64,7 @@
 // write sends bytes to the caller within the write timeout. A caller that reads
 // nothing of a large answer would otherwise hold a member's connection.
 func (n *session) write(bytes []byte) error {
-	deadline := n.server.now().Now().Add(n.server.config.WriteTimeout)
+	deadline := n.server.config.Clock.Now().Add(n.server.config.WriteTimeout)
 	if err := n.conn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -40,8 +39,12 @@
 	}
 }
 
-// processIDBits is how many bits of a process ID count sessions.
-const processIDBits = 16
+// processIDBits is how many bits of a process ID count sessions: more than the
+// settings allow callers, so that a free ID is always found.
+const processIDBits = 20
+
+// PrefixOf returns the part of a process ID that tells its instance.
+func PrefixOf(processID uint32) uint32 { return processID >> processIDBits }
 
 // ProcessIDPrefix returns the upper half of the process IDs of an instance.
 func ProcessIDPrefix(instance string) uint32 {
@@ -187,5 +190,3 @@
 	s.config.Metrics.cancels.Inc()
 	n.cancel()
 }
-
-func (s *Server) now() clock.Clock { return s.config.Clock }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -158,7 +158,7 @@
 // limitRead bounds the wait for bytes that must follow. A caller that sends
 // half a message and stalls would otherwise hold a worker and a buffer for ever.
 func (n *session) limitRead() error {
-	return n.conn.SetReadDeadline(n.server.now().Now().Add(n.server.config.MessageTimeout))
+	return n.conn.SetReadDeadline(n.server.config.Clock.Now().Add(n.server.config.MessageTimeout))
 }
 
 func (n *session) serveMessage(r *bufio.Reader, kind byte, b **batch) bool {
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -30,7 +30,7 @@
 func (s *Server) refuse(conn net.Conn, err error) {
 	e, _ := result.As(err)
 	s.config.Metrics.refused(e)
-	_ = conn.SetDeadline(s.now().Now().Add(s.config.StartupTimeout))
+	_ = conn.SetDeadline(s.config.Clock.Now().Add(s.config.StartupTimeout))
 	backend := newBackend(conn)
 	message, receiveErr := receiveStartup(conn, backend)
 	if receiveErr != nil {
@@ -47,7 +47,7 @@
 
 // start brings the session from accept to its first ReadyForQuery.
 func (n *session) start() bool {
-	deadline := n.server.now().Now().Add(n.server.config.StartupTimeout)
+	deadline := n.server.config.Clock.Now().Add(n.server.config.StartupTimeout)
 	if err := n.conn.SetDeadline(deadline); err != nil {
 		return false
 	}
@@ -90,7 +90,7 @@
 		return
 	}
 	secret := uint32(m.SecretKey[0])<<24 | uint32(m.SecretKey[1])<<16 | uint32(m.SecretKey[2])<<8 | uint32(m.SecretKey[3])
-	if m.ProcessID>>processIDBits != s.idPrefix && s.config.ForeignCancel != nil {
+	if PrefixOf(m.ProcessID) != s.idPrefix && s.config.ForeignCancel != nil {
 		s.config.ForeignCancel(m.ProcessID, secret)
 		return
 	}
--- a/internal/instance/cancel.go
+++ b/internal/instance/cancel.go
@@ -11,9 +11,6 @@
 // than the caller's session.
 const methodCancelCaller = "caller.cancel"
 
-// processIDBits is how far a process ID is shifted to get its instance's part.
-const processIDBits = 16
-
 // cancelCaller names a caller's session.
 type cancelCaller struct {
 	ProcessID uint32 `json:"process_id"`
@@ -37,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	for _, p := range n.members.Peers() {
-		if frontend.ProcessIDPrefix(p.ID) != processID>>processIDBits {
+		if frontend.ProcessIDPrefix(p.ID) != frontend.PrefixOf(processID) {
 			continue
 		}
 		err := n.client.Call(ctx, p.PeerAddress, methodCancelCaller, cancelCaller{ProcessID: processID, Secret: secret}, nil)
