Revert "Try: take a whole small message in the idle read"

Ruled out: the second read of an idle session as what limits the added time.

Conclusion: the added time is spent elsewhere, most of it in the two hops over loopback and the switches between goroutines that they bring.

--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -34,11 +34,6 @@
 	statements map[string]*statement
 	unnamed    *statement
 	units      uint64
-	// head takes the first bytes of the next message while the session is idle,
-	// and unread those of them that nobody has read yet: with a whole small
-	// message there, reading it costs no further system call.
-	head   [headSize]byte
-	unread []byte
 
 	// mu guards running.
 	mu sync.Mutex
@@ -74,34 +69,32 @@
 	}
 	defer n.abandon()
 	for {
-		if err := n.waitForMessage(); err != nil {
+		kind, err := n.waitForMessage()
+		if err != nil {
 			n.leave(err)
 			return
 		}
 		var open bool
-		n.server.workers.do(func() { open = n.serve() })
+		n.server.workers.do(func() { open = n.serve(kind) })
 		if !open {
 			return
 		}
 	}
 }
 
-// headSize is how many bytes an idle session takes at once.
-const headSize = 512
-
-// waitForMessage waits for the first bytes of the next message.
-func (n *session) waitForMessage() error {
+// waitForMessage waits for the first byte of the next message.
+func (n *session) waitForMessage() (byte, error) {
+	var first [1]byte
 	for {
 		if n.server.Draining() && n.transaction == "" {
-			return errDraining
+			return 0, errDraining
 		}
-		k, err := n.conn.Read(n.head[:])
-		if k > 0 {
-			n.unread = n.head[:k]
-			return nil
+		_, err := n.conn.Read(first[:])
+		if err == nil {
+			return first[0], nil
 		}
 		if !isTimeout(err) {
-			return err
+			return 0, err
 		}
 		// Drain wakes the read by a deadline that has passed. An open
 		// transaction goes on until the caller ends it.
@@ -109,16 +102,6 @@
 	}
 }
 
-// Read implements io.Reader over the first bytes and then the connection.
-func (n *session) Read(p []byte) (int, error) {
-	if len(n.unread) == 0 {
-		return n.conn.Read(p)
-	}
-	k := copy(p, n.unread)
-	n.unread = n.unread[k:]
-	return k, nil
-}
-
 // wake interrupts the wait for a message, so that the session sees a drain.
 func (n *session) wake() { _ = n.conn.SetReadDeadline(time.Unix(1, 0)) }
 
@@ -140,33 +123,32 @@
 
 // serve handles messages until nothing more has arrived. It returns false when
 // the session is over.
-func (n *session) serve() bool {
+func (n *session) serve(kind byte) bool {
 	r := readers.Get().(*bufio.Reader)
-	r.Reset(n)
+	r.Reset(n.conn)
 	defer func() {
 		r.Reset(nil)
 		readers.Put(r)
 	}()
 	b := &batch{session: n}
 	for {
-		kind, err := n.nextKind(r)
-		if err != nil {
-			return false
-		}
-		if !n.serveMessage(r, kind, &b) {
+		open := n.serveMessage(r, kind, &b)
+		if !open {
 			return false
 		}
 		if r.Buffered() == 0 && b.empty() {
 			return true
 		}
+		next, err := n.nextKind(r)
+		if err != nil {
+			return false
+		}
+		kind = next
 	}
 }
 
 // nextKind reads the type of a message that belongs to what has begun.
 func (n *session) nextKind(r *bufio.Reader) (byte, error) {
-	if r.Buffered() > 0 || len(n.unread) > 0 {
-		return r.ReadByte()
-	}
 	if err := n.limitRead(); err != nil {
 		return 0, err
 	}
