Add the transaction's and the roaming session's steps to the fault matrix

Cause: faults struck inside transactions and between a write and the read that follows it elsewhere only by chance; the matrix named no step of these flows.

Ruled out: hooks in the product for them; both points are the callers' own.

--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -62,6 +62,8 @@
 	started uint64
 	// failoverHook is called at the steps of every instance's claims.
 	failoverHook atomic.Pointer[func(failover.Step)]
+	// loadHook is called at named points of the callers' own work.
+	loadHook atomic.Pointer[func(point string)]
 }
 
 var bedDomains = []string{"poa-a", "poa-b", "fln-c"}
@@ -186,6 +188,12 @@
 	return hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: os.Stderr})
 }
 
+func (b *bed) atLoad(point string) {
+	if f := b.loadHook.Load(); f != nil {
+		(*f)(point)
+	}
+}
+
 func (b *bed) onFailoverStep(f func(failover.Step)) { b.failoverHook.Store(&f) }
 
 func (b *bed) callFailoverHook(s failover.Step) {
--- a/internal/instance/load_test.go
+++ b/internal/instance/load_test.go
@@ -165,6 +165,7 @@
 		return
 	}
 	c.move(c.random.IntN(2) == 0)
+	c.load.bed.atLoad("roam.moved")
 	tag := []string{agedRead, freshRead}[c.random.IntN(2)]
 	ctx, cancel := context.WithTimeout(c.load.ctx, patience)
 	defer cancel()
@@ -215,6 +216,7 @@
 		return
 	}
 	for _, half := range []string{"a", "b"} {
+		c.load.bed.atLoad("transaction.open")
 		if _, err := tx.Exec(ctx, fmt.Sprintf("INSERT INTO kv (k, v) VALUES ('%s%s', '1')", key, half)); err != nil {
 			c.load.note(key+"a", fateDidNotRun)
 			_ = tx.Rollback(ctx)
@@ -222,6 +224,7 @@
 			return
 		}
 	}
+	c.load.bed.atLoad("transaction.commit")
 	c.load.note(key+"a", fateOf(tx.Commit(ctx)))
 	c.move(false)
 }
--- a/internal/instance/matrix_test.go
+++ b/internal/instance/matrix_test.go
@@ -110,6 +110,7 @@
 	}
 	b.store.SetHook(nil)
 	b.failoverHook.Store(nil)
+	b.loadHook.Store(nil)
 }
 
 // revive starts what a step has stopped: the first primary, or a drained instance.
--- a/internal/instance/steps_test.go
+++ b/internal/instance/steps_test.go
@@ -24,6 +24,9 @@
 	{"write", "before a replica takes it", atMember(1, "replica.take.before")},
 	{"read", "statement arrives at a replica", atMember(1, "statement.before")},
 	{"read", "barrier asks the primary", atMember(0, "control.status.before")},
+	{"transaction", "open", atLoad("transaction.open")},
+	{"transaction", "before COMMIT", atLoad("transaction.commit")},
+	{"roam", "moved, not yet read", atLoad("roam.moved")},
 	{"failover", "suspected", afterKill(failoverStep(failover.StepSuspected))},
 	{"failover", "term not yet claimed", afterKill(atPlatform("groups.put.before"))},
 	{"failover", "term claimed, not answered", afterKill(atPlatform("groups.put.after_before_answer"))},
@@ -69,6 +72,13 @@
 	return func(b *bed, strike func()) { b.store.SetHook(once(point, strike)) }
 }
 
+func atLoad(point string) func(*bed, func()) {
+	return func(b *bed, strike func()) {
+		hook := once(point, strike)
+		b.loadHook.Store(&hook)
+	}
+}
+
 func failoverStep(s failover.Step) func(*bed, func()) {
 	return func(b *bed, strike func()) {
 		hook := once(string(s), strike)
