Answer a Flush behind Parse and Describe

Cause: drivers that describe a statement with Flush and send more only behind the answer got none before their Sync, so that both sides waited until the message timeout cut the caller off.

Ruled out: answering a Flush behind Execute. What a batch runs is one unit with its Sync, and its outcome is not confirmed before; such a Flush is refused at once now, and not only at the Sync.

Conclusion: preparing and describing are answered early, errors once, and the Sync behind an error only says ready.

--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -87,7 +87,15 @@
 
 // answer passes on a unit's reply.
 func (n *session) answer(r *execution.Reply) bool {
+	bytes := append(n.adopt(r), encode(&pgproto3.ReadyForQuery{TxStatus: r.TransactionStatus})...)
+	return n.write(bytes) == nil
+}
+
+// adopt takes over what a reply says of the session, and returns the reply's
+// messages with the token if it is new.
+func (n *session) adopt(r *execution.Reply) []byte {
 	n.transaction = r.Transaction
+	n.failed = r.TransactionStatus == statusFailed
 	// An answer without a token proves nothing about the session's past: after a
 	// bare BEGIN, say, the next read must still take a barrier.
 	n.roaming = n.roaming && r.Token.IsZero()
@@ -96,8 +104,7 @@
 		n.token = r.Token
 		bytes = append(bytes, encode(n.tokenStatus())...)
 	}
-	bytes = append(bytes, encode(&pgproto3.ReadyForQuery{TxStatus: r.TransactionStatus})...)
-	return n.write(bytes) == nil
+	return bytes
 }
 
 func (n *session) tokenStatus() *pgproto3.ParameterStatus {
@@ -108,18 +115,32 @@
 // open is lost with it, and the caller has to end it.
 func (n *session) answerError(err error, inTransaction bool) bool {
 	if inTransaction {
-		n.abandon()
-		n.transaction = ""
-		n.aborted = true
-	}
-	status := byte(statusIdle)
-	if n.aborted {
-		status = statusFailed
+		n.lose()
 	}
 	if e, ok := result.As(err); ok {
 		n.server.config.Metrics.refused(e)
 	}
-	return n.send(errorResponse(err), &pgproto3.ReadyForQuery{TxStatus: status})
+	return n.send(errorResponse(err), &pgproto3.ReadyForQuery{TxStatus: n.status()})
+}
+
+// lose gives up the open transaction. The caller has to end it.
+func (n *session) lose() {
+	n.abandon()
+	n.transaction = ""
+	n.failed = false
+	n.aborted = true
+}
+
+// status is the transaction status that the caller is in.
+func (n *session) status() byte {
+	switch {
+	case n.aborted || n.failed:
+		return statusFailed
+	case n.transaction != "":
+		return statusTransaction
+	default:
+		return statusIdle
+	}
 }
 
 // answerAborted answers a unit in a lost transaction: its end with ROLLBACK,
@@ -168,14 +189,7 @@
 
 // answerLocally answers a batch that no member needs to see.
 func (n *session) answerLocally(b *batch) bool {
-	status := byte(statusIdle)
-	switch {
-	case n.aborted:
-		status = statusFailed
-	case n.transaction != "":
-		status = statusTransaction
-	}
-	return n.write(append(stepAnswers(string(b.shape)), encode(&pgproto3.ReadyForQuery{TxStatus: status})...)) == nil
+	return n.write(append(stepAnswers(string(b.shape)), encode(&pgproto3.ReadyForQuery{TxStatus: n.status()})...)) == nil
 }
 
 // setToken takes a token that the caller carries from another instance.
--- a/internal/frontend/batch.go
+++ b/internal/frontend/batch.go
@@ -43,6 +43,9 @@
 	sql     string
 	// failure refuses the whole batch, up to its Sync.
 	failure error
+	// reported says that the caller has been told of the failure, or of the
+	// member's error, before the Sync.
+	reported bool
 }
 
 func (b *batch) empty() bool { return len(b.shape) == 0 && b.failure == nil }
@@ -50,7 +53,7 @@
 // add takes one message. A message that is refused makes the batch fail at its
 // Sync, as the protocol asks.
 func (b *batch) add(f frame, limit int) {
-	if b.failure != nil {
+	if b.failure != nil || b.reported {
 		return
 	}
 	if len(b.messages)+len(f.bytes) > limit {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -27,6 +27,8 @@
 	// answer here yet: it may have written through another instance.
 	roaming     bool
 	transaction string
+	// failed says that the member has aborted the open transaction.
+	failed bool
 	// aborted says that the proxy lost the caller's transaction. Until the
 	// caller ends it, its statements are refused; running them would commit
 	// each on its own.
@@ -185,7 +187,9 @@
 	case 'd', 'c', 'f':
 		// Copy data that was under way when the copy was refused.
 		return true
-	case 'P', 'B', 'D', 'E', 'C', 'H', 'F':
+	case 'H':
+		return n.flush(b)
+	case 'P', 'B', 'D', 'E', 'C', 'F':
 		(*b).add(f, n.server.config.MaxUnit)
 		return true
 	default:
--- a/internal/frontend/units.go
+++ b/internal/frontend/units.go
@@ -30,29 +30,34 @@
 // sync runs a batch.
 func (n *session) sync(b *batch) bool {
 	switch {
+	case b.reported:
+		return n.ready()
 	case b.failure != nil:
 		return n.answerError(b.failure, n.transaction != "")
 	case b.local():
 		return n.answerLocally(b)
 	}
-	u := &execution.Unit{
-		Messages:   append(b.messages, encodedSync...),
-		Shape:      string(b.shape),
-		Statements: b.statements,
-		Unnamed:    b.unnamed,
-	}
-	return n.execute(u, b.sql, b)
+	return n.execute(b.unit(), b.sql, b)
 }
 
-// execute sends a unit to the executor and passes its answer to the caller.
+// execute runs a unit and passes its answer to the caller.
 func (n *session) execute(u *execution.Unit, sql string, b *batch) bool {
 	if n.aborted {
 		return n.answerAborted(u, sql)
 	}
-	t, err := parseTag(sql)
+	reply, err := n.submit(u, sql, b)
 	if err != nil {
 		return n.answerError(err, n.transaction != "")
 	}
+	return n.answer(reply)
+}
+
+// submit sends a unit to the executor.
+func (n *session) submit(u *execution.Unit, sql string, b *batch) (*execution.Reply, error) {
+	t, err := parseTag(sql)
+	if err != nil {
+		return nil, err
+	}
 	n.fill(u, t, sql)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -65,12 +70,9 @@
 	if err != nil && u.Ends {
 		// Whatever became of it, the transaction is over; its home may not know.
 		n.abandon()
-		n.transaction = ""
-	}
-	if err != nil {
-		return n.answerError(err, n.transaction != "")
+		n.transaction, n.failed = "", false
 	}
-	return n.answer(reply)
+	return reply, err
 }
 
 func (n *session) fill(u *execution.Unit, t tag, sql string) {
