Wait for a condition in one place; put the group's own loop in its file

Cause: the pool and the admission gate each had the same loop that waits for a condition under a lock and the same channel to wake it.

Ruled out: one fake of peer calls for the tests of configuration and membership, which share some lines; one counts bytes and loses methods, the other does not.

Conclusion: waitlist.Signal serves both owners. No behaviour changed.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -31,8 +31,8 @@
 	// urgentWrite is when the last urgent write arrived.
 	urgentWrite time.Time
 	draining    bool
-	// changed is closed and replaced whenever a slot is given back.
-	changed chan struct{}
+	// changed is notified whenever a slot is given back.
+	changed *waitlist.Signal
 }
 
 var _ Gate = (*Controller)(nil)
@@ -55,7 +55,7 @@
 		inUse:   make(map[*slot]struct{}),
 		classes: make(map[string]*class),
 		waiting: waitlist.New((*waiter).before),
-		changed: make(chan struct{}),
+		changed: waitlist.NewSignal(),
 	}
 	c.slotsUp.Set(float64(c.slots))
 	return c
@@ -80,7 +80,7 @@
 
 // Settle waits until no more requests run than there are slots.
 func (c *Controller) Settle(ctx context.Context) error {
-	return c.wait(ctx, func() bool { return len(c.inUse) <= c.slots })
+	return c.changed.Wait(ctx, &c.mu, func() bool { return len(c.inUse) <= c.slots })
 }
 
 // Drain refuses new requests and waits until those that run or wait have ended.
@@ -88,30 +88,7 @@
 	c.mu.Lock()
 	c.draining = true
 	c.mu.Unlock()
-	return c.wait(ctx, func() bool { return len(c.inUse)+c.waiting.Len() == 0 })
-}
-
-// wait blocks until done, which is called under the lock, returns true.
-func (c *Controller) wait(ctx context.Context, done func() bool) error {
-	for {
-		c.mu.Lock()
-		ok, changed := done(), c.changed
-		c.mu.Unlock()
-		if ok {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
-}
-
-// signal wakes those who wait for requests to end.
-func (c *Controller) signal() {
-	close(c.changed)
-	c.changed = make(chan struct{})
+	return c.changed.Wait(ctx, &c.mu, func() bool { return len(c.inUse)+c.waiting.Len() == 0 })
 }
 
 // class returns the state kept for a class.
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -94,5 +94,5 @@
 	delete(c.inUse, s)
 	s.class.observe(max(c.cfg.Clock.Now().Sub(s.since), time.Microsecond))
 	c.dispatch()
-	c.signal()
+	c.changed.Notify()
 }
--- a/internal/admission/enter.go
+++ b/internal/admission/enter.go
@@ -139,6 +139,6 @@
 	}
 	err := c.refusal(result.QueueTimeout, w.class, c.expectedWait(w))
 	c.dispatch()
-	c.signal()
+	c.changed.Notify()
 	return err
 }
--- /dev/null
+++ b/internal/executor/run.go
@@ -0,0 +1,37 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+)
+
+// Run ends what must not be waited for any longer, until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	parts.Go(func() { g.endDoomed(ctx) })
+	parts.Go(func() { g.endIdle(ctx) })
+	parts.Wait()
+}
+
+// endIdle ends transactions that were idle for too long. Their locks and
+// connections are held for callers that may be gone for good.
+func (g *Group) endIdle(ctx context.Context) {
+	for clock.Sleep(ctx, g.Clock, reapInterval) == nil {
+		limit := g.Service().Limits.TransactionIdleTimeout
+		for _, tx := range g.transactions.idleSince(g.Clock.Now().Add(-limit)) {
+			g.Logger.Info("Idle transaction was rolled back.", "group", g.Group, "transaction", tx.id)
+			g.Metrics.transactionReaped(g.Group)
+			g.Abandon(g.Group, tx.id)
+		}
+	}
+}
+
+// pollPause is the pause between two looks at a snapshot.
+const pollPause = 5 * time.Millisecond
+
+func (g *Group) pause(ctx context.Context) error {
+	return clock.Sleep(ctx, g.Clock, pollPause)
+}
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -35,8 +35,8 @@
 	closing int
 	idle    int
 	closed  bool
-	// changed is closed and replaced whenever a connection stops counting.
-	changed chan struct{}
+	// changed is notified whenever a connection stops counting.
+	changed *waitlist.Signal
 }
 
 var _ Pool = (*Limited)(nil)
@@ -54,7 +54,7 @@
 		limit:      cfg.Limit,
 		entries:    make(map[*upstream.Conn]*entry),
 		members:    make(map[string]*memberState),
-		changed:    make(chan struct{}),
+		changed:    waitlist.NewSignal(),
 		waiting:    waitlist.New((*waiter).before),
 	}
 }
@@ -182,7 +182,7 @@
 
 // Settle waits until no more connections count than the limit allows.
 func (p *Limited) Settle(ctx context.Context) error {
-	return p.wait(ctx, func() bool { return p.total() <= p.limit })
+	return p.changed.Wait(ctx, &p.mu, func() bool { return p.total() <= p.limit })
 }
 
 // Close refuses all that wait, closes idle connections, and waits until those
@@ -198,24 +198,7 @@
 		p.closeIdle(m, closedShutdown)
 	}
 	p.mu.Unlock()
-	err := p.wait(ctx, func() bool { return p.total() == 0 })
+	err := p.changed.Wait(ctx, &p.mu, func() bool { return p.total() == 0 })
 	p.stop()
 	return err
 }
-
-// wait blocks until done, which is called under the lock, returns true.
-func (p *Limited) wait(ctx context.Context, done func() bool) error {
-	for {
-		p.mu.Lock()
-		ok, changed := done(), p.changed
-		p.mu.Unlock()
-		if ok {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
-}
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -58,7 +58,7 @@
 	e := &entry{conn: c, member: m}
 	p.entries[c] = e
 	p.settle(e)
-	p.signal()
+	p.changed.Notify()
 }
 
 // openFailed holds back openings to the member, and ends the wait of those
@@ -81,7 +81,7 @@
 		p.closing++
 		go p.hold(p.cfg.CloseHold)
 	} else {
-		p.signal()
+		p.changed.Notify()
 	}
 	if m.refused {
 		return
@@ -180,12 +180,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closing--
-	p.signal()
+	p.changed.Notify()
 	p.dispatch()
 }
-
-// signal wakes those who wait for the counts to fall.
-func (p *Limited) signal() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
--- a/internal/waitlist/list.go
+++ b/internal/waitlist/list.go
@@ -1,5 +1,6 @@
-// Package waitlist keeps waiters in the order in which they are to be served.
-// A List is guarded by its owner's lock.
+// Package waitlist holds what owners of a bounded resource share: a List keeps
+// waiters in the order in which they are to be served, and a Signal wakes those
+// who wait for a condition. Both are guarded by their owner's lock.
 package waitlist
 
 import "slices"
