Measure the core's cost of an aged read

Before the core is lifted off the PostgreSQL messages, so that the change can be compared: the unit's way from plan to reply over an in-memory pipe.

--- /dev/null
+++ b/internal/executor/bench_test.go
@@ -0,0 +1,106 @@
+package executor
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/retry"
+	"github.com/topazrock/topazrock/internal/upstream"
+)
+
+// BenchmarkRead runs one aged read through the core, from the unit to its reply:
+// plan, admission, choice of a replica, exchange, answer. The member's end of
+// the connection answers at once, so that what is left is the core's own cost.
+func BenchmarkRead(b *testing.B) {
+	near, far := net.Pipe()
+	go answerQueries(far)
+	c := upstream.NewConn("r1", time.Now(), near, pgproto3.NewFrontend(near, near))
+	g := benchmarkGroup(c)
+	query := pgproto3.Query{String: "SELECT v FROM kv WHERE k = 'a'"}
+	messages, err := query.Encode(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	partial := func([]byte) error { return nil }
+	b.ReportAllocs()
+	for b.Loop() {
+		u := &execution.Unit{ID: "u", Group: "g", Class: "aged", Timeout: time.Second, Messages: messages,
+			Token: logpos.Token{Group: "g", Mark: logpos.Mark{Term: 1, Position: 10}}}
+		if _, err := g.Execute(context.Background(), u, partial); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// answerQueries answers each message with one row.
+func answerQueries(conn net.Conn) {
+	var answer []byte
+	for _, m := range []pgproto3.BackendMessage{
+		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25}}},
+		&pgproto3.DataRow{Values: [][]byte{[]byte("value")}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+		&pgproto3.ReadyForQuery{TxStatus: statusIdle},
+	} {
+		answer, _ = m.Encode(answer)
+	}
+	request := make([]byte, 1024)
+	for {
+		if _, err := conn.Read(request); err != nil {
+			return
+		}
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// benchmarkGroup is a group with one fresh replica, whose connection is c.
+func benchmarkGroup(c *upstream.Conn) *Group {
+	now := time.Now()
+	service := &document.Service{
+		Limits: document.Limits{StatementTimeout: time.Minute, RequestTimeout: time.Minute, ConfirmTimeout: time.Second, AnswerBuffer: 1 << 20, MaxQueue: 10},
+		Reads:  []document.ReadClass{{Name: "aged", MaxAge: time.Hour, Priority: 5}},
+	}
+	status := member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: logpos.Mark{Term: 1, Position: 20}}
+	s := group.Snapshot{Group: "g", Term: 1, Primary: "p", ConfirmedAt: now, Members: []group.MemberView{
+		{Address: "p", Status: member.Status{Role: member.RolePrimary, Entered: 1}},
+		{Address: "r1", Status: status, SeenAt: now, FreshAsOf: now},
+	}}
+	return NewGroup(Config{
+		Group: "g", Instance: "i", Service: func() *document.Service { return service },
+		Tracker: &shown{snapshot: s}, Pool: onePool{c}, Clock: clock.System{}, Logger: hclog.NewNullLogger(),
+		Gate:    admission.New(admission.Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Slots: 4}),
+		Budget:  retry.New(retry.Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 2))}),
+		Random:  rand.New(rand.NewPCG(1, 3)),
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+}
+
+// onePool hands out one connection.
+type onePool struct{ conn *upstream.Conn }
+
+// Acquire implements pool.Pool.
+func (p onePool) Acquire(context.Context, string) (*upstream.Conn, error) { return p.conn, nil }
+
+// Release implements pool.Pool.
+func (onePool) Release(*upstream.Conn) {}
+
+// Suspect implements pool.Pool.
+func (onePool) Suspect(string, time.Time) {}
+
+// ProbeIdle implements pool.Pool.
+func (onePool) ProbeIdle(time.Time) {}
