--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -63,6 +63,12 @@
 	Name string
 	// MaxAge is the age of data that the read accepts. Zero: it must be fresh.
 	MaxAge time.Duration
+	// Primary says that reads run at the primary alone and see every write that
+	// was acknowledged before them; MaxAge is not used then.
+	Primary bool
+	// Writes says that units of the class may also write; each unit tells whether
+	// it only reads.
+	Writes bool
 	// Priority orders classes for a slot; 1 goes first, 9 last.
 	Priority int
 	// MaxQueue bounds the class's queue on one instance; zero means Limits.MaxQueue.
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -1,10 +1,14 @@
 // Package execution runs one unit of a caller's work at a group: admission,
 // choice of a member, sending, confirmation, and the whole answer.
 //
-// A unit is what a caller sends between two ReadyForQuery messages: one Query,
-// or extended-protocol messages up to Sync. The caller's session builds it on
-// the entry instance; a home instance of the group runs it. The two may be one
+// A unit is what a caller sends between two answers that tell it to go on: one
+// statement, or the messages of a batch. The caller's session builds it on the
+// entry instance; a home instance of the group runs it. The two may be one
 // process or be joined by a peer connection, and the same types serve both.
+//
+// The core reads of a unit what decides where and how it runs. What its
+// messages look like is known to the two codecs at the ends: the one that the
+// caller speaks and the one that the group's members speak.
 package execution
 
 import (
@@ -37,10 +41,18 @@
 	ParameterOIDs []uint32 `json:"parameter_oids,omitempty"`
 }
 
+// Value is a session value: a name that the caller's session has set.
+type Value struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
 // Unit is one piece of work.
 type Unit struct {
 	// ID names the unit on its entry instance, for cancel and partial answers.
 	ID string `json:"id"`
+	// Request is the caller's own name for the unit, for logs; it may be empty.
+	Request string `json:"request,omitempty"`
 	// ReplyTo is the peer address of the entry instance; empty when it is this one.
 	ReplyTo string `json:"reply_to,omitempty"`
 	Group   string `json:"group"`
@@ -54,35 +66,42 @@
 	Roaming bool `json:"roaming,omitempty"`
 	// Timeout is the time left to the caller's deadline when the unit was sent.
 	Timeout time.Duration `json:"timeout"`
-	// Messages are encoded frontend messages, the last of them Query or Sync.
-	// Named statements go by names made of their content, and their Parse and
-	// Close messages are left out: they are shared between sessions.
+	// Messages are encoded messages of the caller. Named statements go by names
+	// made of their content, and what defines or drops them is left out: they
+	// are shared between sessions.
 	Messages []byte `json:"messages"`
 	// Shape lists the extended-protocol messages in order, one Step each; empty
-	// for a Query.
+	// where the unit is one plain statement.
 	Shape string `json:"shape,omitempty"`
 	// Statements holds the named statements that Messages refer to.
 	Statements map[string]Statement `json:"statements,omitempty"`
 	// Unnamed is the session's unnamed statement where Messages refer to it
 	// without defining it.
 	Unnamed *Statement `json:"unnamed,omitempty"`
+	// Values are the session's values, by name. The connection that runs the unit
+	// must carry exactly these.
+	Values []Value `json:"values,omitempty"`
 	// Ends hints that the unit ends a transaction, Begins that it opens one. A
 	// wrong hint costs a round trip, never a promise.
 	Ends   bool `json:"ends,omitempty"`
 	Begins bool `json:"begins,omitempty"`
+	// ReadOnly says that the unit only reads, and with Begins also that the
+	// transaction does. False where the codec cannot tell.
+	ReadOnly bool `json:"read_only,omitempty"`
 	// Transaction names the open transaction; empty outside of one.
 	Transaction string `json:"transaction,omitempty"`
 }
 
 // Reply is the answer to one unit.
 type Reply struct {
-	// Messages are encoded backend messages, ended by ReadyForQuery.
+	// Messages are encoded messages for the caller, without the one that tells
+	// it to go on.
 	Messages []byte `json:"messages"`
 	// Token is the session's token from now on.
 	Token logpos.Token `json:"token"`
 	// Transaction names the transaction that is open after the unit.
 	Transaction string `json:"transaction,omitempty"`
-	// TransactionStatus is the status byte of the final ReadyForQuery: I, T or E.
+	// TransactionStatus is the status after the unit: I, T or E.
 	TransactionStatus byte `json:"transaction_status"`
 	// Failed says that the answer ends in an error of the member.
 	Failed bool `json:"failed,omitempty"`
@@ -105,7 +124,8 @@
 	// piece means that the caller has seen a partial answer and must be cut off
 	// with an error. Errors are *result.Error.
 	Execute(ctx context.Context, u *Unit, partial func([]byte) error) (*Reply, error)
-	// Abandon rolls back and releases an open transaction whose caller is gone.
+	// Abandon rolls back and releases an open transaction whose caller has ended
+	// it without a commit or is gone. It does not wait for the member.
 	Abandon(group, transaction string)
 	// Cancel asks the member to stop the statement that a unit is running. The
 	// unit still gets its own answer.
--- a/internal/executor/bench_test.go
+++ b/internal/executor/bench_test.go
@@ -20,6 +20,7 @@
 	"github.com/topazrock/topazrock/internal/member"
 	"github.com/topazrock/topazrock/internal/retry"
 	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // BenchmarkRead runs one aged read through the core, from the unit to its reply:
@@ -53,7 +54,7 @@
 		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25}}},
 		&pgproto3.DataRow{Values: [][]byte{[]byte("value")}},
 		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
-		&pgproto3.ReadyForQuery{TxStatus: statusIdle},
+		&pgproto3.ReadyForQuery{TxStatus: byte(wire.Idle)},
 	} {
 		answer, _ = m.Encode(answer)
 	}
@@ -69,7 +70,7 @@
 }
 
 // benchmarkGroup is a group with one fresh replica, whose connection is c.
-func benchmarkGroup(c *upstream.Conn) *Group {
+func benchmarkGroup(c wire.Conn) *Group {
 	now := time.Now()
 	service := &document.Service{
 		Limits: document.Limits{StatementTimeout: time.Minute, RequestTimeout: time.Minute, ConfirmTimeout: time.Second, AnswerBuffer: 1 << 20, MaxQueue: 10},
@@ -91,16 +92,19 @@
 }
 
 // onePool hands out one connection.
-type onePool struct{ conn *upstream.Conn }
+type onePool struct{ conn wire.Conn }
 
 // Acquire implements pool.Pool.
-func (p onePool) Acquire(context.Context, string) (*upstream.Conn, error) { return p.conn, nil }
+func (p onePool) Acquire(context.Context, string) (wire.Conn, error) { return p.conn, nil }
 
 // Release implements pool.Pool.
-func (onePool) Release(*upstream.Conn) {}
+func (onePool) Release(wire.Conn) {}
 
 // Suspect implements pool.Pool.
 func (onePool) Suspect(string, time.Time) {}
 
 // ProbeIdle implements pool.Pool.
 func (onePool) ProbeIdle(time.Time) {}
+
+// Ask implements group.Tracker.
+func (s *shown) Ask() group.Ticket { return group.Ticket{} }
--- a/internal/executor/bounds.go
+++ b/internal/executor/bounds.go
@@ -8,13 +8,17 @@
 )
 
 const (
-	// statusIdle is ReadyForQuery's transaction status outside of a transaction.
-	statusIdle = 'I'
 	// cancelTimeout bounds the sending of a cancel request.
 	cancelTimeout = 2 * time.Second
 	// retryAfterFailover is when a caller should come back that met a group
 	// without a primary: about the time that a failover takes.
 	retryAfterFailover = 250 * time.Millisecond
+	// retryAfterBusy is when a caller should come back that met a member without
+	// room: about the time that one statement takes.
+	retryAfterBusy = 50 * time.Millisecond
+	// rollBackTimeout bounds the rollback of an abandoned transaction. It is long
+	// against a round trip, and short against what a lock may be held up for.
+	rollBackTimeout = time.Second
 	// maxReadAttempts bounds the members that one read is sent to.
 	maxReadAttempts = 3
 	// maxWriteAttempts bounds how often a write that did not run is sent again.
@@ -47,14 +51,6 @@
 	return earlier(ctx, g.Clock.Now().Add(p.limits.ConfirmTimeout))
 }
 
-// earlier returns the earlier of t and ctx's deadline.
-func earlier(ctx context.Context, t time.Time) time.Time {
-	if d, ok := ctx.Deadline(); ok && d.Before(t) {
-		return d
-	}
-	return t
-}
-
 func isTimeout(err error) bool {
 	var n net.Error
 	return errors.As(err, &n) && n.Timeout()
--- a/internal/executor/confirm_test.go
+++ b/internal/executor/confirm_test.go
@@ -12,6 +12,7 @@
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/member"
 	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // agreeable is a tracker that confirms every mark.
@@ -37,13 +38,13 @@
 	limits := plan{limits: document.Limits{ConfirmTimeout: time.Second}}
 	report := &member.Status{Role: member.RolePrimary, Entered: 3, Last: logpos.Mark{Term: 3, Position: 90}}
 
-	_, err := g.confirm(t.Context(), limits, &exchange{term: 1, status: report})
+	_, err := g.confirm(t.Context(), limits, &exchange{term: 1, Exchange: wire.Exchange{Outcome: wire.Outcome{Report: report}}})
 	e, ok := result.As(err)
 	is.True(ok)
 	is.Equal(e.Code, result.PrimaryReplaced)
 	is.Equal(len(tracker.asked), 0)
 
-	mark, err := g.confirm(t.Context(), limits, &exchange{term: 3, status: report})
+	mark, err := g.confirm(t.Context(), limits, &exchange{term: 3, Exchange: wire.Exchange{Outcome: wire.Outcome{Report: report}}})
 	is.NoErr(err)
 	is.Equal(tracker.asked, []logpos.Mark{mark})
 }
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/topazrock/topazrock/internal/execution"
-	"github.com/topazrock/topazrock/internal/result"
 )
 
 // Execute implements execution.Executor for the group's units.
@@ -28,7 +27,7 @@
 	switch {
 	case u.Transaction != "":
 		return g.continueTransaction(ctx, u, p, partial)
-	case p.read:
+	case !p.atPrimary():
 		return g.read(ctx, u, p, partial)
 	default:
 		return g.write(ctx, u, p, partial)
@@ -53,11 +52,3 @@
 		g.Logger.Debug("Cancel request was not sent.", "member", c.Address(), "error", err)
 	}
 }
-
-// unknown returns the error of a unit that was sent and whose end is not known.
-func unknown(ctx context.Context, cause error) *result.Error {
-	if ctx.Err() != nil || isTimeout(cause) {
-		return result.New(result.StatementTimeout, "no whole answer in time").WithCause(cause)
-	}
-	return result.New(result.ConnectionLost, "after the request was sent").WithCause(cause)
-}
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -27,6 +27,7 @@
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/retry"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // Config is what a Group is made of.
@@ -46,6 +47,11 @@
 	Dialer  netio.Dialer
 	Logger  hclog.Logger
 	Metrics *Metrics
+	// Wire says what the members' protocol can do.
+	Wire wire.Features
+	// ConfirmationAge is how old the newest report of an attached replica may be
+	// for a write to be sent; zero means a second.
+	ConfirmationAge time.Duration
 }
 
 // Group runs the units of one group on a home instance.
@@ -54,6 +60,9 @@
 	transactions *transactions
 	running      *running
 	standby      *standby
+	behind       *behind
+	// abandoning counts the rollbacks of abandoned transactions under way.
+	abandoning sync.WaitGroup
 	// atWork counts units between the router's look-up and their answer.
 	atWork atomic.Int64
 	// randomMu guards Random.
@@ -68,6 +77,7 @@
 		transactions: newTransactions(c.Instance + transactionSeparator + c.Group),
 		running:      newRunning(),
 		standby:      newStandby(),
+		behind:       newBehind(),
 	}
 }
 
@@ -81,8 +91,3 @@
 
 // transactionSeparator stands behind the instance in a transaction's ID.
 const transactionSeparator = "/"
-
-// confirmationAge is how old the newest report of an attached replica may be
-// for a write to be sent. A primary that no replica follows cannot have its
-// writes confirmed, so sending one would only make an unknown outcome.
-const confirmationAge = time.Second
--- a/internal/executor/key.go
+++ b/internal/executor/key.go
@@ -3,22 +3,22 @@
 import (
 	"context"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // keyRefused answers a keyed unit whose key row could not be inserted. The
 // unit's own statements met an aborted transaction, so they did not run.
 func (g *Group) keyRefused(ctx context.Context, u *execution.Unit, x *exchange) error {
-	if x.final != statusIdle {
+	if x.Final != wire.Idle {
 		// The unit was the transaction's BEGIN: closing rolls it back.
 		x.conn.Spoil()
 	}
 	g.Pool.Release(x.conn)
-	if x.keyFailure.Code != uniqueViolation {
-		return keyNotStored(x.keyFailure)
+	if x.KeyFailure.Kind != wire.FailureKeyExists {
+		return keyNotStored(x.KeyFailure)
 	}
 	return g.lookUpKey(ctx, u.Key)
 }
@@ -27,13 +27,13 @@
 // rolled back as a whole.
 func (g *Group) keyRefusedIn(ctx context.Context, u *execution.Unit, x *exchange, tx *transaction) error {
 	g.end(tx, true)
-	if x.keyFailure.Code != uniqueViolation {
-		return keyNotStored(x.keyFailure)
+	if x.KeyFailure.Kind != wire.FailureKeyExists {
+		return keyNotStored(x.KeyFailure)
 	}
 	return g.lookUpKey(ctx, u.Key)
 }
 
-func keyNotStored(e *pgproto3.ErrorResponse) error {
+func keyNotStored(e *wire.Failure) error {
 	return result.New(result.UpstreamUnreachable, "the request key was not stored: %s %s", e.Code, e.Message)
 }
 
@@ -45,9 +45,9 @@
 		return result.New(result.TombstoneFailed, "the key's row could not be read").WithCause(err)
 	}
 	switch outcome {
-	case keyRan:
+	case wire.KeyRan:
 		return result.New(result.AlreadyRan, "key %q", key)
-	case keyBlocked:
+	case wire.KeyBlocked:
 		return result.New(result.TombstoneWritten, "key %q", key)
 	default:
 		return result.New(result.TombstoneFailed, "key %q has no known outcome", key)
@@ -76,17 +76,17 @@
 // block makes one attempt to insert the tombstone. The second value is false
 // when the attempt showed nothing and may be made again.
 func (g *Group) block(ctx context.Context, key string) (error, bool) {
-	x, err := g.control(ctx, insertKey(key, keyBlocked))
+	x, err := g.control(ctx, wire.Step{Kind: wire.StepStoreKey, Key: key, Outcome: wire.KeyBlocked})
 	if err != nil {
 		return nil, false
 	}
-	failure := x.keyFailure
-	if failure != nil && failure.Code == uniqueViolation {
+	failure := x.KeyFailure
+	if failure != nil && failure.Kind == wire.FailureKeyExists {
 		settled := g.lookUpKey(ctx, key)
 		e, _ := result.As(settled)
 		return settled, e.Code != result.TombstoneFailed
 	}
-	if failure != nil && failure.Code != readOnlyTransaction {
+	if failure != nil && failure.Kind != wire.FailureReadOnly {
 		// Such as a missing table: the next attempt would end the same way.
 		return result.New(result.TombstoneFailed, "%s %s", failure.Code, failure.Message), true
 	}
@@ -99,28 +99,29 @@
 	return result.New(result.TombstoneWritten, "key %q", key), true
 }
 
-func (g *Group) readKey(ctx context.Context, key string) (string, error) {
-	x, err := g.control(ctx, selectKey(key))
+func (g *Group) readKey(ctx context.Context, key string) (wire.KeyOutcome, error) {
+	x, err := g.control(ctx, wire.Step{Kind: wire.StepFindKey, Key: key})
 	if err != nil {
 		return "", err
 	}
-	if x.keyFailure != nil {
-		return "", result.New(result.TombstoneFailed, "%s", x.keyFailure.Message)
+	if x.KeyFailure != nil {
+		return "", result.New(result.TombstoneFailed, "%s", x.KeyFailure.Message)
 	}
 	if _, err := g.confirmStatus(ctx, x); err != nil {
 		return "", err
 	}
-	return x.keyOutcome, nil
+	return x.KeyOutcome, nil
 }
 
-// control runs one statement about keys at the present primary.
-func (g *Group) control(ctx context.Context, sql string) (*exchange, error) {
+// control runs one step about keys at the present primary.
+func (g *Group) control(ctx context.Context, step wire.Step) (*exchange, error) {
 	x, err := g.keyExchange(ctx)
 	if err != nil {
 		return nil, err
 	}
 	defer g.Pool.Release(x.conn)
-	return x, x.run([]part{queryPart(partKey, sql), statusPart()})
+	x.Steps = []wire.Step{step, {Kind: wire.StepReport}}
+	return x, x.conn.Run(&x.Exchange)
 }
 
 // keyExchange begins an exchange at the present primary.
@@ -133,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := newExchange(c, &execution.Unit{}, 0, nil)
+	x := newExchange(c, emptyUnit, plan{}, nil)
 	x.term = s.Term
 	deadline, _ := ctx.Deadline()
 	if err := c.SetDeadline(deadline); err != nil {
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -23,9 +23,11 @@
 
 // plan is what the service document asks for one unit.
 type plan struct {
-	class      string
-	read       bool
-	maxAge     time.Duration
+	class  string
+	read   bool
+	maxAge time.Duration
+	// fresh says that reads need the primary itself, proved not to be replaced.
+	fresh      bool
 	atMostOnce bool
 	priority   int
 	maxQueue   int
@@ -48,8 +50,9 @@
 	}
 	p.class = u.Class
 	if r, ok := s.FindRead(u.Class); ok {
-		p.read = true
+		p.read = !r.Writes || u.ReadOnly
 		p.maxAge = r.MaxAge
+		p.fresh = r.Primary
 		p.override(r.Priority, r.MaxQueue, r.Timeout)
 		return p, nil
 	}
@@ -88,6 +91,9 @@
 // keyed reports whether the request's key row goes into its transaction.
 func (p *plan) keyed(u *execution.Unit) bool { return p.atMostOnce && u.Key != "" }
 
+// atPrimary reports whether the unit has to run at the primary.
+func (p *plan) atPrimary() bool { return !p.read || p.fresh }
+
 // keyOf returns the key whose row goes into the unit's transaction, if any.
 func (p *plan) keyOf(u *execution.Unit) string {
 	if !p.keyed(u) {
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -2,24 +2,15 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
-	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/result"
 	"github.com/topazrock/topazrock/internal/retry"
 	"github.com/topazrock/topazrock/internal/routing"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
-// need is what a read must see, worked out once.
-type need struct {
-	position logpos.Position
-	maxAge   time.Duration
-	// token is the session's token after the read.
-	token logpos.Token
-}
-
 // read runs a declared read at a replica that can prove enough, or at the primary.
 func (g *Group) read(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
 	if onlyPrepares(u) {
@@ -71,96 +62,18 @@
 	return reply, streamed || err == nil && !reply.Failed, err
 }
 
-// need works out what the read must see. A read that must be fresh, and the
-// first read of a session whose past is not known, take a barrier.
-func (g *Group) need(ctx context.Context, u *execution.Unit, p plan) (need, error) {
-	if u.Token.IsZero() && u.Roaming || p.maxAge == 0 {
-		return g.needBarrier(ctx, u, p)
-	}
-	s, err := g.snapshotOf(ctx, u.Token)
-	if err != nil {
-		return need{}, err
-	}
-	position, _ := routing.RequiredPosition(s, u.Token)
-	if position > endOfLog(s) {
-		// The token may be forged, or reports may lag; the barrier tells.
-		return g.needBarrier(ctx, u, p)
-	}
-	return need{position: position, maxAge: p.maxAge, token: u.Token}, nil
-}
-
-func (g *Group) needBarrier(ctx context.Context, u *execution.Unit, p plan) (need, error) {
-	if _, err := g.snapshotOf(ctx, u.Token); err != nil {
-		return need{}, err
-	}
-	if err := g.barrierPossible(ctx, p); err != nil {
-		return need{}, err
-	}
-	bounded, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
-	defer cancel()
-	mark, err := g.Tracker.Barrier(bounded)
-	if err != nil {
-		return need{}, g.barrierFailed(err)
-	}
-	if u.Token.Term == mark.Term && u.Token.Position > mark.Position {
-		return need{}, result.New(result.TokenUnreachable, "token %s, log ends at %d", u.Token, mark.Position)
-	}
-	return need{position: mark.Position, token: g.token(mark)}, nil
-}
-
-// barrierPossible refuses a barrier that no replica would confirm: at once where
-// the group has been without a primary for longer than a failover takes, as in a
-// failure domain that is cut off, and after that time otherwise.
-func (g *Group) barrierPossible(ctx context.Context, p plan) error {
-	_, err := g.writablePrimary()
-	if err == nil || g.awaitPrimary(ctx, p) {
-		return nil
-	}
-	return g.barrierFailed(err)
-}
-
-// barrierFailed says that the read was never sent.
-func (g *Group) barrierFailed(err error) error {
-	return result.New(result.NoReplicaFresh, "no barrier").WithCause(err).WithRetryAfter(retryAfterFailover)
-}
-
-// snapshotOf waits for a short time for a snapshot that knows the token's term.
-func (g *Group) snapshotOf(ctx context.Context, t logpos.Token) (*group.Snapshot, error) {
-	deadline := earlier(ctx, g.Clock.Now().Add(tokenWait))
-	for {
-		s := g.Tracker.Snapshot()
-		if t.Term <= s.Term {
-			return s, nil
-		}
-		if !g.Clock.Now().Before(deadline) {
-			return nil, result.New(result.TokenUnreachable, "term %d is not known", t.Term).WithRetryAfter(retryAfterFailover)
-		}
-		if err := g.pause(ctx); err != nil {
-			return nil, result.New(result.TokenUnreachable, "term %d is not known", t.Term).WithCause(err)
-		}
-	}
-}
-
-// endOfLog returns the highest position that any member of the term reported.
-func endOfLog(s *group.Snapshot) logpos.Position {
-	end := s.TermStart
-	for _, m := range s.Members {
-		if m.Status.Attached == s.Term {
-			end = max(end, m.Status.Last.Position)
-		}
-	}
-	return end
-}
-
 func (g *Group) pickReplica(n need, exclude map[string]bool) (group.MemberView, bool) {
+	now := g.Clock.Now()
 	r := routing.Read{
 		Required:      n.position,
+		Checked:       g.Wire.ChecksPosition,
 		FailureDomain: g.FailureDomain,
 		Exclude:       exclude,
 		Load:          g.running.at,
+		Behind:        func(address string) bool { return g.behind.at(address, now) },
 	}
 	if n.maxAge > 0 {
-		r.NotBefore = g.Clock.Now().Add(-n.maxAge)
+		r.NotBefore = now.Add(-n.maxAge)
 	}
 	g.randomMu.Lock()
 	defer g.randomMu.Unlock()
@@ -188,13 +101,23 @@
 		g.reportRefused(m.Address, err)
 		return nil, false, err
 	}
-	x := newExchange(c, u, p.limits.AnswerBuffer, partial)
-	if err := g.converse(ctx, u, p, x, []part{unitPart(u)}); err != nil {
+	// The wait for a slot and a connection has aged what was needed before it.
+	if n, err = g.renew(ctx, u, p, n); err != nil {
+		g.Pool.Release(c)
+		return nil, false, err
+	}
+	x := newExchange(c, u, p, partial)
+	x.Required = n.mark
+	if err := g.converse(ctx, p, x, wire.Step{Kind: wire.StepUnit}); err != nil {
 		g.Pool.Release(c)
 		g.reportBroken(c, err)
-		return nil, x.answer.streamed, unknown(ctx, err)
+		return nil, x.Streamed, unknown(ctx, err)
 	}
-	if x.final != statusIdle {
+	if err := g.refusedByMember(x); err != nil {
+		g.giveBack(x)
+		return nil, false, err
+	}
+	if x.Final != wire.Idle {
 		u.Token = n.token
 		return g.openTransaction(u, x, true, ""), false, nil
 	}
@@ -202,6 +125,34 @@
 	return g.reply(n.token, x, true), false, nil
 }
 
+// refusedByMember returns the error of a read that another member may answer.
+func (g *Group) refusedByMember(x *exchange) error {
+	if x.Failure == nil {
+		return nil
+	}
+	address := x.conn.Address()
+	switch x.Failure.Kind {
+	case wire.FailureBehind:
+		g.behind.add(address, g.Clock.Now())
+		return result.New(result.NoReplicaFresh, "member %s lacks %d.%d", address, x.Required.Term, x.Required.Position).WithRetryAfter(retryAfterBusy)
+	case wire.FailureBusy:
+		return result.New(result.MemberBusy, "member %s", address).WithRetryAfter(retryAfterBusy)
+	case wire.FailureRan:
+		return result.New(result.ReadFailed, "member %s: %s %s", address, x.Failure.Code, x.Failure.Message)
+	default:
+		return nil
+	}
+}
+
+// giveBack returns a connection whose unit is not answered by what it brought,
+// rolling back the transaction that the unit may have opened.
+func (g *Group) giveBack(x *exchange) {
+	if x.Final != wire.Idle {
+		g.rollBack(x.conn)
+	}
+	g.Pool.Release(x.conn)
+}
+
 // mayRetryRead decides on one more attempt, and waits for its turn. Reads on
 // replicas are idempotent: a replica refuses anything that writes.
 func (g *Group) mayRetryRead(ctx context.Context, err error, attempt int) bool {
@@ -213,8 +164,13 @@
 	if !ok {
 		return false
 	}
+	if e.Code == result.NoReplicaFresh {
+		// The member answered at once and did no work, so that asking another
+		// one adds no load worth a budget.
+		return true
+	}
 	deadline, _ := ctx.Deadline()
-	failed := retry.Attempt{Number: attempt, Reason: reason, RetryAfter: e.RetryAfter, Deadline: deadline}
+	failed := retry.Attempt{Number: attempt, Reason: reason, Deadline: deadline}
 	return g.Budget.Wait(ctx, failed) == nil
 }
 
@@ -224,4 +180,7 @@
 	result.StatementTimeout:    retry.Silent,
 	result.UpstreamUnreachable: retry.Unreachable,
 	result.TooManyConnections:  retry.Full,
+	result.NoReplicaFresh:      retry.NotFresh,
+	result.MemberBusy:          retry.Busy,
+	result.ReadFailed:          retry.Failed,
 }
--- a/internal/executor/reply.go
+++ b/internal/executor/reply.go
@@ -3,15 +3,16 @@
 import (
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // reply returns the answer of a unit after which no transaction is open.
 func (g *Group) reply(t logpos.Token, x *exchange, replica bool) *execution.Reply {
 	return &execution.Reply{
-		Messages:          x.answer.messages,
+		Messages:          x.Messages,
 		Token:             t,
-		TransactionStatus: statusIdle,
-		Failed:            x.answer.failure != nil,
+		TransactionStatus: byte(wire.Idle),
+		Failed:            x.Failure != nil,
 		Member:            x.conn.Address(),
 		Replica:           replica,
 	}
@@ -19,14 +20,18 @@
 
 // openTransaction keeps the connection for the transaction that the unit opened.
 func (g *Group) openTransaction(u *execution.Unit, x *exchange, replica bool, key string) *execution.Reply {
-	tx := &transaction{key: key, conn: x.conn, replica: replica, term: x.term, token: u.Token, lastUsed: g.Clock.Now()}
+	tx := &transaction{key: key, conn: x.conn, replica: replica, term: x.term, token: u.Token, lastUsed: g.Clock.Now(),
+		wrote: !u.ReadOnly && !replica}
+	if !u.ReadOnly {
+		tx.verification = x.verification
+	}
 	g.transactions.add(tx)
 	return &execution.Reply{
-		Messages:          x.answer.messages,
+		Messages:          x.Messages,
 		Token:             u.Token,
 		Transaction:       tx.id,
-		TransactionStatus: x.final,
-		Failed:            x.answer.failure != nil,
+		TransactionStatus: byte(x.Final),
+		Failed:            x.Failure != nil,
 		Member:            x.conn.Address(),
 		Replica:           replica,
 	}
--- a/internal/executor/running.go
+++ b/internal/executor/running.go
@@ -2,13 +2,16 @@
 
 import (
 	"sync"
+	"time"
 
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // runningUnit is a unit that a member is working on.
 type runningUnit struct {
-	conn *upstream.Conn
+	conn wire.Conn
+	// since is when the unit was sent.
+	since time.Time
 	// cancelled says that a cancel request may be under way to the connection.
 	cancelled bool
 }
@@ -25,16 +28,16 @@
 	return &running{units: make(map[string]*runningUnit), load: make(map[string]int)}
 }
 
-func (r *running) start(unitID string, c *upstream.Conn) {
+func (r *running) start(unitID string, c wire.Conn, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.units[unitID] = &runningUnit{conn: c}
+	r.units[unitID] = &runningUnit{conn: c, since: now}
 	r.load[c.Address()]++
 }
 
 // stop ends a unit. A connection that a cancel request names is spoiled: the
 // request may arrive late and would stop the next caller's statement.
-func (r *running) stop(unitID string, c *upstream.Conn) {
+func (r *running) stop(unitID string, c wire.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if u := r.units[unitID]; u != nil && u.cancelled {
@@ -46,7 +49,7 @@
 
 // claimCancel returns the connection of a unit that is still at work, for one
 // cancel request.
-func (r *running) claimCancel(unitID string) *upstream.Conn {
+func (r *running) claimCancel(unitID string) wire.Conn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := r.units[unitID]
--- a/internal/group/confirm.go
+++ b/internal/group/confirm.go
@@ -10,14 +10,23 @@
 
 // Confirm implements Tracker.
 func (w *Watcher) Confirm(ctx context.Context, mark logpos.Mark) error {
+	return w.confirm(ctx, mark, false)
+}
+
+// ConfirmCommit implements Tracker.
+func (w *Watcher) ConfirmCommit(ctx context.Context, mark logpos.Mark) error {
+	return w.confirm(ctx, mark, true)
+}
+
+func (w *Watcher) confirm(ctx context.Context, mark logpos.Mark, commit bool) error {
 	start := w.clock.Now()
-	err := w.confirm(ctx, mark)
+	err := w.awaitConfirm(ctx, mark, commit)
 	w.metrics.confirm.WithLabelValues(w.group, outcome(err)).Observe(w.since(start))
 	return err
 }
 
-func (w *Watcher) confirm(ctx context.Context, mark logpos.Mark) error {
-	x, err := w.joinConfirm(mark)
+func (w *Watcher) awaitConfirm(ctx context.Context, mark logpos.Mark, commit bool) error {
+	x, err := w.joinConfirm(mark, commit)
 	if err != nil || x == nil {
 		return err
 	}
@@ -29,7 +38,7 @@
 }
 
 // joinConfirm returns nil and no error where nothing has to be waited for.
-func (w *Watcher) joinConfirm(mark logpos.Mark) (*waiter, error) {
+func (w *Watcher) joinConfirm(mark logpos.Mark, commit bool) (*waiter, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	// The mark is a primary's word, so its term exists.
@@ -40,7 +49,9 @@
 	if w.quorum == 0 {
 		return nil, nil
 	}
-	return w.join(mark, true), nil
+	x := w.join(mark, true)
+	x.commit = commit
+	return x, nil
 }
 
 func (w *Watcher) since(start time.Time) float64 {
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -32,10 +32,16 @@
 	view MemberView
 	// newest is the ticket number of the report that view shows.
 	newest uint64
-	// askedAt is when the last question was sent, and idle whether its answer
-	// brought nothing that somebody waits for.
-	askedAt time.Time
-	idle    bool
+	// askedAt is when the last question was sent, sightedAt when the last
+	// statement was that the member answered. idle says that the last wait for a
+	// position ended early without it, and misses how many answers in a row did
+	// not bring what somebody waits for. connected says that the kept connection
+	// answered last time.
+	askedAt   time.Time
+	sightedAt time.Time
+	idle      bool
+	misses    int
+	connected bool
 	// busy says that the last probe found the member full.
 	busy bool
 	// attachedAt is when the newest report of an attached replica was asked for.
@@ -187,7 +193,15 @@
 	defer f.w.mu.Unlock()
 	f.interrupt = nil
 	early := f.w.clock.Now().Sub(t.at) < f.w.intervals.FastPoll
-	f.idle = err == nil && q.wait && early && s.Last.Position < q.position
+	missed := err == nil && early && s.Last.Position < q.position
+	f.idle = q.wait && missed
+	f.connected = err == nil
+	switch {
+	case q.wanted && missed:
+		f.misses++
+	case err == nil:
+		f.misses = 0
+	}
 }
 
 // answeredBusy notes that the member answered, and that the next try can wait.
--- a/internal/group/intervals.go
+++ b/internal/group/intervals.go
@@ -19,6 +19,10 @@
 	Wait time.Duration
 	// Away bounds the time between two probes of a member that stays away.
 	Away time.Duration
+	// Spread is how much later than the best replica the others are asked when
+	// somebody waits for a report; zero asks all at once. Where each question
+	// costs a place at the member, one answer is mostly enough.
+	Spread time.Duration
 }
 
 // DefaultIntervals suits one-way latencies of a few milliseconds and members that
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -42,7 +42,7 @@
 	w.metrics.changes.WithLabelValues(w.group).Inc()
 	w.term, w.primary, w.termStart = term, "", 0
 	w.head = 0
-	w.samples.reset()
+	w.samples.reset(w.quorum)
 	for _, f := range w.followers {
 		f.attachedAt, f.stalledAt, f.reached = time.Time{}, time.Time{}, 0
 		f.wake()
@@ -74,7 +74,7 @@
 		return
 	}
 	if s.Role == member.RolePrimary {
-		w.samples.add(t, s.Last.Position)
+		w.samples.add(t, s.Last)
 		return
 	}
 	if attached(s, w.term) {
--- a/internal/group/pace.go
+++ b/internal/group/pace.go
@@ -40,3 +40,15 @@
 	}
 	return min(max(usual, paceFactor*slowest), paceLimit*usual)
 }
+
+// usual returns how long the fastest of the last answers took: the distance to
+// the member, without the load of a moment.
+func (p *pace) usual() time.Duration {
+	fastest := p.last[0]
+	for _, d := range p.last {
+		if d > 0 && (fastest == 0 || d < fastest) {
+			fastest = d
+		}
+	}
+	return fastest
+}
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -13,12 +13,18 @@
 const (
 	failuresPerDoubling = 3
 	maxDoublings        = 4
+	// maxMissDoublings bounds the pause between questions to a replica that
+	// misses a position, at 16 times the fast poll.
+	maxMissDoublings = 4
 )
 
 // question is what a follower does next: sleep for delay, or ask.
 type question struct {
-	delay    time.Duration
-	wait     bool
+	delay time.Duration
+	// wait asks the member to answer once it holds position.
+	wait bool
+	// wanted says that somebody waits for the member to hold position.
+	wanted   bool
 	position logpos.Position
 	bound    time.Duration
 }
@@ -39,23 +45,71 @@
 func (f *follower) nextOfPrimary() question {
 	q := question{bound: f.pace.bound(f.w.intervals.Probe)}
 	if !f.w.barrierWaits() {
-		q.delay = f.until(f.spread(f.w.intervals.PrimaryPoll))
+		q.delay = f.untilPoll(f.w.intervals.PrimaryPoll)
 	}
 	return q
 }
 
 func (f *follower) nextOfReplica() question {
-	status := question{bound: f.pace.bound(f.w.intervals.Probe)}
-	position, wanted := f.w.demand(f)
+	q := question{bound: f.pace.bound(f.w.intervals.Probe)}
+	q.position, q.wanted = f.w.demand(f)
 	switch {
-	case wanted && attached(f.view.Status, f.w.term) && !f.idle:
-		return question{wait: true, position: position, bound: f.w.intervals.Wait}
-	case wanted || f.w.unsettled():
-		status.delay = f.until(f.w.intervals.FastPoll)
+	case q.wanted && attached(f.view.Status, f.w.term) && !f.idle:
+		q.wait = true
+		q.bound = f.w.intervals.Wait
+		q.delay = f.w.turn(f)
+	case q.wanted:
+		q.delay = max(f.until(f.missPause()), f.w.turn(f))
+	case f.w.unsettled():
+		q.delay = f.until(f.w.intervals.FastPoll)
 	default:
-		status.delay = f.until(f.spread(f.w.intervals.ReplicaPoll))
+		q.delay = f.untilPoll(f.w.intervals.ReplicaPoll)
+	}
+	return q
+}
+
+// missPause is the time between two questions to a replica that has not got as
+// far as somebody waits for. It grows: a replica that receives nothing for a
+// while would else be asked hundreds of times for the same answer.
+func (f *follower) missPause() time.Duration {
+	return f.w.intervals.FastPoll << min(max(f.misses-1, 0), maxMissDoublings)
+}
+
+// turn is how long a replica leaves a question that somebody waits for to a
+// better one. The best replica has the fewest misses and answers fastest.
+func (w *Watcher) turn(f *follower) time.Duration {
+	if w.intervals.Spread == 0 {
+		return 0
+	}
+	rest := time.Duration(0)
+	if f.misses > 0 {
+		rest = f.until(f.missPause())
+	}
+	if w.best() == f {
+		return rest
 	}
-	return status
+	return max(rest, w.intervals.Spread-w.clock.Now().Sub(w.demandedSince(f)))
+}
+
+// best returns the replica that is asked first; nil if none answers.
+func (w *Watcher) best() *follower {
+	var best *follower
+	for _, f := range w.followers {
+		if f.view.Address == w.primary || !f.view.Failing.IsZero() || !f.connected {
+			continue
+		}
+		if best == nil || f.betterThan(best) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (f *follower) betterThan(o *follower) bool {
+	if f.misses != o.misses {
+		return f.misses < o.misses
+	}
+	return f.pace.usual() < o.pace.usual()
 }
 
 // probeInterval is the time between two probes on new connections. The first
@@ -80,6 +134,16 @@
 	return f.pace.bound(f.w.intervals.Probe) << doublings
 }
 
+// untilPoll is the time left until a member that nobody waits for is polled. An
+// answer to a statement tells as much as a poll, so that it counts as one.
+func (f *follower) untilPoll(interval time.Duration) time.Duration {
+	last := f.askedAt
+	if f.sightedAt.After(last) {
+		last = f.sightedAt
+	}
+	return f.spread(interval) - f.w.clock.Now().Sub(last)
+}
+
 // until is the time left of an interval that began at the last question.
 func (f *follower) until(interval time.Duration) time.Duration {
 	return interval - f.w.clock.Now().Sub(f.askedAt)
--- a/internal/group/samples.go
+++ b/internal/group/samples.go
@@ -15,10 +15,10 @@
 	sampleSpacing = 10 * time.Millisecond
 )
 
-// sample is the primary's position at a moment, and who is known to hold it.
+// sample is the end of the primary's log at a moment, and who is known to hold it.
 type sample struct {
-	ticket   Ticket
-	position logpos.Position
+	ticket Ticket
+	mark   logpos.Mark
 	// holders has one bit a member, by index.
 	holders uint64
 }
@@ -26,12 +26,30 @@
 // samples are the samples of one term, oldest first.
 type samples struct {
 	list []sample
+	// past are the samples of earlier terms that were proved. What a proved one
+	// covers is in every later log, so that reads may go by it until it is too old.
+	past []sample
 }
 
-func (s *samples) reset() { s.list = s.list[:0] }
+// reset begins a new term. Samples that were not proved are dropped: positions
+// of two terms do not compare.
+func (s *samples) reset(quorum int) {
+	for _, e := range s.list {
+		if e.proved(quorum) {
+			s.past = append(s.past, e)
+		}
+	}
+	if n := len(s.past); n > maxSamples {
+		s.past = append(s.past[:0], s.past[n-maxSamples:]...)
+	}
+	s.list = s.list[:0]
+}
+
+// proved reports whether enough replicas hold the sample.
+func (e *sample) proved(quorum int) bool { return bits.OnesCount64(e.holders) >= quorum }
 
 // add keeps a sample unless a later one is there already.
-func (s *samples) add(t Ticket, p logpos.Position) {
+func (s *samples) add(t Ticket, m logpos.Mark) {
 	if n := len(s.list); n > 0 {
 		last := s.list[n-1].ticket
 		if !t.After(last) || t.at.Sub(last.at) < sampleSpacing {
@@ -41,7 +59,7 @@
 	if len(s.list) == maxSamples {
 		s.thin()
 	}
-	s.list = append(s.list, sample{ticket: t, position: p})
+	s.list = append(s.list, sample{ticket: t, mark: m})
 }
 
 // thin drops every other sample of the older half. A replica far behind then
@@ -61,7 +79,7 @@
 func (s *samples) hold(index int, t Ticket, p logpos.Position) {
 	for i := range s.list {
 		e := &s.list[i]
-		if t.After(e.ticket) && p >= e.position {
+		if t.After(e.ticket) && p >= e.mark.Position {
 			e.holders |= 1 << index
 		}
 	}
@@ -72,9 +90,22 @@
 func (s *samples) newest(index, quorum int) (time.Time, logpos.Position, bool) {
 	for i := len(s.list) - 1; i >= 0; i-- {
 		e := s.list[i]
-		if e.holders&(1<<index) != 0 && bits.OnesCount64(e.holders) >= quorum {
-			return e.ticket.at, e.position, true
+		if e.holders&(1<<index) != 0 && e.proved(quorum) {
+			return e.ticket.at, e.mark.Position, true
 		}
 	}
 	return time.Time{}, 0, false
 }
+
+// oldest returns the proved sample that was asked for first at or after a moment.
+func (s *samples) oldest(notBefore time.Time, quorum int) (logpos.Mark, bool) {
+	for _, list := range [][]sample{s.past, s.list} {
+		for i := range list {
+			e := &list[i]
+			if e.proved(quorum) && !e.ticket.at.Before(notBefore) {
+				return e.mark, true
+			}
+		}
+	}
+	return logpos.Mark{}, false
+}
--- /dev/null
+++ b/internal/group/sighting.go
@@ -0,0 +1,60 @@
+package group
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+)
+
+// Sighting is what the answer to a caller's statement shows of a member. It
+// costs nothing, so where answers tell it, members that serve statements need
+// not be polled.
+type Sighting struct {
+	// Log is the end of the member's log.
+	Log logpos.Mark
+	// Committed says that the member committed a write of the statement, which
+	// only a primary does; Log is then a position in its term.
+	Committed bool
+}
+
+// Sighted implements Tracker.
+func (w *Watcher) Sighted(address string, t Ticket, s Sighting) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.find(address)
+	if f == nil {
+		return
+	}
+	f.sightedAt = t.at
+	f.recovered()
+	if s.Committed {
+		w.raise(s.Log.Term)
+	}
+	if s.Log.Term != w.term {
+		return
+	}
+	switch {
+	case s.Committed:
+		w.head = max(w.head, s.Log.Position)
+		w.samples.add(t, s.Log)
+	case address != w.primary:
+		w.sightedReplica(f, t, s.Log)
+	}
+}
+
+// sightedReplica notes how far a replica's log reaches at least. A log that
+// holds a commit of the term proves that the commit came before any fence of the
+// replica, but not that no fence came since, so that only waiters for a commit
+// count it.
+func (w *Watcher) sightedReplica(f *follower, t Ticket, log logpos.Mark) {
+	if t.number > f.newest && attached(f.view.Status, w.term) {
+		f.attachedAt = t.at
+		f.view.Status.Last = log
+	}
+	if log.Position > f.reached {
+		f.reached, f.stalledAt = log.Position, time.Time{}
+	}
+	w.samples.hold(f.index, t, log.Position)
+	w.prove()
+	w.countPosition(f, log)
+}
--- /dev/null
+++ b/internal/group/verify.go
@@ -0,0 +1,52 @@
+package group
+
+import (
+	"context"
+
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// Verification proves that the primary of a term had not been replaced when it
+// began. It ends by itself; whoever does not wait for it drops it.
+type Verification struct {
+	w *Watcher
+	x *waiter
+	// Term is the term that is verified.
+	Term logpos.Term
+}
+
+// Verify implements Tracker.
+func (w *Watcher) Verify() (*Verification, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.primary == "" {
+		return nil, result.New(result.NoPrimary, "group %s", w.group)
+	}
+	v := &Verification{w: w, Term: w.term}
+	if w.quorum > 0 {
+		// Position zero is held by every replica, so that only its term counts.
+		v.x = w.join(logpos.Mark{Term: w.term}, true)
+	}
+	return v, nil
+}
+
+// Wait returns nil once the proof is there. Its errors are PrimaryReplaced, or
+// ConfirmTimeout when ctx ends first.
+func (v *Verification) Wait(ctx context.Context) error {
+	if v.x == nil {
+		return nil
+	}
+	err, ended := v.w.await(ctx, v.x)
+	if !ended {
+		return result.New(result.ConfirmTimeout, "term %d was not verified", v.Term).WithCause(ctx.Err())
+	}
+	return err
+}
+
+// Drop ends a verification that nobody waits for.
+func (v *Verification) Drop() {
+	if v != nil && v.x != nil {
+		v.w.leave(v.x)
+	}
+}
--- a/internal/group/waiter.go
+++ b/internal/group/waiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/bits"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/member"
@@ -17,6 +18,9 @@
 	mark   logpos.Mark
 	// holders has one bit a member that counts, by index.
 	holders uint64
+	// commit says that the mark is that of a commit which nobody else can make
+	// again: a log that holds it proves it at any time.
+	commit bool
 	// done is closed at the end, after err was set.
 	done chan struct{}
 	err  error
@@ -73,6 +77,32 @@
 	}
 }
 
+// countPosition lets a replica's log count for every waiter for a commit that
+// it holds.
+func (w *Watcher) countPosition(f *follower, log logpos.Mark) {
+	for x := range w.waiters {
+		if !x.commit || x.mark.Term != log.Term || x.mark.Position > log.Position {
+			continue
+		}
+		x.holders |= 1 << f.index
+		if bits.OnesCount64(x.holders) >= w.quorum {
+			w.end(x, nil)
+		}
+	}
+}
+
+// demandedSince returns when the oldest waiter began that the member has not
+// answered; now if there is none.
+func (w *Watcher) demandedSince(f *follower) time.Time {
+	since := w.clock.Now()
+	for x := range w.waiters {
+		if x.marked && x.holders&(1<<f.index) == 0 && x.ticket.at.Before(since) {
+			since = x.ticket.at
+		}
+	}
+	return since
+}
+
 // mark gives a barrier its mark from a report of the primary.
 func (w *Watcher) mark(x *waiter, s member.Status) {
 	if x.marked || s.Role != member.RolePrimary || s.Entered != w.term {
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -87,6 +87,13 @@
 	wg.Wait()
 }
 
+// Proven implements Tracker.
+func (w *Watcher) Proven(notBefore time.Time) (logpos.Mark, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.samples.oldest(notBefore, w.quorum)
+}
+
 // Snapshot implements Tracker.
 func (w *Watcher) Snapshot() *Snapshot { return w.snapshot.Load() }
 
@@ -152,7 +159,19 @@
 	f.wake()
 }
 
-// Ask takes a ticket for a question that is about to be sent to a member.
+// Recheck implements Tracker.
+func (w *Watcher) Recheck(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.find(address)
+	if f == nil || w.clock.Now().Sub(f.askedAt) < w.intervals.FastPoll {
+		return
+	}
+	f.askedAt, f.sightedAt = time.Time{}, time.Time{}
+	f.wake()
+}
+
+// Ask implements Tracker.
 func (w *Watcher) Ask() Ticket {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -14,6 +14,7 @@
 	"github.com/topazrock/topazrock/internal/retry"
 	"github.com/topazrock/topazrock/internal/shares"
 	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // home is what the instance runs for one group that it is home to. It asks for
@@ -70,9 +71,9 @@
 		Clock:   n.options.Clock,
 		Rand:    n.random("pool/" + g.Name),
 		Open:    n.opener(g.Name).Open,
-		Probe:   upstream.Probe,
-		Check:   upstream.Check,
-		Close:   upstream.Shutdown,
+		Probe:   func(ctx context.Context, c wire.Conn) error { return c.Probe(ctx) },
+		Check:   wire.Conn.Check,
+		Close:   func(ctx context.Context, c wire.Conn) error { return c.Shutdown(ctx) },
 		Logger:  n.options.Logger,
 		Metrics: n.metrics.pool,
 	})
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/result"
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // Acquire implements Pool.
-func (p *Limited) Acquire(ctx context.Context, address string) (*upstream.Conn, error) {
+func (p *Limited) Acquire(ctx context.Context, address string) (wire.Conn, error) {
 	w := p.newWaiter(ctx, address)
 	for {
 		e, err := p.await(ctx, w)
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/topazrock/topazrock/internal/clock"
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // Defaults of Config.
@@ -31,18 +31,18 @@
 	// but must not be shared.
 	Rand *rand.Rand
 	// Open returns an authenticated connection to the member at address. A
-	// refusal by the member is a *pgconn.PgError.
-	Open func(ctx context.Context, address string) (*upstream.Conn, error)
+	// refusal by the member wraps wire.ErrRefused.
+	Open func(ctx context.Context, address string) (wire.Conn, error)
 	// Probe makes one round trip on the connection. When it is nil, a suspect
 	// connection is closed without a probe.
-	Probe func(ctx context.Context, c *upstream.Conn) error
+	Probe func(ctx context.Context, c wire.Conn) error
 	// Check returns an error when the member has closed the connection. It must
 	// not block. It may be nil.
-	Check func(c *upstream.Conn) error
+	Check func(c wire.Conn) error
 	// Close closes a connection and returns nil once the member has closed its
 	// end. When it is nil, the connection is closed and goes on counting for
 	// CloseHold, because nothing tells when the member lets it go.
-	Close   func(ctx context.Context, c *upstream.Conn) error
+	Close   func(ctx context.Context, c wire.Conn) error
 	Logger  hclog.Logger
 	Metrics *Metrics
 	// Limit is how many connections the pool may hold at first.
--- a/internal/pool/entry.go
+++ b/internal/pool/entry.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // state is where a connection stands.
@@ -18,7 +18,7 @@
 
 // entry is one connection that counts against the limit.
 type entry struct {
-	conn   *upstream.Conn
+	conn   wire.Conn
 	member *memberState
 	state  state
 	// suspect says that the connection must be probed before its next use.
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/result"
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // after sleeps in virtual time.
@@ -22,9 +22,9 @@
 }
 
 // fill opens n connections and returns them.
-func fill(t *testing.T, p *Limited, address string, n int) []*upstream.Conn {
+func fill(t *testing.T, p *Limited, address string, n int) []wire.Conn {
 	t.Helper()
-	var held []*upstream.Conn
+	var held []wire.Conn
 	for range n {
 		held = append(held, acquire(t, p, address))
 	}
@@ -32,7 +32,7 @@
 }
 
 // releaseAll gives connections back.
-func releaseAll(p *Limited, held []*upstream.Conn) {
+func releaseAll(p *Limited, held []wire.Conn) {
 	for _, c := range held {
 		p.Release(c)
 	}
--- a/internal/pool/fake_test.go
+++ b/internal/pool/fake_test.go
@@ -8,10 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
-
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 var errSilent = errors.New("no answer")
@@ -39,8 +38,8 @@
 	full map[string]bool
 	down map[string]bool
 	// silent connections answer no probe; gone ones were closed by the member.
-	silent map[*upstream.Conn]bool
-	gone   map[*upstream.Conn]bool
+	silent map[wire.Conn]bool
+	gone   map[wire.Conn]bool
 	// unconfirmed makes closings go unanswered.
 	unconfirmed bool
 }
@@ -50,12 +49,12 @@
 		held:   make(map[string]int),
 		full:   make(map[string]bool),
 		down:   make(map[string]bool),
-		silent: make(map[*upstream.Conn]bool),
-		gone:   make(map[*upstream.Conn]bool),
+		silent: make(map[wire.Conn]bool),
+		gone:   make(map[wire.Conn]bool),
 	}
 }
 
-func (f *fakeMembers) open(ctx context.Context, address string) (*upstream.Conn, error) {
+func (f *fakeMembers) open(ctx context.Context, address string) (wire.Conn, error) {
 	f.begin()
 	defer f.end()
 	if err := clock.Sleep(ctx, clock.System{}, openLatency); err != nil {
@@ -64,7 +63,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.full[address] {
-		return nil, &pgconn.PgError{Code: sqlStateTooManyConnections}
+		return nil, wire.ErrFull
 	}
 	if f.down[address] {
 		return nil, errSilent
@@ -92,7 +91,7 @@
 }
 
 // close lets the member notice after half a round trip and confirm after one.
-func (f *fakeMembers) close(ctx context.Context, c *upstream.Conn) error {
+func (f *fakeMembers) close(ctx context.Context, c wire.Conn) error {
 	_ = c.Close()
 	_ = clock.Sleep(ctx, clock.System{}, roundTrip/2)
 	f.mu.Lock()
@@ -107,7 +106,7 @@
 	return clock.Sleep(ctx, clock.System{}, roundTrip/2)
 }
 
-func (f *fakeMembers) probe(ctx context.Context, c *upstream.Conn) error {
+func (f *fakeMembers) probe(ctx context.Context, c wire.Conn) error {
 	f.mu.Lock()
 	silent := f.silent[c]
 	f.mu.Unlock()
@@ -118,7 +117,7 @@
 	return clock.Sleep(ctx, clock.System{}, roundTrip)
 }
 
-func (f *fakeMembers) check(c *upstream.Conn) error {
+func (f *fakeMembers) check(c wire.Conn) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.gone[c] {
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -7,8 +7,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/topazrock/topazrock/internal/upstream"
 	"github.com/topazrock/topazrock/internal/waitlist"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // Limited is a Pool that never holds more connections than its limit.
@@ -23,7 +23,7 @@
 
 	mu       sync.Mutex
 	limit    int
-	entries  map[*upstream.Conn]*entry
+	entries  map[wire.Conn]*entry
 	members  map[string]*memberState
 	waiting  waitlist.List[*waiter]
 	arrivals uint64
@@ -52,7 +52,7 @@
 		stop:       stop,
 		gauges:     cfg.Metrics.gauges(cfg.Group),
 		limit:      cfg.Limit,
-		entries:    make(map[*upstream.Conn]*entry),
+		entries:    make(map[wire.Conn]*entry),
 		members:    make(map[string]*memberState),
 		changed:    waitlist.NewSignal(),
 		waiting:    waitlist.New((*waiter).before),
--- a/internal/pool/limited_test.go
+++ b/internal/pool/limited_test.go
@@ -9,11 +9,11 @@
 	"github.com/matryer/is"
 
 	"github.com/topazrock/topazrock/internal/result"
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // acquire returns a connection or ends the test.
-func acquire(t *testing.T, p *Limited, address string) *upstream.Conn {
+func acquire(t *testing.T, p *Limited, address string) wire.Conn {
 	t.Helper()
 	c, err := p.Acquire(t.Context(), address)
 	if err != nil {
--- a/internal/pool/machine_test.go
+++ b/internal/pool/machine_test.go
@@ -10,18 +10,18 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // machine drives a pool with random steps and holds what it must never do.
 type machine struct {
 	members *fakeMembers
 	pool    *Limited
-	held    []*upstream.Conn
+	held    []wire.Conn
 	// settled is the highest sum allowed: limits that were lowered count until
 	// Settle returned.
 	allowed int
-	got     chan *upstream.Conn
+	got     chan wire.Conn
 	pending int
 }
 
@@ -168,7 +168,7 @@
 func checkPool(t *testing.T) {
 	rapid.Check(bubble{t}, func(t *rapid.T) {
 		members := newFakeMembers()
-		m := &machine{members: members, pool: members.newPool(4), allowed: 4, got: make(chan *upstream.Conn, 1000)}
+		m := &machine{members: members, pool: members.newPool(4), allowed: 4, got: make(chan wire.Conn, 1000)}
 		defer m.abandon()
 		t.Repeat(map[string]func(*rapid.T){
 			"acquire": m.acquire,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,17 +14,17 @@
 	"context"
 	"time"
 
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // Pool hands out connections of one group.
 type Pool interface {
 	// Acquire returns a clean connection to the member at address. Errors are
 	// *result.Error with a code of the did-not-run family.
-	Acquire(ctx context.Context, address string) (*upstream.Conn, error)
+	Acquire(ctx context.Context, address string) (wire.Conn, error)
 	// Release takes back a connection. One that is not provably clean, or whose
 	// member is leaving, is closed.
-	Release(c *upstream.Conn)
+	Release(c wire.Conn)
 	// Suspect tells that a connection to address opened at opened went silent:
 	// all of that age are probed before they are used again.
 	Suspect(address string, opened time.Time)
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -1,12 +1,12 @@
 package pool
 
-import "github.com/topazrock/topazrock/internal/upstream"
+import "github.com/topazrock/topazrock/internal/wire"
 
 // Release implements Pool. A connection that is not in use is left alone: a
 // second Release would otherwise hand one connection to two transactions. A
 // second Release after the connection was handed out again cannot be told from
 // its new user's, so callers release once.
-func (p *Limited) Release(c *upstream.Conn) {
+func (p *Limited) Release(c wire.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.entries[c]
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -6,15 +6,10 @@
 	"syscall"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
-
 	"github.com/topazrock/topazrock/internal/clock"
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
-// sqlStateTooManyConnections is the member's refusal of one more connection.
-const sqlStateTooManyConnections = "53300"
-
 // startOpen begins an opening. One that starts while others run waits a random
 // moment first: after a failover every instance needs all its connections at
 // the same instant, and the new primary would meet them as one burst.
@@ -31,7 +26,7 @@
 func (p *Limited) open(m *memberState, delay time.Duration) {
 	ctx, cancel := context.WithTimeout(p.background, p.cfg.OpenTimeout)
 	defer cancel()
-	var c *upstream.Conn
+	var c wire.Conn
 	err := error(nil)
 	if delay > 0 {
 		err = clock.Sleep(ctx, p.cfg.Clock, delay)
@@ -52,7 +47,7 @@
 }
 
 // opened takes in a new connection.
-func (p *Limited) opened(m *memberState, c *upstream.Conn) {
+func (p *Limited) opened(m *memberState, c wire.Conn) {
 	p.cfg.Metrics.opened.WithLabelValues(p.cfg.Group, "ok").Inc()
 	m.recovered()
 	e := &entry{conn: c, member: m}
@@ -67,15 +62,14 @@
 	now := p.cfg.Clock.Now()
 	m.holdBack(now, p.cfg.Rand, p.cfg.MinPause, p.cfg.MaxPause)
 	go p.dispatchAfter(m.pausedUntil.Sub(now))
-	var refusal *pgconn.PgError
-	m.refused = errors.As(err, &refusal) && refusal.Code == sqlStateTooManyConnections
+	m.refused = errors.Is(err, wire.ErrFull)
 	outcome := "failed"
 	if m.refused {
 		outcome = "refused"
 	}
 	p.cfg.Metrics.opened.WithLabelValues(p.cfg.Group, outcome).Inc()
 	p.log.Warn("Opening a connection failed.", "group", p.cfg.Group, "member", m.address, "pause", m.pause, "error", err)
-	if refusal == nil && !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, wire.ErrRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
 		// The attempt may have reached the member, which then holds a
 		// connection that this side has given up.
 		p.closing++
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -33,6 +33,8 @@
 	UnknownClass        Code = 1024
 	TransactionLost     Code = 1025
 	ReadRefused         Code = 1026
+	MemberBusy          Code = 1027
+	ReadFailed          Code = 1028
 )
 
 // Codes of FamilyOutcomeUnknown.
--- a/internal/retry/reason.go
+++ b/internal/retry/reason.go
@@ -23,6 +23,10 @@
 	ConnectionLost Reason = "connection_lost"
 	// Silent: the member did not answer a read in time.
 	Silent Reason = "statement_timeout"
+	// Busy: the member had no room for the statement.
+	Busy Reason = "member_busy"
+	// Failed: the member failed a read that another one may answer.
+	Failed Reason = "read_failed"
 	// NoPrimary: the group had no primary.
 	NoPrimary Reason = "no_primary"
 	// Replaced: the member turned out not to be the primary, before sending.
--- a/internal/routing/read.go
+++ b/internal/routing/read.go
@@ -18,12 +18,18 @@
 	// NotBefore is the moment that the replica's data must be as fresh as; zero
 	// when Required alone is enough.
 	NotBefore time.Time
+	// Checked says that the member itself refuses the read if its log lacks
+	// Required, so that any replica may be asked.
+	Checked bool
 	// FailureDomain is where the instance runs; its members are preferred.
 	FailureDomain string
 	// Exclude holds addresses that failed this read already.
 	Exclude map[string]bool
 	// Load tells how many statements of this instance run at a member.
 	Load func(address string) int
+	// Behind tells whether a member lately lacked a required position; it may be
+	// nil.
+	Behind func(address string) bool
 }
 
 // Replica returns the replica that suits r best, or false when none may answer.
@@ -45,6 +51,10 @@
 	return best, found
 }
 
+// behindPenalty is the load for which a replica that is known to lag makes up by
+// being less busy: a refused read costs a round trip, a long queue costs more.
+const behindPenalty = 8
+
 // scoreStep separates the ranks of a score: load, own failure domain, chance.
 const scoreStep = 16
 
@@ -53,6 +63,9 @@
 	if m.FailureDomain != r.FailureDomain {
 		s++
 	}
+	if r.Behind != nil && r.Behind(m.Address) {
+		s += behindPenalty
+	}
 	return s*scoreStep + random.IntN(scoreStep)
 }
 
@@ -63,6 +76,8 @@
 		return false
 	case st.Role != member.RoleReplica:
 		return false
+	case r.Checked:
+		return true
 	case st.Attached != s.Term || st.Entered != s.Term:
 		// A replica of another term may still hold a tail that was discarded.
 		return false
--- a/internal/shares/resource_test.go
+++ b/internal/shares/resource_test.go
@@ -15,6 +15,7 @@
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // member counts the connections that one member holds.
@@ -24,7 +25,7 @@
 	highest int
 }
 
-func (m *member) open(ctx context.Context, address string) (*upstream.Conn, error) {
+func (m *member) open(ctx context.Context, address string) (wire.Conn, error) {
 	if err := clock.Sleep(ctx, clock.System{}, 10*time.Millisecond); err != nil {
 		return nil, err
 	}
@@ -36,7 +37,7 @@
 	return upstream.NewConn(address, time.Now(), near, nil), nil
 }
 
-func (m *member) close(ctx context.Context, c *upstream.Conn) error {
+func (m *member) close(ctx context.Context, c wire.Conn) error {
 	_ = c.Close()
 	err := clock.Sleep(ctx, clock.System{}, closeLatency)
 	m.mu.Lock()
@@ -97,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	var all sync.WaitGroup
-	got := make(chan *upstream.Conn, n)
+	got := make(chan wire.Conn, n)
 	for range n {
 		all.Go(func() {
 			if c, err := p.Acquire(ctx, "10.0.0.1:5432"); err == nil {
--- a/internal/executor/answer.go
+++ b/internal/upstream/answer.go
@@ -1,4 +1,4 @@
-package executor
+package upstream
 
 import (
 	"strings"
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,13 +10,16 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
+var _ wire.Conn = (*Conn)(nil)
+
 // maxPrepared bounds the prepared statements of one connection. Past it the
 // connection is replaced, so that ad hoc texts cannot fill a member's memory.
 const maxPrepared = 256
 
-// Conn is one connection to a member. It is used by one goroutine at a time.
+// Conn implements wire.Conn.
 type Conn struct {
 	address  string
 	opened   time.Time
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -21,18 +21,9 @@
 	encodedTerminate = mustEncode(&pgproto3.Terminate{})
 )
 
-func mustEncode(m pgproto3.FrontendMessage) []byte {
-	b, err := m.Encode(nil)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
-
-// Check returns an error when the member has closed an idle connection or sent
-// something on it. It looks at the socket without a round trip, and says
-// nothing about a connection that has gone silent.
-func Check(c *Conn) error {
+// Check implements wire.Conn. It looks at the socket without a round trip, and
+// says nothing about a connection that has gone silent.
+func (c *Conn) Check() error {
 	sc, ok := c.net.(syscall.Conn)
 	if !ok {
 		return nil
@@ -64,8 +55,8 @@
 	}
 }
 
-// Probe makes one round trip on an idle connection.
-func Probe(ctx context.Context, c *Conn) error {
+// Probe implements wire.Conn.
+func (c *Conn) Probe(ctx context.Context) error {
 	if d, ok := ctx.Deadline(); ok {
 		if err := c.SetDeadline(d); err != nil {
 			return err
@@ -83,10 +74,10 @@
 	return nil
 }
 
-// Shutdown ends the connection and returns nil once the member has closed its
+// Shutdown implements wire.Conn: it returns nil once the member has closed its
 // end. The member counts the connection until then, so it must not be counted
 // as gone when close was merely called.
-func Shutdown(ctx context.Context, c *Conn) error {
+func (c *Conn) Shutdown(ctx context.Context) error {
 	defer c.Close()
 	c.dirty = true
 	if d, ok := ctx.Deadline(); ok {
--- a/internal/upstream/opener.go
+++ b/internal/upstream/opener.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 // Opener opens authenticated connections to members.
@@ -20,16 +22,16 @@
 	ApplicationName string
 }
 
-// Open connects and authenticates. The error wraps *pgconn.PgError when the
+// Open connects and authenticates. The error wraps wire.ErrRefused when the
 // member itself refused.
-func (o *Opener) Open(ctx context.Context, address string) (*Conn, error) {
+func (o *Opener) Open(ctx context.Context, address string) (wire.Conn, error) {
 	config, err := o.config(address)
 	if err != nil {
 		return nil, err
 	}
 	pg, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
-		return nil, err
+		return nil, refusal(err)
 	}
 	h, err := pg.Hijack()
 	if err != nil {
@@ -63,3 +65,18 @@
 	}
 	return config, nil
 }
+
+// tooManyConnections is the SQLSTATE of a member's refusal of one more connection.
+const tooManyConnections = "53300"
+
+// refusal marks an error that is the member's own answer.
+func refusal(err error) error {
+	var answer *pgconn.PgError
+	if !errors.As(err, &answer) {
+		return err
+	}
+	if answer.Code == tooManyConnections {
+		return fmt.Errorf("%w: %w", wire.ErrFull, err)
+	}
+	return fmt.Errorf("%w: %w", wire.ErrRefused, err)
+}
--- a/internal/executor/part.go
+++ b/internal/upstream/part.go
@@ -1,4 +1,4 @@
-package executor
+package upstream
 
 import (
 	"fmt"
@@ -7,53 +7,48 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/member/pgcontrol"
-	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
-// partKind tells what one pipelined part of an exchange is for.
-type partKind int
-
-const (
-	partPrepare partKind = iota
-	partBegin
-	partKey
-	partUnit
-	partCommit
-	partStatus
-)
+// partPrepare is the kind of the part that defines statements; it is no step of
+// the core's.
+const partPrepare wire.StepKind = -1
 
 // part is a piece of an exchange that is answered by exactly one ReadyForQuery.
 type part struct {
-	kind  partKind
+	kind  wire.StepKind
 	bytes []byte
 }
 
-func queryPart(kind partKind, sql string) part {
-	q := pgproto3.Query{String: sql}
-	return part{kind: kind, bytes: mustEncode(&q)}
+func queryPart(kind wire.StepKind, sql string) part {
+	return part{kind: kind, bytes: mustEncode(&pgproto3.Query{String: sql})}
 }
 
-func unitPart(u *execution.Unit) part { return part{kind: partUnit, bytes: u.Messages} }
-
-// keyPart inserts the row of the unit's key.
-func keyPart(u *execution.Unit) part { return queryPart(partKey, insertKey(u.Key, keyRan)) }
-
-func statusPart() part { return queryPart(partStatus, pgcontrol.StatusStatement) }
-
-// Outcomes of a key row.
-const (
-	keyRan     = "ran"
-	keyBlocked = "blocked"
-)
-
-// uniqueViolation is the SQLSTATE of an insert whose key exists.
-const uniqueViolation = "23505"
+// partOf encodes one step.
+func partOf(s wire.Step, u *execution.Unit) part {
+	switch s.Kind {
+	case wire.StepBegin:
+		return queryPart(s.Kind, "BEGIN")
+	case wire.StepStoreKey:
+		return queryPart(s.Kind, storeKey(s.Key, s.Outcome))
+	case wire.StepFindKey:
+		return queryPart(s.Kind, findKey(s.Key))
+	case wire.StepCommit:
+		return queryPart(s.Kind, "COMMIT")
+	case wire.StepRollback:
+		return queryPart(s.Kind, "ROLLBACK")
+	case wire.StepReport:
+		return queryPart(s.Kind, pgcontrol.StatusStatement)
+	default:
+		return part{kind: wire.StepUnit, bytes: u.Messages}
+	}
+}
 
-func insertKey(key, outcome string) string {
+func storeKey(key string, outcome wire.KeyOutcome) string {
 	return fmt.Sprintf("INSERT INTO topazrock_request_keys (key, outcome) VALUES (%s, '%s')", quote(key), outcome)
 }
 
-func selectKey(key string) string {
+func findKey(key string) string {
 	return fmt.Sprintf("SELECT outcome FROM topazrock_request_keys WHERE key = %s", quote(key))
 }
 
@@ -63,7 +58,7 @@
 
 // preparePart defines the statements that the connection lacks. The second
 // value is false when it lacks none.
-func preparePart(c *upstream.Conn, u *execution.Unit) (part, []string, bool) {
+func preparePart(c *Conn, u *execution.Unit) (part, []string, bool) {
 	var bytes []byte
 	var names []string
 	for name, s := range u.Statements {
@@ -86,10 +81,10 @@
 }
 
 // mustEncode encodes a message whose size was bounded before.
-func mustEncode(m pgproto3.Message) []byte {
+func mustEncode(m pgproto3.FrontendMessage) []byte {
 	b, err := m.Encode(nil)
 	if err != nil {
-		panic(fmt.Sprintf("executor: message cannot be encoded: %v", err))
+		panic(fmt.Sprintf("upstream: message cannot be encoded: %v", err))
 	}
 	return b
 }
--- /dev/null
+++ b/internal/wire/features.go
@@ -0,0 +1,15 @@
+package wire
+
+// Features are what a members' protocol can do beyond running statements.
+type Features struct {
+	// ChecksPosition says that a member refuses a read whose required position
+	// its log lacks, so that a read may be sent without a proof of the replica's
+	// age.
+	ChecksPosition bool
+	// TellsLog says that answers tell the member's log, so that a commit needs no
+	// report behind it.
+	TellsLog bool
+	// TellsEnd says that units tell for certain which of them commits, so that a
+	// transaction whose commit was not sent is known to be rolled back.
+	TellsEnd bool
+}
