Share the session's state and the callers' count between protocols

Cause: the session's state (token, open transaction, what was lost) and the accepting of callers stood inside the PostgreSQL codec, where a second codec could not use them.

session.State now holds the state, callers.Server accepts, counts, bounds and drains; the PostgreSQL codec keeps its messages, statements and process IDs.

--- /dev/null
+++ b/internal/callers/server.go
@@ -0,0 +1,166 @@
+// Package callers accepts callers' connections and keeps count of their
+// sessions, whatever protocol the callers speak.
+//
+// Lock order: Server.mu alone; it is not held across I/O.
+package callers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// Session serves one caller.
+type Session interface {
+	// Run serves until the caller leaves, or until the session is idle and the
+	// server drains.
+	Run()
+	// Wake makes an idle session look whether the server drains.
+	Wake()
+}
+
+// Config is what a Server is made of.
+type Config struct {
+	// Max bounds the connections of callers.
+	Max int
+	// Open makes the session of a connection.
+	Open func(net.Conn) Session
+	// Refuse tells a caller why it is not taken.
+	Refuse func(net.Conn, *result.Error)
+	// Connected counts the callers.
+	Connected prometheus.Gauge
+	Logger    hclog.Logger
+}
+
+// Server accepts callers and runs their sessions.
+type Server struct {
+	config Config
+
+	mu       sync.Mutex
+	sessions map[Session]net.Conn
+	draining bool
+	// ended is closed when draining and the last session has ended.
+	ended chan struct{}
+}
+
+// New returns a Server that accepts nothing yet.
+func New(c Config) *Server {
+	return &Server{config: c, sessions: make(map[Session]net.Conn), ended: make(chan struct{})}
+}
+
+// Serve accepts callers until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer conn.Close()
+	n, refusal := s.register(conn)
+	if refusal != nil {
+		s.config.Refuse(conn, refusal)
+		return
+	}
+	defer s.unregister(n)
+	n.Run()
+}
+
+// register adds a session, or refuses it when the instance is full or draining.
+func (s *Server) register(conn net.Conn) (Session, *result.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return nil, result.New(result.Draining, "connect again")
+	}
+	if len(s.sessions) >= s.config.Max {
+		return nil, result.New(result.TooManyCallers, "at most %d", s.config.Max).WithRetryAfter(RetryAfterFull)
+	}
+	n := s.config.Open(conn)
+	s.sessions[n] = conn
+	s.config.Connected.Inc()
+	return n, nil
+}
+
+func (s *Server) unregister(n Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, n)
+	s.config.Connected.Dec()
+	if s.draining && len(s.sessions) == 0 {
+		close(s.ended)
+	}
+}
+
+// Callers returns how many callers are connected.
+func (s *Server) Callers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// Draining reports whether the server is shutting down.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Drain refuses new callers, wakes idle sessions so that they end, and lets
+// units and transactions in flight finish. It returns when every session has
+// ended; when ctx ends first, the sessions that are left are cut off.
+func (s *Server) Drain(ctx context.Context) error {
+	for _, n := range s.beginDrain() {
+		n.Wake()
+	}
+	select {
+	case <-s.ended:
+		return nil
+	case <-ctx.Done():
+		s.cutOff()
+		return ctx.Err()
+	}
+}
+
+func (s *Server) beginDrain() []Session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return nil
+	}
+	s.draining = true
+	if len(s.sessions) == 0 {
+		close(s.ended)
+	}
+	all := make([]Session, 0, len(s.sessions))
+	for n := range s.sessions {
+		all = append(all, n)
+	}
+	return all
+}
+
+func (s *Server) cutOff() {
+	s.mu.Lock()
+	left := make([]net.Conn, 0, len(s.sessions))
+	for _, conn := range s.sessions {
+		left = append(left, conn)
+	}
+	s.mu.Unlock()
+	s.config.Logger.Warn("Drain ran out of time. Sessions are cut off.", "sessions", len(left))
+	for _, conn := range left {
+		conn.Close()
+	}
+}
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -3,25 +3,22 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/wire"
 )
 
 const (
-	statusIdle        = 'I'
-	statusTransaction = 'T'
-	statusFailed      = 'E'
+	statusIdle   = byte(wire.Idle)
+	statusFailed = byte(wire.InFailed)
 
 	// shutdownState is PostgreSQL's SQLSTATE admin_shutdown.
 	shutdownState = "57P01"
 	// abortedState is PostgreSQL's SQLSTATE in_failed_sql_transaction.
 	abortedState = "25P02"
-	// retryAfterFull is when a caller should come back to a full instance.
-	retryAfterFull = time.Second
 )
 
 var encodedSync = encode(&pgproto3.Sync{})
@@ -94,28 +91,22 @@
 // adopt takes over what a reply says of the session, and returns the reply's
 // messages with the token if it is new.
 func (n *session) adopt(r *execution.Reply) []byte {
-	n.transaction = r.Transaction
-	n.failed = r.TransactionStatus == statusFailed
-	// An answer without a token proves nothing about the session's past: after a
-	// bare BEGIN, say, the next read must still take a barrier.
-	n.roaming = n.roaming && r.Token.IsZero()
 	bytes := r.Messages
-	if r.Token != n.token {
-		n.token = r.Token
+	if n.state.Adopt(r) {
 		bytes = append(bytes, encode(n.tokenStatus())...)
 	}
 	return bytes
 }
 
 func (n *session) tokenStatus() *pgproto3.ParameterStatus {
-	return &pgproto3.ParameterStatus{Name: TokenParameter, Value: n.token.String()}
+	return &pgproto3.ParameterStatus{Name: TokenParameter, Value: n.state.Token.String()}
 }
 
 // answerError answers a unit that ended in a result code. A transaction that was
 // open is lost with it, and the caller has to end it.
 func (n *session) answerError(err error, inTransaction bool) bool {
 	if inTransaction {
-		n.lose()
+		n.state.Lose(n.server.config.Executor)
 	}
 	if e, ok := result.As(err); ok {
 		n.server.config.Metrics.refused(e)
@@ -123,25 +114,8 @@
 	return n.send(errorResponse(err), &pgproto3.ReadyForQuery{TxStatus: n.status()})
 }
 
-// lose gives up the open transaction. The caller has to end it.
-func (n *session) lose() {
-	n.abandon()
-	n.transaction = ""
-	n.failed = false
-	n.aborted = true
-}
-
 // status is the transaction status that the caller is in.
-func (n *session) status() byte {
-	switch {
-	case n.aborted || n.failed:
-		return statusFailed
-	case n.transaction != "":
-		return statusTransaction
-	default:
-		return statusIdle
-	}
-}
+func (n *session) status() byte { return byte(n.state.Status()) }
 
 // answerAborted answers a unit in a lost transaction: its end with ROLLBACK,
 // anything else with the error that PostgreSQL gives there.
@@ -155,16 +129,12 @@
 	}
 	bytes := stepAnswers(u.Shape)
 	if u.Shape == "" || strings.IndexByte(u.Shape, execution.StepExecute) >= 0 {
-		n.aborted = false
+		n.state.EndLost()
 	}
 	if u.Shape == "" {
 		bytes = encode(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
 	}
-	status := byte(statusIdle)
-	if n.aborted {
-		status = statusFailed
-	}
-	return n.write(append(bytes, encode(&pgproto3.ReadyForQuery{TxStatus: status})...)) == nil
+	return n.write(append(bytes, encode(&pgproto3.ReadyForQuery{TxStatus: n.status()})...)) == nil
 }
 
 // stepAnswers returns the answers of a ROLLBACK's extended-protocol steps.
@@ -198,20 +168,16 @@
 	if err != nil {
 		return n.answerError(err, false)
 	}
-	if n.token.Less(t.Mark) {
-		n.token = t
+	if n.state.Token.Less(t.Mark) {
+		n.state.Token = t
 	}
 	if !t.IsZero() {
-		n.roaming = false
-	}
-	status := byte(statusIdle)
-	if n.transaction != "" {
-		status = statusTransaction
+		n.state.Roaming = false
 	}
 	return n.send(
 		&pgproto3.CommandComplete{CommandTag: []byte("SET")},
 		n.tokenStatus(),
-		&pgproto3.ReadyForQuery{TxStatus: status},
+		&pgproto3.ReadyForQuery{TxStatus: n.status()},
 	)
 }
 
@@ -220,8 +186,8 @@
 	if err != nil {
 		return t, result.New(result.BadToken, "%.80q", text)
 	}
-	if !t.IsZero() && t.Group != n.group {
-		return t, result.New(result.BadToken, "it is of group %q, the session uses %q", t.Group, n.group)
+	if !t.IsZero() && t.Group != n.state.Group {
+		return t, result.New(result.BadToken, "it is of group %q, the session uses %q", t.Group, n.state.Group)
 	}
 	return t, nil
 }
--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/callers"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/result"
 	"github.com/xdg-go/scram"
@@ -21,11 +22,11 @@
 func (n *session) authenticate(backend *pgproto3.Backend, m *pgproto3.StartupMessage) error {
 	directory := n.server.config.Directory
 	if !directory.Ready() {
-		return result.New(result.NotReady, "no service document is known yet").WithRetryAfter(retryAfterFull)
+		return result.New(result.NotReady, "no service document is known yet").WithRetryAfter(callers.RetryAfterFull)
 	}
-	service, ok := directory.FindService(n.group)
+	service, ok := directory.FindService(n.state.Group)
 	if !ok {
-		return result.New(result.UnknownGroup, "%q", n.group)
+		return result.New(result.UnknownGroup, "%q", n.state.Group)
 	}
 	user, known := service.FindUser(m.Parameters["user"])
 	credentials := decoyCredentials
--- a/internal/frontend/flush.go
+++ b/internal/frontend/flush.go
@@ -16,7 +16,7 @@
 		return true
 	case (*b).failure != nil:
 		return n.reportEarly(*b, (*b).failure)
-	case n.aborted || (*b).runs():
+	case n.state.Lost() || (*b).runs():
 		return n.reportEarly(*b, result.New(result.NotSupported, "Flush behind a statement that runs"))
 	case (*b).local():
 		done := *b
@@ -38,8 +38,8 @@
 // ReadyForQuery alone.
 func (n *session) reportEarly(b *batch, err error) bool {
 	b.failure, b.reported = err, true
-	if n.transaction != "" {
-		n.lose()
+	if n.state.Transaction != "" {
+		n.state.Lose(n.server.config.Executor)
 	}
 	if e, ok := result.As(err); ok {
 		n.server.config.Metrics.refused(e)
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -24,13 +24,10 @@
 		MaxCallers: callers,
 	})
 	for range callers {
-		n, err := s.register(nil)
-		is.NoErr(err)
+		n := s.open(nil).(*session)
 		if PrefixOf(n.processID) != ProcessIDPrefix("i0") {
 			t.Fatalf("process ID %d is not of this instance", n.processID)
 		}
 	}
-	is.Equal(s.Callers(), callers)
-	_, err := s.register(nil)
-	is.True(err != nil)
+	is.Equal(len(s.ids.sessions), callers)
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/result"
+	state "github.com/topazrock/topazrock/internal/session"
 )
 
 // session is one caller's connection.
@@ -21,18 +21,7 @@
 	processID uint32
 	secret    uint32
 
-	group string
-	token logpos.Token
-	// roaming says that the caller came without a token and has not had an
-	// answer here yet: it may have written through another instance.
-	roaming     bool
-	transaction string
-	// failed says that the member has aborted the open transaction.
-	failed bool
-	// aborted says that the proxy lost the caller's transaction. Until the
-	// caller ends it, its statements are refused; running them would commit
-	// each on its own.
-	aborted    bool
+	state      state.State
 	statements map[string]*statement
 	unnamed    *statement
 	units      uint64
@@ -43,15 +32,14 @@
 	running string
 }
 
-func newSession(s *Server, conn net.Conn, processID uint32) *session {
+func newSession(s *Server, conn net.Conn) *session {
 	var secret [4]byte
 	_, _ = rand.Read(secret[:])
 	return &session{
-		server:    s,
-		conn:      conn,
-		processID: processID,
-		secret:    binary.BigEndian.Uint32(secret[:]),
-		roaming:   true,
+		server: s,
+		conn:   conn,
+		secret: binary.BigEndian.Uint32(secret[:]),
+		state:  state.State{Roaming: true},
 	}
 }
 
@@ -62,14 +50,15 @@
 	n.statements[name] = s
 }
 
-// run serves the session until the caller leaves or the instance drains.
-func (n *session) run() {
+// Run implements callers.Session.
+func (n *session) Run() {
+	defer n.server.ids.remove(n)
 	started := false
 	n.server.workers.do(func() { started = n.start() })
 	if !started {
 		return
 	}
-	defer n.abandon()
+	defer func() { n.state.Abandon(n.server.config.Executor) }()
 	for {
 		kind, err := n.waitForMessage()
 		if err != nil {
@@ -88,7 +77,7 @@
 func (n *session) waitForMessage() (byte, error) {
 	var first [1]byte
 	for {
-		if n.server.Draining() && n.transaction == "" {
+		if n.server.Draining() && n.state.Transaction == "" {
 			return 0, errDraining
 		}
 		_, err := n.conn.Read(first[:])
@@ -104,8 +93,8 @@
 	}
 }
 
-// wake interrupts the wait for a message, so that the session sees a drain.
-func (n *session) wake() { _ = n.conn.SetReadDeadline(time.Unix(1, 0)) }
+// Wake implements callers.Session: it interrupts the wait for a message.
+func (n *session) Wake() { _ = n.conn.SetReadDeadline(time.Unix(1, 0)) }
 
 var errDraining = errors.New("instance is draining")
 
@@ -116,13 +105,6 @@
 	}
 }
 
-// abandon ends a transaction that the caller left open.
-func (n *session) abandon() {
-	if n.transaction != "" {
-		n.server.config.Executor.Abandon(n.group, n.transaction)
-	}
-}
-
 // serve handles messages until nothing more has arrived. It returns false when
 // the session is over.
 func (n *session) serve(kind byte) bool {
@@ -224,7 +206,7 @@
 	id := n.running
 	n.mu.Unlock()
 	if id != "" {
-		n.server.config.Executor.Cancel(n.group, id)
+		n.server.config.Executor.Cancel(n.state.Group, id)
 	}
 }
 
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -27,9 +27,8 @@
 }
 
 // refuse tells a caller that was never registered why.
-func (s *Server) refuse(conn net.Conn, err error) {
-	e, _ := result.As(err)
-	s.config.Metrics.refused(e)
+func (s *Server) refuse(conn net.Conn, err *result.Error) {
+	s.config.Metrics.refused(err)
 	_ = conn.SetDeadline(s.config.Clock.Now().Add(s.config.StartupTimeout))
 	backend := newBackend(conn)
 	message, receiveErr := receiveStartup(conn, backend)
@@ -90,7 +89,7 @@
 		return
 	}
 	secret := uint32(m.SecretKey[0])<<24 | uint32(m.SecretKey[1])<<16 | uint32(m.SecretKey[2])<<8 | uint32(m.SecretKey[3])
-	if PrefixOf(m.ProcessID) != s.idPrefix && s.config.ForeignCancel != nil {
+	if PrefixOf(m.ProcessID) != s.ids.prefix && s.config.ForeignCancel != nil {
 		s.config.ForeignCancel(m.ProcessID, secret)
 		return
 	}
@@ -99,7 +98,7 @@
 
 // admit checks who the caller is and what it wants, and greets it.
 func (n *session) admit(backend *pgproto3.Backend, m *pgproto3.StartupMessage) bool {
-	n.group = m.Parameters["database"]
+	n.state.Group = m.Parameters["database"]
 	err := n.authenticate(backend, m)
 	if err == nil {
 		err = n.takeParameters(m.Parameters)
@@ -128,7 +127,7 @@
 		return false
 	}
 	if n.server.Draining() {
-		n.wake()
+		n.Wake()
 	}
 	return true
 }
@@ -166,8 +165,8 @@
 	if err != nil {
 		return err
 	}
-	n.token = t
-	n.roaming = false
+	n.state.Token = t
+	n.state.Roaming = false
 	return nil
 }
 
--- a/internal/frontend/units.go
+++ b/internal/frontend/units.go
@@ -20,7 +20,7 @@
 	if text, ok := tokenSetting(q.String); ok {
 		return n.setToken(text)
 	}
-	if n.transaction == "" && sessionSetting(q.String) {
+	if n.state.Transaction == "" && sessionSetting(q.String) {
 		return n.answerError(result.New(result.NotSupported, "SET outside of a transaction is not kept; use SET LOCAL"), false)
 	}
 	u := &execution.Unit{Messages: f.bytes}
@@ -33,7 +33,7 @@
 	case b.reported:
 		return n.ready()
 	case b.failure != nil:
-		return n.answerError(b.failure, n.transaction != "")
+		return n.answerError(b.failure, n.state.Transaction != "")
 	case b.local():
 		return n.answerLocally(b)
 	}
@@ -42,12 +42,12 @@
 
 // execute runs a unit and passes its answer to the caller.
 func (n *session) execute(u *execution.Unit, sql string, b *batch) bool {
-	if n.aborted {
+	if n.state.Lost() {
 		return n.answerAborted(u, sql)
 	}
 	reply, err := n.submit(u, sql, b)
 	if err != nil {
-		return n.answerError(err, n.transaction != "")
+		return n.answerError(err, n.state.Transaction != "")
 	}
 	return n.answer(reply)
 }
@@ -69,8 +69,7 @@
 	}
 	if err != nil && u.Ends {
 		// Whatever became of it, the transaction is over; its home may not know.
-		n.abandon()
-		n.transaction, n.failed = "", false
+		n.state.Abandon(n.server.config.Executor)
 	}
 	return reply, err
 }
@@ -78,11 +77,8 @@
 func (n *session) fill(u *execution.Unit, t tag, sql string) {
 	n.units++
 	u.ID = n.server.config.Instance + "-" + strconv.FormatUint(uint64(n.processID), 36) + "-" + strconv.FormatUint(n.units, 36)
-	u.Group = n.group
+	n.state.Fill(u)
 	u.Class, u.Key = t.class, t.key
-	u.Token = n.token
-	u.Roaming = n.roaming
-	u.Transaction = n.transaction
 	u.Timeout = n.timeout(t.class)
 	u.Begins = hintBegins(sql)
 	u.Ends = hintEnds(sql)
@@ -91,7 +87,7 @@
 // timeout returns the time that the service document gives a class. The entry
 // instance needs it too: a home that falls silent never answers in time.
 func (n *session) timeout(class string) time.Duration {
-	service, ok := n.server.config.Directory.FindService(n.group)
+	service, ok := n.server.config.Directory.FindService(n.state.Group)
 	if !ok {
 		return defaultTimeout
 	}
