--- a/cmd/topazrock/main.go
+++ b/cmd/topazrock/main.go
@@ -10,7 +10,7 @@
 	"syscall"
 
 	"github.com/topazrock/topazrock/internal/cli"
-	"github.com/topazrock/topazrock/internal/instance"
+	"github.com/topazrock/topazrock/platform"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		User:   accountName(),
-		Serve:  instance.Serve,
+		Serve:  platform.Serve,
 	}))
 }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -9,7 +9,7 @@
 // serveCommand runs an entry instance.
 type serveCommand struct {
 	root     *root
-	Settings string `long:"settings" short:"s" required:"true" description:"settings file" value-name:"FILE"`
+	Settings string `long:"settings" short:"s" required:"true" env:"TOPAZROCK_NODE_FILE" description:"settings file" value-name:"FILE"`
 }
 
 // Execute implements flags.Commander.
--- a/internal/config/harness_test.go
+++ b/internal/config/harness_test.go
@@ -268,6 +268,10 @@
 	return s.now().List(ctx, k)
 }
 
+func (s *switchable) Delete(ctx context.Context, k platform.Kind, name string, v int64) error {
+	return s.now().Delete(ctx, k, name, v)
+}
+
 func (s *switchable) Put(ctx context.Context, k platform.Kind, name string, value []byte, v int64) (platform.Object, error) {
 	return s.now().Put(ctx, k, name, value, v)
 }
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,157 @@
+// Package directory holds which services there are, by the operator's manifest on
+// the platform, and which members they have, by the members' own entries.
+//
+// Both are followed by watches. A manifest's version never goes back, and what was
+// learned stays in force while the platform is out of reach: members still serve,
+// and callers still have to be served.
+//
+// Lock order: Directory.mu alone; it is not held across I/O or callbacks. Readers
+// load one immutable view.
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/objectwatch"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// Config is what a Directory is made of.
+type Config struct {
+	API     platform.API
+	Decoder Decoder
+	Clock   clock.Clock
+	// Seed starts the random sources that spread the calls.
+	Seed uint64
+	Log  hclog.Logger
+}
+
+// Directory follows manifest and members.
+type Directory struct {
+	config  Config
+	log     hclog.Logger
+	current atomic.Pointer[view]
+
+	mu          sync.Mutex
+	manifest    Manifest
+	known       bool
+	roster      *roster
+	subscribers []func()
+	// groups remembers each group's members, so that one whose entry is gone
+	// still counts towards the group's size.
+	groups map[string][]document.Member
+}
+
+// New returns a Directory that knows nothing yet; Run makes it learn.
+func New(c Config) *Directory {
+	d := &Directory{config: c, log: c.Log.Named("directory"), roster: newRoster(), groups: make(map[string][]document.Member)}
+	d.current.Store(emptyView())
+	return d
+}
+
+// Subscribe calls f after each change. f must not block.
+func (d *Directory) Subscribe(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.subscribers = append(d.subscribers, f)
+}
+
+// lapseCheck is how often missing entries are looked at.
+const lapseCheck = 500 * time.Millisecond
+
+// Run follows the platform until ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
+	var parts sync.WaitGroup
+	parts.Go(func() { d.follower(platform.KindManifest, manifestSink{d}, 1).Run(ctx) })
+	parts.Go(func() { d.follower(platform.KindUpstreams, upstreamSink{d}, 2).Run(ctx) })
+	parts.Go(func() { d.watchLapses(ctx) })
+	parts.Wait()
+	return ctx.Err()
+}
+
+func (d *Directory) follower(k platform.Kind, s objectwatch.Sink, n uint64) *objectwatch.Follower {
+	return objectwatch.New(objectwatch.Config{
+		API: d.config.API, Kind: k, Sink: s, Clock: d.config.Clock, Log: d.config.Log,
+		Rand: rand.New(rand.NewPCG(d.config.Seed, n)),
+	})
+}
+
+// watchLapses publishes anew when a missing entry's grace is over.
+func (d *Directory) watchLapses(ctx context.Context) {
+	waiting := false
+	for clock.Sleep(ctx, d.config.Clock, lapseCheck) == nil {
+		d.mu.Lock()
+		was := waiting
+		waiting = d.roster.waiting(d.config.Clock.Now())
+		d.mu.Unlock()
+		if was || waiting {
+			d.publish()
+		}
+	}
+}
+
+// publish makes the present state the view, and tells the subscribers if it
+// differs from the last one.
+func (d *Directory) publish() {
+	d.mu.Lock()
+	next := d.build(d.config.Clock.Now())
+	changed := !next.same(d.current.Load())
+	d.current.Store(next)
+	subscribers := d.subscribers
+	d.mu.Unlock()
+	if !changed {
+		return
+	}
+	for _, f := range subscribers {
+		f()
+	}
+}
+
+// adoptManifest takes a manifest unless a later one is in force.
+func (d *Directory) adoptManifest(o platform.Object) {
+	if o.Name != platform.ManifestName || o.Removed {
+		return
+	}
+	m, err := d.config.Decoder.Manifest(o)
+	if err != nil {
+		d.log.Error("Manifest cannot be read; the last one stays in force.", "revision", o.Revision, "error", err)
+		return
+	}
+	d.mu.Lock()
+	held, later := d.manifest.Version, !d.known || m.Version > d.manifest.Version
+	if later {
+		d.manifest, d.known = m, true
+	}
+	d.mu.Unlock()
+	if later {
+		d.log.Info("Manifest is in force.", "version", m.Version, "before", held, "databases", len(m.Databases))
+		return
+	}
+	d.log.Info("Manifest is not newer than the one in force.", "version", m.Version, "in_force", held)
+}
+
+// adoptEntry takes a change of a member's entry.
+func (d *Directory) adoptEntry(o platform.Object, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o.Removed {
+		d.roster.remove(o.Name, now)
+		d.log.Info("Member's entry is gone.", "member", o.Name)
+		return
+	}
+	u, err := d.config.Decoder.Upstream(o)
+	if err != nil {
+		d.log.Warn("Member's entry cannot be read; it names no member.", "member", o.Name, "error", err)
+		return
+	}
+	d.roster.put(u, o.Revision)
+	d.log.Info("Member's entry.", "member", u.ID, "group", u.Group, "address", u.Address, "leaving", u.Leaving, "leads", u.Leads)
+}
--- /dev/null
+++ b/internal/directory/manifest.go
@@ -0,0 +1,38 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// Manifest is what the platform's operator says of all services at once.
+type Manifest struct {
+	// Version rises with every change.
+	Version   int64
+	Groups    []Group
+	Databases []Database
+	// TransactionIdle is how long a transaction may be idle.
+	TransactionIdle time.Duration
+}
+
+// Group is a database group as the operator names it; its members name themselves.
+type Group struct {
+	Name string
+	// MemberConnections is how many connections each member takes, from everybody.
+	MemberConnections int
+}
+
+// Database is a name that callers connect to.
+type Database struct {
+	Name, Group string
+	Class       document.ReadClass
+}
+
+// Decoder reads what the platform's operator and the members write. An error means
+// that the object names nothing to use.
+type Decoder interface {
+	Manifest(o platform.Object) (Manifest, error)
+	Upstream(o platform.Object) (platform.Upstream, error)
+}
--- /dev/null
+++ b/internal/directory/view.go
@@ -0,0 +1,180 @@
+package directory
+
+import (
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// Limits that the manifest leaves to the product.
+const (
+	// confirmTimeout bounds the wait for a replica's confirmation: several times a
+	// usual lag, and well within a caller's time.
+	confirmTimeout = time.Second
+	// answerBuffer holds a whole answer; the line protocol bounds it to a megabyte.
+	answerBuffer = 2 << 20
+	// maxQueue bounds each class's queue on one instance.
+	maxQueue = 1000
+	// requestTimeout bounds what no class states a time for.
+	requestTimeout = 5 * time.Second
+)
+
+// view is the directory at one moment. It is never changed after it was published.
+type view struct {
+	version   int64
+	known     bool
+	services  map[string]*document.Service
+	databases map[string]document.Database
+	upstreams map[string]platform.Upstream
+	// leaving holds the addresses of members that leave or are gone.
+	leaving map[string]bool
+}
+
+func emptyView() *view { return &view{} }
+
+// build makes a view of the present state. It runs under the lock.
+func (d *Directory) build(now time.Time) *view {
+	v := &view{
+		version:   d.manifest.Version,
+		known:     d.known,
+		services:  make(map[string]*document.Service),
+		databases: make(map[string]document.Database),
+		upstreams: make(map[string]platform.Upstream),
+		leaving:   make(map[string]bool),
+	}
+	present := make(map[string][]platform.Upstream)
+	for _, u := range d.roster.present(now) {
+		present[u.Group] = append(present[u.Group], u)
+		v.upstreams[u.Address] = u
+		v.leaving[u.Address] = u.Leaving
+	}
+	for _, g := range d.manifest.Groups {
+		d.addGroup(v, g, present[g.Name])
+	}
+	for _, b := range d.manifest.Databases {
+		if s := v.services[b.Group]; s != nil {
+			s.Reads = append(s.Reads, b.Class)
+		}
+		v.databases[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name}
+	}
+	for _, s := range v.services {
+		s.Index()
+	}
+	return v
+}
+
+func (d *Directory) addGroup(v *view, g Group, present []platform.Upstream) {
+	members := d.membersOf(g.Name, present)
+	if len(members) == 0 {
+		return
+	}
+	slots := 0
+	for _, u := range present {
+		slots += u.Slots
+	}
+	for _, m := range members {
+		if _, ok := v.upstreams[m.Address]; !ok {
+			v.leaving[m.Address] = true
+		}
+	}
+	v.services[g.Name] = &document.Service{
+		Name: g.Name,
+		Groups: []document.Group{{
+			Name: g.Name, Members: members, Slots: slots,
+			Connections: g.MemberConnections * len(members), MemberConnections: g.MemberConnections,
+		}},
+		Limits: document.Limits{
+			StatementTimeout:       requestTimeout,
+			RequestTimeout:         requestTimeout,
+			ConfirmTimeout:         confirmTimeout,
+			TransactionIdleTimeout: d.manifest.TransactionIdle,
+			AnswerBuffer:           answerBuffer,
+			MaxQueue:               maxQueue,
+		},
+	}
+}
+
+// membersOf returns the members of a group: those that are present and, up to the
+// largest size that the group has had, those that are gone. A majority is counted
+// over them, and must not shrink because entries lapse: two instances that see
+// different remainders of a group would each fence a majority of their own.
+func (d *Directory) membersOf(group string, present []platform.Upstream) []document.Member {
+	var members []document.Member
+	for _, u := range present {
+		members = append(members, document.Member{Address: u.Address, FailureDomain: u.FailureDomain})
+	}
+	for _, old := range d.groups[group] {
+		if len(members) >= len(d.groups[group]) {
+			break
+		}
+		if !slices.ContainsFunc(members, func(m document.Member) bool { return m.Address == old.Address }) {
+			members = append(members, old)
+		}
+	}
+	slices.SortFunc(members, func(a, b document.Member) int {
+		return slices.Compare([]string{a.Address}, []string{b.Address})
+	})
+	d.groups[group] = members
+	return members
+}
+
+func (v *view) same(o *view) bool { return reflect.DeepEqual(v, o) }
+
+// Services returns the service of each group with the manifest's version.
+func (d *Directory) Services() ([]*document.Service, int64) {
+	v := d.current.Load()
+	var all []*document.Service
+	for _, s := range v.services {
+		all = append(all, s)
+	}
+	return all, v.version
+}
+
+// FindService returns the service that names the group.
+func (d *Directory) FindService(group string) (*document.Service, bool) {
+	s, ok := d.current.Load().services[group]
+	return s, ok
+}
+
+// FindDatabase returns the database of a name.
+func (d *Directory) FindDatabase(name string) (document.Database, bool) {
+	b, ok := d.current.Load().databases[name]
+	return b, ok
+}
+
+// FindMember returns who is expected at an address of a group.
+func (d *Directory) FindMember(group, address string) (string, bool) {
+	u, ok := d.current.Load().upstreams[address]
+	if !ok || u.Group != group {
+		return "", false
+	}
+	return u.ID, true
+}
+
+// Leaving reports whether a member is to get no new work.
+func (d *Directory) Leaving(address string) bool { return d.current.Load().leaving[address] }
+
+// Leader returns the address of the member of a group that takes itself for the
+// primary; empty if none or several do.
+func (d *Directory) Leader(group string) string {
+	leader := ""
+	for address, u := range d.current.Load().upstreams {
+		if u.Group != group || !u.Leads {
+			continue
+		}
+		if leader != "" {
+			return ""
+		}
+		leader = address
+	}
+	return leader
+}
+
+// Ready reports whether the manifest is known and every group has members.
+func (d *Directory) Ready() bool {
+	v := d.current.Load()
+	return v.known && len(v.services) > 0
+}
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -13,6 +13,8 @@
 	Limits Limits
 	Reads  []ReadClass
 	Writes []RequestClass
+	// reads finds the read classes by name once Index was called.
+	reads map[string]int
 }
 
 // Group is one database group that the service uses. Callers name it as the
@@ -23,6 +25,9 @@
 	// Connections is the hard total of connections to the group's members over
 	// all instances.
 	Connections int
+	// MemberConnections is how many connections each member takes, where that is
+	// what is limited; zero where the total alone is.
+	MemberConnections int
 	// Slots bounds the statements that run in the group at once, over all instances.
 	Slots int
 }
@@ -98,8 +103,24 @@
 	return Group{}, false
 }
 
+// Index prepares the look-up of classes. It is for services with hundreds of them,
+// and comes before the service is shared.
+func (s *Service) Index() {
+	s.reads = make(map[string]int, len(s.Reads))
+	for i, r := range s.Reads {
+		s.reads[r.Name] = i
+	}
+}
+
 // FindRead returns the read class of a name.
 func (s *Service) FindRead(name string) (ReadClass, bool) {
+	if s.reads != nil {
+		i, ok := s.reads[name]
+		if !ok {
+			return ReadClass{}, false
+		}
+		return s.Reads[i], true
+	}
 	for _, r := range s.Reads {
 		if r.Name == name {
 			return r, true
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -85,9 +85,11 @@
 	// wrong hint costs a round trip, never a promise.
 	Ends   bool `json:"ends,omitempty"`
 	Begins bool `json:"begins,omitempty"`
-	// ReadOnly says that the unit only reads, and with Begins also that the
-	// transaction does. False where the codec cannot tell.
+	// ReadOnly says that the unit itself only reads. False where the codec cannot
+	// tell.
 	ReadOnly bool `json:"read_only,omitempty"`
+	// ReadTransaction says of a unit that Begins that its transaction only reads.
+	ReadTransaction bool `json:"read_transaction,omitempty"`
 	// Transaction names the open transaction; empty outside of one.
 	Transaction string `json:"transaction,omitempty"`
 }
@@ -117,6 +119,15 @@
 	return u.Shape == "" || strings.IndexByte(u.Shape, StepExecute) >= 0
 }
 
+// OnlyReads reports whether neither the unit nor the transaction that it opens
+// writes.
+func (u *Unit) OnlyReads() bool {
+	if u.Begins {
+		return u.ReadTransaction
+	}
+	return u.ReadOnly
+}
+
 // Executor runs units.
 type Executor interface {
 	// Execute runs one unit. Large answers go to partial piece by piece before
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -50,7 +50,7 @@
 	}
 	p.class = u.Class
 	if r, ok := s.FindRead(u.Class); ok {
-		p.read = !r.Writes || u.ReadOnly
+		p.read = !r.Writes || u.OnlyReads()
 		p.maxAge = r.MaxAge
 		p.fresh = r.Primary
 		p.override(r.Priority, r.MaxQueue, r.Timeout)
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -126,7 +126,7 @@
 		return []wire.Step{unit, storeKey}
 	case p.keyed(u):
 		return []wire.Step{{Kind: wire.StepBegin}, storeKey, unit, {Kind: wire.StepCommit}, report}
-	case g.Wire.ChecksPosition && p.fresh && u.ReadOnly:
+	case g.Wire.ChecksPosition && p.fresh && u.OnlyReads():
 		// Only the report tells whether the member led; a replica reads as well.
 		return []wire.Step{report, unit}
 	case u.Begins, g.Wire.TellsLog:
@@ -211,12 +211,11 @@
 }
 
 // verified waits for the proof that the member was the primary, and had not been
-// replaced, when the read began: the member reported that it leads, and a replica
+// replaced, when the read began: the member showed that it leads, and a replica
 // that was asked since was not fenced. A promotion fences a majority first, so
 // that one of the two would have shown it.
 func (g *Group) verified(ctx context.Context, p plan, x *exchange) error {
-	s := x.Report
-	if s == nil || s.Role != member.RolePrimary || s.Entered != x.verification.Term {
+	if !showsLead(x) {
 		x.verification.Drop()
 		g.Tracker.Recheck(x.conn.Address())
 		return result.New(result.NoPrimary, "member %s no longer leads", x.conn.Address()).WithRetryAfter(retryAfterFailover)
@@ -229,6 +228,16 @@
 	return nil
 }
 
+// showsLead reports whether the member led: by its report, or by taking a
+// transaction that may write, which no replica does.
+func showsLead(x *exchange) bool {
+	if x.Unit.Begins && !x.Unit.ReadTransaction {
+		return true
+	}
+	s := x.Report
+	return s != nil && s.Role == member.RolePrimary && s.Entered == x.verification.Term
+}
+
 // ensureReport asks for the member's report when it was not pipelined and the
 // answer did not tell the member's log.
 func (g *Group) ensureReport(x *exchange) error {
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -38,7 +39,7 @@
 	if !g.stands(s, v) {
 		return claim{}, errRecovered
 	}
-	next := Record{Term: max(current.Term, s.Term) + 1, Claim: g.newID(), Claimer: g.c.Self.ID, Cause: v.cause}
+	next := Record{Term: g.nextTerm(current, s), Number: current.Number + 1, Claim: g.newID(), Claimer: g.c.Self.ID, Cause: v.cause}
 	won, err := g.put(ctx, next, version)
 	if err == nil && !g.stands(s, v) {
 		return claim{}, errRecovered
@@ -46,6 +47,16 @@
 	return won, err
 }
 
+// nextTerm is the term to claim. Where members number the terms themselves, a
+// promotion leads to the one behind the highest they know, whatever was claimed:
+// a claim that came to nothing leaves no gap, and its term is claimed again.
+func (g *guard) nextTerm(current Record, s *group.Snapshot) logpos.Term {
+	if g.c.MembersNumberTerms {
+		return s.Term + 1
+	}
+	return max(current.Term, s.Term) + 1
+}
+
 // read returns the group's record and the version of its object, both zero if
 // there is none yet.
 func (g *guard) read(ctx context.Context) (Record, int64, error) {
--- a/internal/failover/config.go
+++ b/internal/failover/config.go
@@ -33,6 +33,9 @@
 	Metrics *Metrics
 	// Settings default to DefaultSettings.
 	Settings Settings
+	// MembersNumberTerms says that members count terms by themselves: a promotion
+	// leads to the term behind the highest that they know.
+	MembersNumberTerms bool
 	// OnFailover, if set, is told of every failover that this claimer completed.
 	OnFailover func(Gap)
 	// Hook, if set, is called at every Step. A test stops a claimer there.
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -11,6 +11,8 @@
 type Record struct {
 	// Term is the highest term that was claimed.
 	Term logpos.Term `json:"term"`
+	// Number counts the group's claims; it rises with each.
+	Number uint64 `json:"number,omitempty"`
 	// Claim names the claim uniquely, so that a claimer whose answer was lost
 	// can tell its own claim from a rival's.
 	Claim string `json:"claim"`
--- a/internal/failover/ward.go
+++ b/internal/failover/ward.go
@@ -42,7 +42,7 @@
 
 func (w *ward) lead(ctx context.Context) {
 	_, err := w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
-		return c.Promote(ctx, w.a.term)
+		return c.Promote(ctx, member.Promotion{Term: w.a.term, Claimer: w.a.claim.record.Claimer, Claim: w.a.claim.record.Number})
 	})
 	if err == nil {
 		close(w.a.led)
--- a/internal/group/fixture_test.go
+++ b/internal/group/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
 	"github.com/topazrock/topazrock/internal/member/pgcontrol"
 	"github.com/topazrock/topazrock/internal/netio"
 	standin "github.com/topazrock/topazrock/internal/standin/member"
@@ -136,7 +137,7 @@
 			x.t.Fatal(err)
 		}
 		if j == i {
-			_, err = c.Promote(x.t.Context(), term)
+			_, err = c.Promote(x.t.Context(), member.Promotion{Term: term})
 		} else {
 			_, err = c.Follow(x.t.Context(), term, x.addresses[i])
 		}
--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -151,7 +151,7 @@
 	if !l.instance.documents.Ready() {
 		reasons = append(reasons, "no service document is known yet")
 	}
-	if l.instance.frontend.Draining() {
+	if l.instance.callers.Draining() || l.instance.leaving.Load() {
 		reasons = append(reasons, "draining")
 	}
 	var unasked []string
@@ -186,4 +186,6 @@
 func (l adminLifecycle) Drain() { l.instance.stopOnce() }
 
 // Draining implements adminapi.Lifecycle.
-func (l adminLifecycle) Draining() bool { return l.instance.frontend.Draining() }
+func (l adminLifecycle) Draining() bool {
+	return l.instance.leaving.Load() || l.instance.callers.Draining()
+}
--- a/internal/instance/cancel.go
+++ b/internal/instance/cancel.go
@@ -17,13 +17,13 @@
 	Secret    uint32 `json:"secret"`
 }
 
-func (n *Instance) registerCancel() {
+func (n *Instance) registerCancel(f *frontend.Server) {
 	n.peers.Handle(methodCancelCaller, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var c cancelCaller
 		if err := json.Unmarshal(params, &c); err != nil {
 			return nil, err
 		}
-		n.frontend.Cancel(c.ProcessID, c.Secret)
+		f.Cancel(c.ProcessID, c.Secret)
 		return nil, nil
 	})
 }
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -1,18 +1,66 @@
 package instance
 
 import (
+	"context"
+
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/membership"
 )
 
-// documents looks services up by group in the store of documents in force.
-type documents struct{ store *config.Store }
+// Documents are the services in force.
+type Documents interface {
+	// FindService returns the service that names the group.
+	FindService(group string) (*document.Service, bool)
+	// Ready reports whether the services have been learned.
+	Ready() bool
+	// Groups returns every group of every service.
+	Groups() []GroupInForce
+	// Leaving reports whether a member is to get no new work.
+	Leaving(address string) bool
+	// Subscribe calls f after each change. f must not block.
+	Subscribe(f func())
+	// Run keeps the services up to date until ctx ends.
+	Run(ctx context.Context) error
+}
+
+// GroupInForce is a group and the version of the document that names it.
+type GroupInForce struct {
+	document.Group
+	Version int64
+}
+
+// storedDocuments are the service documents of the product's own store.
+type storedDocuments struct {
+	store   *config.Store
+	members *membership.Members
+}
 
-// FindService implements frontend.Directory.
-func (d documents) FindService(group string) (*document.Service, bool) {
+// FindService implements Documents.
+func (d storedDocuments) FindService(group string) (*document.Service, bool) {
 	a, _, ok := d.store.FindGroup(group)
 	return a.Service, ok
 }
 
-// Ready implements frontend.Directory.
-func (d documents) Ready() bool { return d.store.Ready() }
+// Ready implements Documents.
+func (d storedDocuments) Ready() bool { return d.store.Ready() }
+
+// Groups implements Documents.
+func (d storedDocuments) Groups() []GroupInForce {
+	var all []GroupInForce
+	for _, a := range d.store.All() {
+		for _, g := range a.Service.Groups {
+			all = append(all, GroupInForce{Group: g, Version: a.Version})
+		}
+	}
+	return all
+}
+
+// Leaving implements Documents.
+func (d storedDocuments) Leaving(address string) bool { return d.members.Leaving(address) }
+
+// Subscribe implements Documents.
+func (d storedDocuments) Subscribe(f func()) { d.store.Subscribe(func(config.Applied) { f() }) }
+
+// Run implements Documents.
+func (d storedDocuments) Run(ctx context.Context) error { return d.store.Run(ctx) }
--- a/internal/instance/failover.go
+++ b/internal/instance/failover.go
@@ -11,19 +11,21 @@
 func (n *Instance) newClaimer(g document.Group, w *group.Watcher) *failover.Claimer {
 	instances := func() []platform.Instance { return n.members.Homes(g.Name) }
 	return failover.New(failover.Config{
-		Group:      g.Name,
-		Self:       n.self(),
-		Instances:  instances,
-		View:       w,
-		Platform:   n.options.Platform,
-		Dialer:     n.control,
-		Witness:    failover.NewPeerWitness(n.client, n.self(), instances, n.random("witness/"+g.Name)),
-		Clock:      n.options.Clock,
-		Rand:       n.random("failover/" + g.Name),
-		Logger:     n.options.Logger,
-		Metrics:    n.metrics.failover,
-		OnFailover: n.options.OnFailover,
-		Hook:       n.options.FailoverHook,
+		Group:              g.Name,
+		Self:               n.self(),
+		Instances:          instances,
+		View:               w,
+		Platform:           n.options.Platform,
+		Dialer:             n.protocol.Control(g.Name),
+		Settings:           n.protocol.Failover,
+		MembersNumberTerms: n.protocol.MembersNumberTerms,
+		Witness:            failover.NewPeerWitness(n.client, n.self(), instances, n.random("witness/"+g.Name)),
+		Clock:              n.options.Clock,
+		Rand:               n.random("failover/" + g.Name),
+		Logger:             n.options.Logger,
+		Metrics:            n.metrics.failover,
+		OnFailover:         n.options.OnFailover,
+		Hook:               n.options.FailoverHook,
 	})
 }
 
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -13,7 +13,6 @@
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/retry"
 	"github.com/topazrock/topazrock/internal/shares"
-	"github.com/topazrock/topazrock/internal/upstream"
 	"github.com/topazrock/topazrock/internal/wire"
 )
 
@@ -28,7 +27,7 @@
 	gate     *admission.Controller
 	executor *executor.Group
 	router   *executor.Router
-	seats    *shares.Manager
+	seats    share
 
 	// stopSeats ends the manager of seats; seeking counts it.
 	stopSeats context.CancelFunc
@@ -46,7 +45,8 @@
 		Members:   g.Members,
 		Clock:     n.options.Clock,
 		Rand:      n.random("watcher/" + g.Name),
-		Dialer:    n.control,
+		Dialer:    n.protocol.Control(g.Name),
+		Intervals: n.protocol.Intervals,
 		Logger:    n.options.Logger,
 		Metrics:   n.metrics.group,
 		OnSilence: func(since time.Time) { h.pool.ProbeIdle(since) },
@@ -61,16 +61,18 @@
 		Metrics: n.metrics.admission,
 	})
 	h.executor = n.newExecutor(g, h)
-	h.seats = n.newSeats(g, version, h)
+	h.seats = n.newShare(g, version, h)
 	return h
 }
 
 func (n *Instance) newPool(g document.Group) *pool.Limited {
 	return pool.New(pool.Config{
-		Group:   g.Name,
-		Clock:   n.options.Clock,
-		Rand:    n.random("pool/" + g.Name),
-		Open:    n.opener(g.Name).Open,
+		Group: g.Name,
+		Clock: n.options.Clock,
+		Rand:  n.random("pool/" + g.Name),
+		Open: func(ctx context.Context, address string) (wire.Conn, error) {
+			return n.protocol.Open(ctx, g.Name, address)
+		},
 		Probe:   func(ctx context.Context, c wire.Conn) error { return c.Probe(ctx) },
 		Check:   wire.Conn.Check,
 		Close:   func(ctx context.Context, c wire.Conn) error { return c.Shutdown(ctx) },
@@ -99,6 +101,9 @@
 		Dialer:  n.options.Network,
 		Logger:  n.options.Logger,
 		Metrics: n.metrics.executor,
+		Wire:    n.protocol.Wire,
+
+		ConfirmationAge: n.protocol.ConfirmationAge,
 	})
 }
 
@@ -110,6 +115,29 @@
 	return n.options.WrapTracker(w)
 }
 
+// newShare returns what bounds the home: a seat in the group's ledger, or an even
+// part where members bound their connections themselves.
+func (n *Instance) newShare(g document.Group, version int64, h *home) share {
+	if n.protocol.MemberShares {
+		e := &shares.Even{
+			Connections: shares.Pool(h.pool),
+			Slots:       shares.Gate(h.gate),
+			Control:     controlPerMember,
+			Homes:       func() int { return len(n.members.Homes(g.Name)) },
+			SeatChanged: h.seatChanged,
+		}
+		e.SetAllocation(allocation(g, version))
+		return e
+	}
+	m := n.newSeats(g, version, h)
+	n.seats.Add(m)
+	return m
+}
+
+// controlPerMember is how many connections to each member a home keeps for
+// following it.
+const controlPerMember = 1
+
 func (n *Instance) newSeats(g document.Group, version int64, h *home) *shares.Manager {
 	return shares.New(shares.Config{
 		Group:       g.Name,
@@ -131,8 +159,10 @@
 // domains are those of its members: each has entry instances of its own.
 func allocation(g document.Group, version int64) shares.Allocation {
 	a := shares.Allocation{
-		Document: version,
-		Total:    shares.Amount{Connections: g.Connections, Slots: g.Slots},
+		Document:  version,
+		Total:     shares.Amount{Connections: g.Connections, Slots: g.Slots},
+		Members:   len(g.Members),
+		PerMember: g.MemberConnections,
 	}
 	for _, m := range g.Members {
 		a.FailureDomains = append(a.FailureDomains, m.FailureDomain)
@@ -140,18 +170,6 @@
 	return a
 }
 
-func (n *Instance) opener(groupName string) *upstream.Opener {
-	s := n.options.Settings.Upstream
-	return &upstream.Opener{
-		Dialer:          n.options.Network,
-		Clock:           n.options.Clock,
-		User:            s.User,
-		Password:        s.Password,
-		Database:        groupName,
-		ApplicationName: s.ApplicationName,
-	}
-}
-
 // start asks for a seat and keeps it until stop.
 func (h *home) start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -58,20 +58,12 @@
 	}
 }
 
-// wantedGroup is a group and the version of the document that names it.
-type wantedGroup struct {
-	document.Group
-	version int64
-}
-
 // wantedGroups returns the groups that this instance should be home to.
-func (n *Instance) wantedGroups() map[string]wantedGroup {
-	wanted := make(map[string]wantedGroup)
-	for _, a := range n.store.All() {
-		for _, g := range a.Service.Groups {
-			if n.members.IsHome(g.Name) {
-				wanted[g.Name] = wantedGroup{Group: g, version: a.Version}
-			}
+func (n *Instance) wantedGroups() map[string]GroupInForce {
+	wanted := make(map[string]GroupInForce)
+	for _, g := range n.documents.Groups() {
+		if n.members.IsHome(g.Name) {
+			wanted[g.Name] = g
 		}
 	}
 	return wanted
@@ -81,34 +73,33 @@
 
 // addHome starts a home. It returns nil while an earlier home of the group is
 // still ending: two of them would hold two seats' connections.
-func (n *Instance) addHome(w wantedGroup) *home {
+func (n *Instance) addHome(w GroupInForce) *home {
 	n.mu.Lock()
 	ending := n.ending[w.Name]
 	n.mu.Unlock()
 	if ending {
 		return nil
 	}
-	h := n.newHome(w.Group, w.version)
+	h := n.newHome(w.Group, w.Version)
 	n.mu.Lock()
 	n.homeOf[w.Name] = h
 	n.mu.Unlock()
-	n.seats.Add(h.seats)
 	h.start()
 	n.options.Logger.Info("Home of a group was started.", "group", w.Name)
 	return h
 }
 
 // adjust passes on what may change while a home runs: limits and leaving members.
-func (n *Instance) adjust(h *home, w wantedGroup) {
+func (n *Instance) adjust(h *home, w GroupInForce) {
 	var leaving []string
 	for _, m := range w.Members {
-		if n.members.Leaving(m.Address) {
+		if n.documents.Leaving(m.Address) {
 			leaving = append(leaving, m.Address)
 		}
 	}
 	h.watcher.SetLeaving(leaving)
 	h.pool.SetLeaving(leaving)
-	h.seats.SetAllocation(allocation(w.Group, w.version))
+	h.seats.SetAllocation(allocation(w.Group, w.Version))
 }
 
 // retire stops new units at once and the home itself when the units at work and
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -6,23 +6,24 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/topazrock/topazrock/internal/adminapi"
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/executor"
-	"github.com/topazrock/topazrock/internal/frontend"
-	"github.com/topazrock/topazrock/internal/member/pgcontrol"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/registry"
 	"github.com/topazrock/topazrock/internal/shares"
 )
 
@@ -30,15 +31,19 @@
 type Instance struct {
 	options   Options
 	metrics   *metrics
-	control   *pgcontrol.Dialer
+	protocol  Protocol
 	store     *config.Store
-	documents documents
+	documents Documents
 	members   *membership.Members
-	peers     *peer.Server
-	client    *peer.Client
-	router    *executor.Router
-	frontend  *frontend.Server
-	admin     *adminapi.Server
+	// registry keeps the list of instances where the platform does not; nil otherwise.
+	registry *registry.Registry
+	// leaving says that the graceful shutdown has begun.
+	leaving atomic.Bool
+	peers   *peer.Server
+	client  *peer.Client
+	router  *executor.Router
+	callers Callers
+	admin   *adminapi.Server
 	// changed asks for a comparison of homes; it holds at most one request.
 	changed chan struct{}
 	// stop is closed when an operator asks for a drain.
@@ -78,7 +83,6 @@
 func (n *Instance) build() {
 	o := n.options
 	s := o.Settings
-	n.control = pgcontrol.NewDialer(o.Network, pgcontrol.Options{User: s.Upstream.User, Password: s.Upstream.Password})
 	n.peers = peer.NewServer(o.Logger)
 	n.client = peer.NewClient(s.Instance.ID, o.Network)
 	n.members = membership.New(membership.Options{
@@ -104,21 +108,28 @@
 		Log:      o.Logger,
 		Metrics:  n.metrics.config,
 	})
-	n.documents = documents{n.store}
+	if o.SelfRegister {
+		n.registry = registry.New(registry.Config{
+			API: o.Platform, Self: n.self(), List: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
+		})
+	}
+	n.documents = o.Documents
+	if n.documents == nil {
+		n.documents = storedDocuments{n.store, n.members}
+	}
+	n.protocol = n.postgres()
+	if o.Protocol != nil {
+		n.protocol = *o.Protocol
+	}
 	n.router = executor.NewRouter(s.Instance.ID, s.Peer.Address, homes{n.members}, n.client, o.Clock, n.metrics.executor)
 	n.router.Register(n.peers)
-	n.frontend = frontend.NewServer(frontend.Config{
-		Instance:       s.Instance.ID,
-		Directory:      n.documents,
-		Executor:       n.router,
-		Clock:          o.Clock,
-		Logger:         o.Logger,
-		Metrics:        n.metrics.frontend,
-		MaxCallers:     s.Caller.MaxCallers,
-		StartupTimeout: s.Caller.StartupTimeout,
-		ForeignCancel:  n.forwardCancel,
+	n.callers = n.protocol.Callers(CallerParts{
+		Executor:   n.router,
+		Clock:      o.Clock,
+		Logger:     o.Logger,
+		Registry:   o.Registry,
+		MaxCallers: s.Caller.MaxCallers,
 	})
-	n.registerCancel()
 	n.serveTestimony()
 	n.holder = n.newHolder()
 	n.seats = shares.NewDirectory(n.holder.Incarnation)
@@ -158,14 +169,15 @@
 	// Parts outlive ctx: the drain still needs them.
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	n.store.Subscribe(func(config.Applied) { n.noteChange() })
+	n.documents.Subscribe(n.noteChange)
 	n.members.Subscribe(n.noteChange)
-	n.running.Go(func() { _ = n.members.Run(parts) })
-	n.running.Go(func() { _ = n.store.Run(parts) })
+	n.running.Go(func() { n.follow(parts) })
+	n.running.Go(func() { _ = n.documents.Run(parts) })
 	n.reconciling.Go(func() { n.runHomes(parts) })
 	n.running.Go(func() { n.serveAdmin(parts) })
+	n.running.Go(func() { n.serveReady(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
-	n.running.Go(func() { _ = n.frontend.Serve(callers) })
+	n.running.Go(func() { _ = n.callers.Serve(callers) })
 	select {
 	case <-ctx.Done():
 	case <-n.stop:
@@ -175,6 +187,25 @@
 	return err
 }
 
+// follow keeps the list of instances up to date.
+func (n *Instance) follow(ctx context.Context) {
+	if n.registry != nil {
+		n.registry.Run(ctx)
+		return
+	}
+	_ = n.members.Run(ctx)
+}
+
+// withdraw takes the instance off the list that it keeps itself on.
+func (n *Instance) withdraw(ctx context.Context) {
+	if n.registry == nil {
+		return
+	}
+	if err := n.registry.Withdraw(ctx); err != nil {
+		n.options.Logger.Info("The instance's entry was not removed.", "error", err)
+	}
+}
+
 // serveAdmin runs the administration API. Without it the instance still serves
 // callers, so a failure is logged and ends nothing else.
 func (n *Instance) serveAdmin(ctx context.Context) {
@@ -202,11 +233,16 @@
 // drain finishes what is at work for callers and peers.
 func (n *Instance) drain(callers net.Listener) error {
 	n.options.Logger.Info("Drain begins.")
-	n.members.SetDraining()
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	n.leaving.Store(true)
+	limits := n.options.Settings.Drain
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(limits.Timeout, defaultDrainTimeout))
 	defer cancel()
+	// Callers still come, and peers still send units here, until the balancer has
+	// seen that the instance is not ready.
+	_ = clock.Sleep(ctx, n.options.Clock, limits.Linger)
+	n.members.SetDraining()
 	// Callers that connect now are told to go elsewhere; the listener closes last.
-	err := n.frontend.Drain(ctx)
+	err := n.callers.Drain(ctx)
 	err = errors.Join(err, n.router.Drain(ctx))
 	callers.Close()
 	// Peers that still send units here are told to go elsewhere; closing at once
@@ -226,7 +262,8 @@
 	for _, h := range n.homesCopy() {
 		n.stopHome(ctx, h)
 	}
-	n.frontend.Close()
+	n.callers.Close()
+	n.withdraw(ctx)
 	peers.Close()
 	n.peers.Close()
 	n.client.Close()
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -6,7 +6,6 @@
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/executor"
 	"github.com/topazrock/topazrock/internal/failover"
-	"github.com/topazrock/topazrock/internal/frontend"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/pool"
@@ -20,7 +19,6 @@
 	config     *config.Metrics
 	executor   *executor.Metrics
 	failover   *failover.Metrics
-	frontend   *frontend.Metrics
 	group      *group.Metrics
 	membership *membership.Metrics
 	pool       *pool.Metrics
@@ -34,7 +32,6 @@
 		config:     config.NewMetrics(r),
 		executor:   executor.NewMetrics(r),
 		failover:   failover.NewMetrics(r),
-		frontend:   frontend.NewMetrics(r),
 		group:      group.NewMetrics(r),
 		membership: membership.NewMetrics(r),
 		pool:       pool.NewMetrics(r),
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -26,6 +26,13 @@
 	Registry *prometheus.Registry
 	// OnFailover, if set, is told of every failover that this instance completed.
 	OnFailover func(failover.Gap)
+	// Protocol is what callers and members speak; nil means PostgreSQL.
+	Protocol *Protocol
+	// Documents are the services in force; nil means the product's own documents.
+	Documents Documents
+	// SelfRegister makes the instance keep its own entry on the platform and follow
+	// those of the others, where the platform keeps no list of instances.
+	SelfRegister bool
 	// WrapTracker, if set, replaces what execution sees of a group. It is for
 	// measurements that compare other designs with this one; a wrapper can take
 	// every promise away, so the product never sets it.
@@ -35,9 +42,8 @@
 }
 
 const (
-	// drainTimeout bounds the graceful shutdown. What is still at work then is
-	// cut off.
-	drainTimeout = 30 * time.Second
+	// defaultDrainTimeout bounds the graceful shutdown where the settings do not.
+	defaultDrainTimeout = 30 * time.Second
 	// peerLinger is how long peers are still answered behind the drain.
 	peerLinger = 500 * time.Millisecond
 	// retireTimeout bounds how long transactions stay open in a group that this
--- a/internal/instance/pages_test.go
+++ b/internal/instance/pages_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/frontend"
 )
 
 var (
@@ -22,6 +24,7 @@
 func registeredNames() []string {
 	r := prometheus.NewRegistry()
 	newMetrics(r)
+	frontend.NewMetrics(r)
 	descriptions := make(chan *prometheus.Desc)
 	go func() {
 		defer close(descriptions)
--- a/internal/instance/platformview_test.go
+++ b/internal/instance/platformview_test.go
@@ -75,6 +75,13 @@
 	return v.store.Put(ctx, k, name, value, ifVersion)
 }
 
+func (v *platformView) Delete(ctx context.Context, k platform.Kind, name string, ifVersion int64) error {
+	if err := v.reach(ctx); err != nil {
+		return err
+	}
+	return v.store.Delete(ctx, k, name, ifVersion)
+}
+
 func (v *platformView) Watch(ctx context.Context, k platform.Kind, after int64) ([]platform.Object, int64, error) {
 	if err := v.reach(ctx); err != nil {
 		return nil, after, err
--- /dev/null
+++ b/internal/instance/postgres.go
@@ -0,0 +1,51 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/topazrock/topazrock/internal/frontend"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/member/pgcontrol"
+	"github.com/topazrock/topazrock/internal/upstream"
+	"github.com/topazrock/topazrock/internal/wire"
+)
+
+// postgres is the Protocol of PostgreSQL callers and members.
+func (n *Instance) postgres() Protocol {
+	s := n.options.Settings
+	control := pgcontrol.NewDialer(n.options.Network, pgcontrol.Options{User: s.Upstream.User, Password: s.Upstream.Password})
+	return Protocol{
+		Open:    n.openPostgres,
+		Control: func(string) member.Dialer { return control },
+		Callers: n.postgresCallers,
+	}
+}
+
+func (n *Instance) openPostgres(ctx context.Context, group, address string) (wire.Conn, error) {
+	s := n.options.Settings.Upstream
+	o := upstream.Opener{
+		Dialer:          n.options.Network,
+		Clock:           n.options.Clock,
+		User:            s.User,
+		Password:        s.Password,
+		Database:        group,
+		ApplicationName: s.ApplicationName,
+	}
+	return o.Open(ctx, address)
+}
+
+func (n *Instance) postgresCallers(p CallerParts) Callers {
+	f := frontend.NewServer(frontend.Config{
+		Instance:       n.options.Settings.Instance.ID,
+		Directory:      n.documents,
+		Executor:       p.Executor,
+		Clock:          p.Clock,
+		Logger:         p.Logger,
+		Metrics:        frontend.NewMetrics(p.Registry),
+		MaxCallers:     p.MaxCallers,
+		StartupTimeout: n.options.Settings.Caller.StartupTimeout,
+		ForeignCancel:  n.forwardCancel,
+	})
+	n.registerCancel(f)
+	return f
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -43,6 +43,17 @@
 	Attached logpos.Term `json:"attached"`
 }
 
+// Promotion is what a member is told that is to lead.
+type Promotion struct {
+	// Term is the one it is to lead in.
+	Term logpos.Term
+	// Claimer is the instance that promotes it, and Claim the number of the claim
+	// under which it does. The numbers of a group's claims only rise, so that
+	// who carries orders out can refuse those of an earlier claim.
+	Claimer string
+	Claim   uint64
+}
+
 // Control is the control side of one member. Every method returns the status
 // after the call, or an error; ErrTermPassed when the member has entered a
 // higher term than the call's.
@@ -54,9 +65,9 @@
 	WaitPosition(ctx context.Context, position logpos.Position) (Status, error)
 	// EnterTerm fences the member in term. Entering a term again is idempotent.
 	EnterTerm(ctx context.Context, term logpos.Term) (Status, error)
-	// Promote makes a member fenced in term its primary. It is idempotent for
-	// the member that is the primary of that term already.
-	Promote(ctx context.Context, term logpos.Term) (Status, error)
+	// Promote makes a member fenced in the promotion's term its primary. It is
+	// idempotent for the member that is the primary of that term already.
+	Promote(ctx context.Context, p Promotion) (Status, error)
 	// Follow attaches a member fenced in term to the primary at address. The
 	// member drops any tail that is not in the primary's log.
 	Follow(ctx context.Context, term logpos.Term, primary string) (Status, error)
--- a/internal/member/pgcontrol/control.go
+++ b/internal/member/pgcontrol/control.go
@@ -46,8 +46,8 @@
 }
 
 // Promote implements member.Control.
-func (c *control) Promote(ctx context.Context, term logpos.Term) (member.Status, error) {
-	return c.call(ctx, fmt.Sprintf(promoteFormat, term))
+func (c *control) Promote(ctx context.Context, p member.Promotion) (member.Status, error) {
+	return c.call(ctx, fmt.Sprintf(promoteFormat, p.Term))
 }
 
 // Follow implements member.Control.
--- a/internal/member/pgcontrol/pgcontrol_test.go
+++ b/internal/member/pgcontrol/pgcontrol_test.go
@@ -84,7 +84,7 @@
 		is.NoErr(err)
 		_, err = c.EnterTerm(ctx, 8)
 		is.NoErr(err)
-		_, err = c.Promote(ctx, 8)
+		_, err = c.Promote(ctx, member.Promotion{Term: 8})
 		is.NoErr(err)
 		_, err = c.Follow(ctx, 8, "10.0.0.2:5432'")
 		is.NoErr(err)
--- /dev/null
+++ b/internal/objectwatch/follower.go
@@ -0,0 +1,133 @@
+// Package objectwatch follows the objects of one kind on the platform: it lists
+// them, watches from there, and lists again whenever the watch's history is gone.
+//
+// The platform may be down, slow or silent for any time. What was learned stays
+// valid for whoever holds it; a Follower only says when it is out of touch.
+package objectwatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause after a call that failed. Every
+	// call is paid for, and the platform needs some of its rate for its return.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Sink takes what a Follower learns, in order, from one goroutine.
+type Sink interface {
+	// Listed takes all objects of the kind.
+	Listed(objects []platform.Object)
+	// Changed takes objects that changed or were removed.
+	Changed(objects []platform.Object)
+	// Touch says whether the platform answers.
+	Touch(inTouch bool)
+}
+
+// Config is what a Follower is made of.
+type Config struct {
+	API   platform.API
+	Kind  platform.Kind
+	Sink  Sink
+	Clock clock.Clock
+	// Rand spreads the pauses; nothing else may use it.
+	Rand *rand.Rand
+	Log  hclog.Logger
+	// Settle is the pause before watching on after a change. Changes that come
+	// in bursts and are in no hurry are then told in one call.
+	Settle time.Duration
+}
+
+// Follower follows one kind.
+type Follower struct {
+	Config
+	backoff time.Duration
+	inTouch bool
+	// failingSince is when the first of the present failures was met.
+	failingSince time.Time
+}
+
+// New returns a Follower; Run makes it work.
+func New(c Config) *Follower {
+	c.Log = c.Log.Named("objectwatch").With("kind", c.Kind)
+	return &Follower{Config: c}
+}
+
+// Run follows the kind until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		objects, revision, err := f.API.List(ctx, f.Kind)
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.succeeded()
+		f.Sink.Listed(objects)
+		f.watch(ctx, revision)
+	}
+}
+
+// watch passes on changes until the history is gone or ctx ends.
+func (f *Follower) watch(ctx context.Context, revision int64) {
+	for ctx.Err() == nil {
+		objects, next, err := f.API.Watch(ctx, f.Kind, revision)
+		switch {
+		case errors.Is(err, platform.ErrCompacted):
+			f.Log.Info("History is gone; the objects are listed again.", "revision", revision)
+			return
+		case err != nil:
+			f.failed(ctx, err)
+			continue
+		}
+		f.succeeded()
+		revision = next
+		if len(objects) > 0 {
+			f.Sink.Changed(objects)
+			_ = clock.Sleep(ctx, f.Clock, f.Settle)
+		}
+	}
+}
+
+func (f *Follower) succeeded() {
+	if !f.inTouch {
+		f.inTouch = true
+		f.Log.Info("The platform answers.", "failing_for", f.failedFor())
+		f.Sink.Touch(true)
+	}
+	f.backoff, f.failingSince = 0, time.Time{}
+}
+
+func (f *Follower) failedFor() time.Duration {
+	if f.failingSince.IsZero() {
+		return 0
+	}
+	return f.Clock.Now().Sub(f.failingSince)
+}
+
+// failed pauses before the next call.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.failingSince.IsZero() {
+		f.failingSince = f.Clock.Now()
+	}
+	if f.inTouch {
+		f.inTouch = false
+		f.Log.Warn("The platform does not answer.", "error", err)
+		f.Sink.Touch(false)
+	}
+	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
+	half := f.backoff / 2
+	_ = clock.Sleep(ctx, f.Clock, half+time.Duration(f.Rand.Int64N(int64(half)+1)))
+}
--- a/internal/platform/httpclient/get.go
+++ b/internal/platform/httpclient/get.go
@@ -19,6 +19,11 @@
 	return o, err
 }
 
+// Delete implements platform.API.
+func (c *Client) Delete(context.Context, platform.Kind, string, int64) error {
+	return platform.ErrUnavailable
+}
+
 // List implements platform.API.
 func (c *Client) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
 	var a listAnswer
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,8 +18,18 @@
 	KindGroup Kind = "groups"
 	// KindShares holds the allocation of a group's connections.
 	KindShares Kind = "shares"
+	// KindInstances holds the entry of each instance, kept by itself.
+	KindInstances Kind = "instances"
+	// KindManifest holds what an operator of the platform writes about services.
+	// The product only reads it; its one object is ManifestName.
+	KindManifest Kind = "manifest"
+	// KindUpstreams holds the members' own entries. The product only reads it.
+	KindUpstreams Kind = "upstreams"
 )
 
+// ManifestName is the name of the object of KindManifest in force.
+const ManifestName = "main"
+
 // MaxValueSize is the largest value the platform takes, in bytes.
 const MaxValueSize = 1 << 20
 
@@ -31,6 +41,8 @@
 	// Revision is the kind's revision at this object's last change.
 	Revision int64  `json:"revision"`
 	Value    []byte `json:"value"`
+	// Removed says that the object is gone; a watch tells so.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // Instance is one entry of the instance list. The list lags behind reality.
@@ -44,10 +56,20 @@
 	Leaving      bool   `json:"leaving"`
 }
 
-// Upstream is one entry of the upstream list: a member and whether it leaves.
+// Upstream is one entry of the upstream list: a member as it says of itself.
 type Upstream struct {
-	Address string `json:"address"`
-	Leaving bool   `json:"leaving"`
+	// ID names the member; another one may come to the same address.
+	ID            string `json:"id,omitempty"`
+	Group         string `json:"group,omitempty"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	// Slots is how many statements it runs at once.
+	Slots   int  `json:"slots,omitempty"`
+	Leaving bool `json:"leaving"`
+	// Leads says that the member takes itself for the primary.
+	Leads bool `json:"leads,omitempty"`
+	// Started tells one start of the member from the next under the same ID.
+	Started int64 `json:"started,omitempty"`
 }
 
 // Inventory is the platform's list of live and leaving machines.
@@ -66,6 +88,9 @@
 	// Put stores value if the object's version is ifVersion (0: it must not
 	// exist) and returns the object as stored.
 	Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion int64) (Object, error)
+	// Delete removes an object if its version is ifVersion. An object that is not
+	// there is ErrNotFound.
+	Delete(ctx context.Context, kind Kind, name string, ifVersion int64) error
 	// Watch waits for changes of a kind after a revision and returns them with
 	// the revision to resume from. An empty answer means none came in time.
 	Watch(ctx context.Context, kind Kind, after int64) ([]Object, int64, error)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -16,6 +16,9 @@
 	maxStartupTimeout  = 5 * time.Minute
 	minPlatformTimeout = 10 * time.Millisecond
 	maxPlatformTimeout = time.Minute
+	minDrain           = 500 * time.Millisecond
+	maxDrain           = 10 * time.Minute
+	maxMemoryMB        = 1 << 20
 )
 
 // schema is the one table of sections, keys, defaults and ranges.
@@ -24,7 +27,7 @@
 	Sections: []inifile.SectionRule{
 		{Kind: "instance", Required: true}, {Kind: "caller", Required: true}, {Kind: "peer", Required: true},
 		{Kind: "admin", Required: true}, {Kind: "platform", Required: true}, {Kind: "upstream", Required: true},
-		{Kind: "homes"}, {Kind: "log"},
+		{Kind: "homes"}, {Kind: "ready"}, {Kind: "promotion"}, {Kind: "drain"}, {Kind: "process"}, {Kind: "log"},
 	},
 	Keys: []inifile.Key{
 		{Section: "instance", Name: "id", Kind: inifile.Name{}, Required: true,
@@ -36,6 +39,8 @@
 
 		{Section: "caller", Name: "address", Kind: inifile.Address{}, Required: true,
 			Meaning: "Where callers connect."},
+		{Section: "caller", Name: "wire", Kind: inifile.Enum{WirePostgreSQL, WireLine}, Default: WirePostgreSQL,
+			Meaning: "Protocol that callers and members speak."},
 		{Section: "caller", Name: "max_callers", Kind: inifile.Int{Min: 1, Max: maxCallers}, Default: "5000",
 			Meaning: "How many caller connections may be open."},
 		{Section: "caller", Name: "startup_timeout", Kind: inifile.Duration{Min: minStartupTimeout, Max: maxStartupTimeout}, Default: "10s",
@@ -66,6 +71,20 @@
 		{Section: "homes", Name: "per_failure_domain", Kind: inifile.Int{Min: 1, Max: maxHomes}, Default: "1",
 			Meaning: "How many instances of each failure domain hold a group's connections."},
 
+		{Section: "ready", Name: "address", Kind: optional{inifile.Address{}},
+			Meaning: "Where the balancer's readiness probe is answered, apart from the administration API. May be empty."},
+
+		{Section: "promotion", Name: "url", Kind: optional{platformURL{}},
+			Meaning: "Base URL of the service that appoints primaries, for members that do not take the order themselves. May be empty."},
+
+		{Section: "drain", Name: "linger", Kind: inifile.Duration{Max: maxDrain}, Default: "0s",
+			Meaning: "Time from the start of a graceful shutdown in which new callers are still served, because the balancer has not seen it yet."},
+		{Section: "drain", Name: "timeout", Kind: inifile.Duration{Min: minDrain, Max: maxDrain}, Default: "30s",
+			Meaning: "Time of the whole graceful shutdown; what is still at work then is cut off."},
+
+		{Section: "process", Name: "memory_mb", Kind: inifile.Int{Max: maxMemoryMB}, Default: "0",
+			Meaning: "Memory that the process may use, in megabytes; 0 sets no bound."},
+
 		{Section: "log", Name: "level", Kind: inifile.Enum{"trace", "debug", "info", "warn", "error"}, Default: "info",
 			Meaning: "Least important level that is logged."},
 		{Section: "log", Name: "format", Kind: inifile.Enum{FormatText, FormatJSON}, Default: FormatText,
--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -29,6 +29,20 @@
 	return k.Text.Parse(text)
 }
 
+// optional is a kind that may also be empty.
+type optional struct{ inifile.Kind }
+
+// Parse implements inifile.Kind.
+func (k optional) Parse(text string) (any, error) {
+	if text == "" {
+		return "", nil
+	}
+	return k.Kind.Parse(text)
+}
+
+// Allowed implements inifile.Kind.
+func (k optional) Allowed() string { return "empty or " + k.Kind.Allowed() }
+
 // platformURL is an http or https URL whose host is an IP address and port;
 // its value is a string.
 type platformURL struct{}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -34,22 +34,26 @@
 	return &Settings{
 		Instance: Instance{ID: instance.String("id"), FailureDomain: instance.String("failure_domain"),
 			Region: instance.String("region")},
-		Caller: Caller{Address: caller.String("address"), MaxCallers: caller.Int("max_callers"),
+		Caller: Caller{Address: caller.String("address"), Wire: caller.String("wire"), MaxCallers: caller.Int("max_callers"),
 			StartupTimeout: caller.Duration("startup_timeout")},
 		Peer:     Peer{Address: section("peer").String("address"), Seeds: seeds},
 		Admin:    Admin{Address: section("admin").String("address"), AccessToken: section("admin").String("access_token")},
 		Platform: Platform{URL: section("platform").String("url"), Timeout: section("platform").Duration("timeout")},
 		Upstream: Upstream{User: upstream.String("user"), Password: upstream.String("password"),
 			ApplicationName: upstream.String("application_name")},
-		Homes: Homes{PerFailureDomain: section("homes").Int("per_failure_domain")},
-		Log:   Log{Level: section("log").String("level"), Format: section("log").String("format")},
+		Homes:     Homes{PerFailureDomain: section("homes").Int("per_failure_domain")},
+		Ready:     Ready{Address: section("ready").String("address")},
+		Promotion: Promotion{URL: section("promotion").String("url")},
+		Drain:     Drain{Linger: section("drain").Duration("linger"), Timeout: section("drain").Duration("timeout")},
+		Process:   Process{MemoryMB: section("process").Int("memory_mb")},
+		Log:       Log{Level: section("log").String("level"), Format: section("log").String("format")},
 	}
 }
 
 // checkAddresses refuses two listeners at one address.
 func checkAddresses(f *inifile.File) {
 	owner := make(map[string]string)
-	for _, kind := range []string{"caller", "peer", "admin"} {
+	for _, kind := range []string{"caller", "peer", "admin", "ready"} {
 		s := f.First(&schema, kind)
 		address := s.String("address")
 		if address == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,7 +14,13 @@
 	Platform Platform
 	Upstream Upstream
 	Homes    Homes
-	Log      Log
+	Ready    Ready
+	// Promotion is where primaries are appointed, for members that do not take
+	// the order themselves; empty otherwise.
+	Promotion Promotion
+	Drain     Drain
+	Process   Process
+	Log       Log
 }
 
 // Instance says who the instance is and where it stands.
@@ -24,9 +30,17 @@
 	Region        string
 }
 
+// Words of Caller.Wire.
+const (
+	WirePostgreSQL = "postgresql"
+	WireLine       = "line"
+)
+
 // Caller is the side that callers connect to.
 type Caller struct {
 	Address string
+	// Wire is the protocol that callers and members speak.
+	Wire string
 	// MaxCallers bounds the open caller connections.
 	MaxCallers int
 	// StartupTimeout bounds the time from accept to the end of authentication.
@@ -69,6 +83,30 @@
 	PerFailureDomain int
 }
 
+// Ready is a listener for the balancer's readiness probe alone.
+type Ready struct {
+	// Address is empty when there is no such listener.
+	Address string
+}
+
+// Promotion is where primaries are appointed.
+type Promotion struct{ URL string }
+
+// Drain bounds the graceful shutdown.
+type Drain struct {
+	// Linger is how long new callers are still served: the balancer needs as long
+	// to see that the instance is no longer ready.
+	Linger time.Duration
+	// Timeout is the whole time of the graceful shutdown.
+	Timeout time.Duration
+}
+
+// Process bounds the process itself.
+type Process struct {
+	// MemoryMB is what the process may use, in megabytes; zero sets no bound.
+	MemoryMB int
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,7 +39,7 @@
 	is := is.New(t)
 	s, err := Parse("i.ini", []byte(minimal))
 	is.NoErr(err)
-	is.Equal(s.Caller, Caller{Address: "127.0.0.1:6432", MaxCallers: 5000, StartupTimeout: 10 * time.Second})
+	is.Equal(s.Caller, Caller{Address: "127.0.0.1:6432", Wire: WirePostgreSQL, MaxCallers: 5000, StartupTimeout: 10 * time.Second})
 	is.Equal(s.Platform, Platform{URL: "http://127.0.0.1:7000", Timeout: 2 * time.Second})
 	is.Equal(s.Upstream, Upstream{User: "topazrock", ApplicationName: "topazrock"})
 	is.Equal(s.Homes.PerFailureDomain, 1)
--- /dev/null
+++ b/internal/shares/even.go
@@ -0,0 +1,97 @@
+package shares
+
+import (
+	"context"
+	"sync"
+)
+
+// Even is an even part of what each member takes: its connections divided by the
+// number of homes. It fits members that limit their connections themselves and
+// refuse one too many without harm. Two instances may disagree for a moment about
+// how many homes there are; then a member refuses a connection and the pool waits,
+// which costs less than a ledger that every instance writes.
+type Even struct {
+	// Connections and Slots are bounded by the share.
+	Connections Resource
+	Slots       Resource
+	// Control is how many connections to each member a home uses beside those of
+	// Connections.
+	Control int
+	// Homes returns how many instances share the group.
+	Homes func() int
+	// SeatChanged is called with true when the share is held and with false before
+	// it is given up.
+	SeatChanged func(seated bool)
+
+	mu         sync.Mutex
+	allocation Allocation
+	limit      Amount
+	seated     bool
+}
+
+// leastPerMember is how many pooled connections to a member a home has at least:
+// without one it could not serve.
+const leastPerMember = 1
+
+// Run holds the share until ctx ends.
+func (e *Even) Run(ctx context.Context) {
+	e.apply()
+	e.setSeated(true)
+	e.SeatChanged(true)
+	<-ctx.Done()
+}
+
+// Close gives the share up.
+func (e *Even) Close(ctx context.Context) error {
+	e.setSeated(false)
+	e.SeatChanged(false)
+	e.Connections.Set(0)
+	e.Slots.Set(0)
+	return e.Connections.Settle(ctx)
+}
+
+// SetAllocation takes the group's limits, and divides anew.
+func (e *Even) SetAllocation(a Allocation) {
+	e.mu.Lock()
+	e.allocation = a
+	seated := e.seated
+	e.mu.Unlock()
+	if seated {
+		e.apply()
+	}
+}
+
+// apply works the share out and sets the bounds.
+func (e *Even) apply() {
+	homes := max(e.Homes(), 1)
+	e.mu.Lock()
+	perMember := max(e.allocation.PerMember/homes-e.Control, leastPerMember)
+	next := Amount{Connections: perMember * e.allocation.Members, Slots: perMember * e.allocation.Members}
+	changed := next != e.limit
+	e.limit = next
+	e.mu.Unlock()
+	if changed {
+		e.Connections.Set(next.Connections)
+		e.Slots.Set(next.Slots)
+	}
+}
+
+// Limit returns what this instance may use, without the connections for control.
+func (e *Even) Limit() Amount {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limit
+}
+
+// Seated reports whether the share is held.
+func (e *Even) Seated() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seated
+}
+
+func (e *Even) setSeated(seated bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seated = seated
+}
--- a/internal/shares/layout.go
+++ b/internal/shares/layout.go
@@ -20,6 +20,10 @@
 	Total    Amount
 	// FailureDomains get a seat each.
 	FailureDomains []string
+	// Members is how many members the group has, and PerMember how many
+	// connections each of them takes, where that is what is limited.
+	Members   int
+	PerMember int
 }
 
 // layout returns the seats for an allocation. Reserve seats have the size of
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -27,6 +27,7 @@
 	CallGet       Call = "get"
 	CallList      Call = "list"
 	CallPut       Call = "put"
+	CallDelete    Call = "delete"
 	CallWatch     Call = "watch"
 	CallInventory Call = "inventory"
 )
@@ -129,7 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.collection(kind).objects[name]
-	if !ok {
+	if !ok || o.Removed {
 		return platform.Object{}, platform.ErrNotFound
 	}
 	return o, nil
@@ -143,7 +144,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.collection(kind)
-	return c.after(0), c.revision, nil
+	objects := slices.DeleteFunc(c.after(0), func(o platform.Object) bool { return o.Removed })
+	return objects, c.revision, nil
 }
 
 // Put implements platform.API.
@@ -168,6 +170,9 @@
 	defer s.mu.Unlock()
 	c := s.collection(kind)
 	o = c.objects[name]
+	if o.Removed {
+		o.Version = 0
+	}
 	if o.Version != ifVersion || len(value) > platform.MaxValueSize {
 		return o, false, platform.ErrConflict
 	}
@@ -182,6 +187,27 @@
 	return o, lost, nil
 }
 
+// Delete implements platform.API.
+func (s *Store) Delete(ctx context.Context, kind platform.Kind, name string, ifVersion int64) error {
+	if err := s.begin(ctx, CallDelete); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	o, ok := c.objects[name]
+	switch {
+	case !ok || o.Removed:
+		return platform.ErrNotFound
+	case o.Version != ifVersion:
+		return platform.ErrConflict
+	}
+	c.revision++
+	c.objects[name] = platform.Object{Kind: kind, Name: name, Version: o.Version + 1, Revision: c.revision, Removed: true}
+	s.notify()
+	return nil
+}
+
 // Watch implements platform.API. It waits ten seconds at the longest.
 func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
 	return s.watch(ctx, kind, after, defaultWait)
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -4,16 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-)
-
-// Errors of the checks on an idle connection.
-var (
-	errClosedByMember = errors.New("upstream: member closed the connection")
-	errUnexpected     = errors.New("upstream: bytes on an idle connection")
+	"github.com/topazrock/topazrock/internal/netio"
 )
 
 var (
@@ -23,37 +17,7 @@
 
 // Check implements wire.Conn. It looks at the socket without a round trip, and
 // says nothing about a connection that has gone silent.
-func (c *Conn) Check() error {
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var found error
-	err = raw.Read(func(fd uintptr) bool {
-		found = peek(int(fd))
-		return true
-	})
-	return errors.Join(err, found)
-}
-
-func peek(fd int) error {
-	var one [1]byte
-	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case errors.Is(err, syscall.EAGAIN):
-		return nil
-	case err != nil:
-		return err
-	case n == 0:
-		return errClosedByMember
-	default:
-		return errUnexpected
-	}
-}
+func (c *Conn) Check() error { return netio.CheckIdle(c.net) }
 
 // Probe implements wire.Conn.
 func (c *Conn) Probe(ctx context.Context) error {
