--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -64,23 +64,33 @@
 	d.subscribers = append(d.subscribers, f)
 }
 
+const (
+	// manifestCheck bounds how late a manifest is learned while watches hear
+	// nothing: with a slow call it is still within the three seconds that an
+	// operator waits for a change.
+	manifestCheck = 2 * time.Second
+	// upstreamCheck does so for members' entries; one that leaves serves on for
+	// several seconds.
+	upstreamCheck = 4 * time.Second
+)
+
 // lapseCheck is how often missing entries are looked at.
 const lapseCheck = 500 * time.Millisecond
 
 // Run follows the platform until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	var parts sync.WaitGroup
-	parts.Go(func() { d.follower(platform.KindManifest, manifestSink{d}, 1).Run(ctx) })
-	parts.Go(func() { d.follower(platform.KindUpstreams, upstreamSink{d}, 2).Run(ctx) })
+	parts.Go(func() { d.follower(platform.KindManifest, manifestSink{d}, 1, manifestCheck).Run(ctx) })
+	parts.Go(func() { d.follower(platform.KindUpstreams, upstreamSink{d}, 2, upstreamCheck).Run(ctx) })
 	parts.Go(func() { d.watchLapses(ctx) })
 	parts.Wait()
 	return ctx.Err()
 }
 
-func (d *Directory) follower(k platform.Kind, s objectwatch.Sink, n uint64) *objectwatch.Follower {
+func (d *Directory) follower(k platform.Kind, s objectwatch.Sink, n uint64, check time.Duration) *objectwatch.Follower {
 	return objectwatch.New(objectwatch.Config{
 		API: d.config.API, Kind: k, Sink: s, Clock: d.config.Clock, Log: d.config.Log,
-		Rand: rand.New(rand.NewPCG(d.config.Seed, n)),
+		Rand: rand.New(rand.NewPCG(d.config.Seed, n)), Check: check,
 	})
 }
 
@@ -131,11 +141,12 @@
 		d.manifest, d.known = m, true
 	}
 	d.mu.Unlock()
-	if later {
+	switch {
+	case later:
 		d.log.Info("Manifest is in force.", "version", m.Version, "before", held, "databases", len(m.Databases))
-		return
+	case m.Version < held:
+		d.log.Info("Manifest is older than the one in force.", "version", m.Version, "in_force", held)
 	}
-	d.log.Info("Manifest is not newer than the one in force.", "version", m.Version, "in_force", held)
 }
 
 // adoptEntry takes a change of a member's entry.
@@ -152,6 +163,8 @@
 		d.log.Warn("Member's entry cannot be read; it names no member.", "member", o.Name, "error", err)
 		return
 	}
-	d.roster.put(u, o.Revision)
+	if !d.roster.put(u, o.Revision) {
+		return
+	}
 	d.log.Info("Member's entry.", "member", u.ID, "group", u.Group, "address", u.Address, "leaving", u.Leaving, "leads", u.Leads)
 }
--- a/internal/directory/roster.go
+++ b/internal/directory/roster.go
@@ -30,14 +30,15 @@
 
 func newRoster() *roster { return &roster{entries: make(map[string]*rosterEntry)} }
 
-// put takes a member's entry. A later entry at the same address follows the
-// earlier one's member, whose entry may linger.
-func (r *roster) put(u platform.Upstream, revision int64) {
+// put takes a member's entry and reports whether it says anything new.
+func (r *roster) put(u platform.Upstream, revision int64) bool {
 	e := r.entries[u.ID]
 	if e != nil && revision < e.revision {
-		return
+		return false
 	}
+	news := e == nil || e.upstream != u || !e.missingSince.IsZero()
 	r.entries[u.ID] = &rosterEntry{upstream: u, revision: revision}
+	return news
 }
 
 // remove notes that a member's entry is gone.
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,7 +25,7 @@
 	maxBackoff = time.Second
 )
 
-// Sink takes what a Follower learns, in order, from one goroutine.
+// Sink takes what a Follower learns, one call at a time.
 type Sink interface {
 	// Listed takes all objects of the kind.
 	Listed(objects []platform.Object)
@@ -46,6 +47,10 @@
 	// Settle is the pause before watching on after a change. Changes that come
 	// in bursts and are in no hurry are then told in one call.
 	Settle time.Duration
+	// Check is how often the objects are listed besides the watch; zero is never. A
+	// watch may hear nothing for seconds while objects change, and nothing in its
+	// answers shows it; only a list bounds how late a change is learned.
+	Check time.Duration
 }
 
 // Follower follows one kind.
@@ -55,6 +60,9 @@
 	inTouch bool
 	// failingSince is when the first of the present failures was met.
 	failingSince time.Time
+
+	// mu serialises the calls of Sink.
+	mu sync.Mutex
 }
 
 // New returns a Follower; Run makes it work.
@@ -65,6 +73,35 @@
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	if f.Check > 0 {
+		parts.Go(func() { f.check(ctx) })
+	}
+	f.follow(ctx)
+	parts.Wait()
+}
+
+// check lists the objects at an interval. A list that fails is left to the watch,
+// which finds out as well.
+func (f *Follower) check(ctx context.Context) {
+	for clock.Sleep(ctx, f.Clock, f.Check) == nil {
+		objects, _, err := f.API.List(ctx, f.Kind)
+		if err != nil {
+			f.Log.Debug("The objects were not listed.", "error", err)
+			continue
+		}
+		f.tell(func() { f.Sink.Listed(objects) })
+	}
+}
+
+// tell calls the sink.
+func (f *Follower) tell(call func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	call()
+}
+
+func (f *Follower) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		objects, revision, err := f.API.List(ctx, f.Kind)
 		if err != nil {
@@ -72,7 +109,7 @@
 			continue
 		}
 		f.succeeded()
-		f.Sink.Listed(objects)
+		f.tell(func() { f.Sink.Listed(objects) })
 		f.watch(ctx, revision)
 	}
 }
@@ -92,7 +129,7 @@
 		f.succeeded()
 		revision = next
 		if len(objects) > 0 {
-			f.Sink.Changed(objects)
+			f.tell(func() { f.Sink.Changed(objects) })
 			_ = clock.Sleep(ctx, f.Clock, f.Settle)
 		}
 	}
@@ -102,7 +139,7 @@
 	if !f.inTouch {
 		f.inTouch = true
 		f.Log.Info("The platform answers.", "failing_for", f.failedFor())
-		f.Sink.Touch(true)
+		f.tell(func() { f.Sink.Touch(true) })
 	}
 	f.backoff, f.failingSince = 0, time.Time{}
 }
@@ -125,7 +162,7 @@
 	if f.inTouch {
 		f.inTouch = false
 		f.Log.Warn("The platform does not answer.", "error", err)
-		f.Sink.Touch(false)
+		f.tell(func() { f.Sink.Touch(false) })
 	}
 	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
 	half := f.backoff / 2
