Prove the platform's rules over a stand-in of the line protocol

The stand-in member speaks the line protocol beside PostgreSQL's, on the same replicated log: SINCE, PAUSE, RESUME, STEPDOWN, STATUS, WRONGNODE, CONNLIMIT, slots, lost answers, and a hold that a restart forgets. A bed of three instances, three members, the store and the promotion call runs in virtual time; its tests cover sessions, transactions, lost answers, routes, the manifest, leaving members and a replaced primary.

--- a/internal/standin/member/node.go
+++ b/internal/standin/member/node.go
@@ -1,6 +1,7 @@
 // Package member is a stand-in for one member of a database group. It speaks
-// the PostgreSQL wire protocol over any netio.Network, keeps small keyed tables
-// in a replicated log, and can be fenced, promoted and told to follow.
+// the PostgreSQL wire protocol or the line protocol over any netio.Network, keeps
+// small keyed tables in a replicated log, and can be fenced, promoted and told to
+// follow.
 //
 // Its mutex guards the log, the rows, the row locks and the term. Hooks run
 // without it, so that a test may stop the node at a named point.
@@ -57,6 +58,12 @@
 	nextPID    uint32
 	counts     Connections
 	reads      Reads
+	// What follows is of the line protocol alone.
+	runs        []Run
+	questions   int
+	loseAnswers int
+	lineConns   int
+	heldBefore  *heldBefore
 }
 
 // New returns a node that is not started.
@@ -92,6 +99,8 @@
 	n.conns = map[net.Conn]struct{}{}
 	n.sessions = map[uint32]*session{}
 	n.attached = 0
+	// A hold is forgotten with the process.
+	n.revertHold()
 	n.rebuild()
 	if n.role == member.RolePrimary {
 		n.attached = n.entered
--- a/internal/standin/member/options.go
+++ b/internal/standin/member/options.go
@@ -15,6 +15,8 @@
 	// entered no term.
 	Primary string
 	Network netio.Network
+	// ID and Group are the names that callers of the line protocol ask for.
+	ID, Group string
 	// ConnectionTotal is how many data connections the node takes.
 	ConnectionTotal int
 	// Slots is how many statements run at once; others wait.
--- a/internal/standin/member/startup.go
+++ b/internal/standin/member/startup.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bufio"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -26,8 +27,31 @@
 	{"TimeZone", "UTC"},
 }
 
-// serve handles one connection from its first byte.
+// serve handles one connection from its first byte: the start-up message of
+// PostgreSQL begins with its length, whose first byte is zero.
 func (n *Node) serve(l *life, conn net.Conn) {
+	in := bufio.NewReader(conn)
+	first, err := in.Peek(1)
+	if err != nil {
+		return
+	}
+	if first[0] != 0 {
+		n.serveLine(l, conn, in)
+		return
+	}
+	n.servePostgres(l, &peeked{Conn: conn, in: in})
+}
+
+// peeked is a connection of which some bytes were read ahead.
+type peeked struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (p *peeked) Read(b []byte) (int, error) { return p.in.Read(b) }
+
+func (n *Node) servePostgres(l *life, conn net.Conn) {
 	backend := pgproto3.NewBackend(conn, conn)
 	for {
 		message, err := backend.ReceiveStartupMessage()
