--- a/internal/failover/attacher.go
+++ b/internal/failover/attacher.go
@@ -60,7 +60,7 @@
 			a.detached[m.Address] = now
 			continue
 		}
-		if now.Sub(since) >= wait {
+		if now.Sub(since) >= wait<<min(a.tries[m.Address], maxAttachDoublings) {
 			a.detached[m.Address] = now
 			bound := patience(a.c.Settings.Call, a.tries[m.Address])
 			a.tries[m.Address]++
@@ -70,6 +70,11 @@
 	return orders
 }
 
+// maxAttachDoublings bounds how often the wait before one more try doubles. A member
+// that does not take the call for long, such as one that is cut off from its
+// primary alone, would else be connected to several times a second.
+const maxAttachDoublings = 4
+
 // detached reports whether a member neither leads nor follows in the term.
 func detached(m group.MemberView, term logpos.Term) bool {
 	return m.Status.Entered < term || m.Status.Role == member.RoleFenced
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -52,7 +52,7 @@
 // a claim that came to nothing leaves no gap, and its term is claimed again.
 func (g *guard) nextTerm(current Record, s *group.Snapshot) logpos.Term {
 	if g.c.MembersNumberTerms {
-		return s.Term + 1
+		return s.Led + 1
 	}
 	return max(current.Term, s.Term) + 1
 }
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -55,6 +55,9 @@
 // leads in the highest term known is the primary, never one of an older term.
 func (w *Watcher) lead(f *follower) {
 	s := f.view.Status
+	if s.Role == member.RolePrimary {
+		w.led = max(w.led, s.Entered)
+	}
 	leads := s.Role == member.RolePrimary && s.Entered == w.term && w.term != 0
 	switch {
 	case leads && w.primary == "":
@@ -104,6 +107,7 @@
 	s := &Snapshot{
 		Group:        w.group,
 		Term:         w.term,
+		Led:          w.led,
 		Primary:      w.primary,
 		TermStart:    w.termStart,
 		ConfirmedAt:  w.confirmedAt(),
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -39,6 +39,9 @@
 	Term      logpos.Term
 	Primary   string
 	TermStart logpos.Position
+	// Led is the highest term in which a member reported that it leads. It is
+	// below Term while members are fenced for a promotion.
+	Led logpos.Term
 	// ConfirmedAt is when a report of a replica attached in Term was last
 	// asked for and answered; writes are refused before sending when it is old.
 	ConfirmedAt time.Time
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -33,6 +33,7 @@
 	term      logpos.Term
 	primary   string
 	termStart logpos.Position
+	led       logpos.Term
 	// head is the highest position that the primary reported in the term.
 	head    logpos.Position
 	samples samples
