Make every instance a home where members have room

An instance is now home to every group while all can have three connections to each member; past that, as many as can have four. Ruled out: a shorter dial, which mends one case of a hop that small fleets do not need.

--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -40,6 +40,7 @@
 // reconcile starts the homes that are missing and retires those that are not
 // wanted or whose members changed.
 func (n *Instance) reconcile(ctx context.Context) {
+	n.countHomes()
 	wanted := n.wantedGroups()
 	for name, h := range n.homesCopy() {
 		w, ok := wanted[name]
@@ -58,6 +59,21 @@
 	}
 }
 
+// countHomes sets how many instances are homes, where that follows from the members'
+// connections.
+func (n *Instance) countHomes() {
+	if !n.protocol.MemberShares {
+		return
+	}
+	var groups []document.Group
+	for _, g := range n.documents.Groups() {
+		groups = append(groups, g.Group)
+	}
+	if count := homesPerDomain(groups, n.members.Live()); count > 0 {
+		n.members.SetPerFailureDomain(count)
+	}
+}
+
 // wantedGroups returns the groups that this instance should be home to.
 func (n *Instance) wantedGroups() map[string]GroupInForce {
 	wanted := make(map[string]GroupInForce)
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -44,7 +44,7 @@
 
 // best returns the n instances with the highest scores for key, in order.
 func best(key string, instances []platform.Instance, n int) []ranked {
-	list := make([]ranked, 0, n+1)
+	list := make([]ranked, 0, min(n, len(instances))+1)
 	for i := range instances {
 		s := score(key, instances[i].ID)
 		if len(list) == n && s < list[n-1].score {
