Give each member its own slots, and a transaction its slot to its end

One member could also take all of the pool's connections.

The gate and the pool now bound each member, a slot stands for a connection, and routing counts who waits. Ruled out: more slots for the group, which moves the wait into the pool, where it has no order.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,6 +27,9 @@
 	Deadline time.Time
 	// Write says that the request runs at the primary.
 	Write bool
+	// Member is the address of the member that the request goes to, for gates that
+	// keep slots for each.
+	Member string
 }
 
 // Gate hands out the slots of one group.
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -34,10 +34,20 @@
 	}
 }
 
-// enter waits for a slot.
-func (g *Group) enter(ctx context.Context, p plan, inTransaction bool) (func(), error) {
+// enter waits for a slot to run a unit at a member.
+func (g *Group) enter(ctx context.Context, p plan, member string) (func(), error) {
 	deadline, _ := ctx.Deadline()
-	return g.Gate.Enter(ctx, p.admission(deadline, inTransaction))
+	return g.Gate.Enter(ctx, p.admission(deadline, member, false))
+}
+
+// enterTransaction waits for a slot for one more unit of an open transaction. Where
+// a slot stands for a connection, the transaction has it already.
+func (g *Group) enterTransaction(ctx context.Context, p plan, tx *transaction) (func(), error) {
+	if tx.release != nil {
+		return func() {}, nil
+	}
+	deadline, _ := ctx.Deadline()
+	return g.Gate.Enter(ctx, p.admission(deadline, tx.conn.Address(), true))
 }
 
 // Cancel implements execution.Executor.
--- a/internal/executor/intransaction.go
+++ b/internal/executor/intransaction.go
@@ -19,7 +19,7 @@
 	if tx.ended {
 		return nil, result.New(result.TransactionLost, "it was ended before")
 	}
-	release, err := g.enter(ctx, p, true)
+	release, err := g.enterTransaction(ctx, p, tx)
 	if err != nil {
 		g.end(tx, true)
 		return nil, err
@@ -155,6 +155,9 @@
 		tx.conn.Spoil()
 	}
 	g.Pool.Release(tx.conn)
+	if tx.release != nil {
+		tx.release()
+	}
 }
 
 // Abandon implements execution.Executor. The connection is kept: a new one costs
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -102,13 +102,14 @@
 	return u.Key
 }
 
-func (p *plan) admission(deadline time.Time, inTransaction bool) admission.Request {
+func (p *plan) admission(deadline time.Time, member string, inTransaction bool) admission.Request {
 	r := admission.Request{
 		Class:    p.class,
 		Priority: p.priority,
 		MaxQueue: p.maxQueue,
 		Deadline: deadline,
 		Write:    !p.read,
+		Member:   member,
 	}
 	if inTransaction {
 		// A transaction holds locks that others wait for, so its statements
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -66,11 +66,19 @@
 // defaultConfirmationAge is ten times the time between two polls of a replica.
 const defaultConfirmationAge = time.Second
 
-// atPrimary sends the unit to the primary and confirms it. It calls release
-// when the member has finished: confirmation needs no slot.
-func (g *Group) atPrimary(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error, release func()) (*execution.Reply, error) {
+// atPrimary sends the unit to the primary and confirms it. The slot is given back
+// when the member has finished: confirmation needs none.
+func (g *Group) atPrimary(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
 	s, err := g.writablePrimary()
 	if err != nil {
+		return nil, err
+	}
+	release, err := g.enter(ctx, p, s.Primary)
+	if err != nil {
+		return nil, err
+	}
+	// The wait may have outlived the primary.
+	if s, err = g.writablePrimary(); err != nil {
 		release()
 		return nil, err
 	}
@@ -89,14 +97,17 @@
 		return nil, err
 	}
 	err = g.converse(ctx, p, x, g.primarySteps(u, p)...)
-	release()
+	if err != nil || x.Final == wire.Idle || !g.Wire.SlotIsConnection {
+		release()
+		release = nil
+	}
 	if err != nil {
 		x.verification.Drop()
 		g.Pool.Release(c)
 		g.reportBroken(c, err)
 		return nil, unknown(ctx, err)
 	}
-	return g.concludeAtPrimary(ctx, u, p, x)
+	return g.concludeAtPrimary(ctx, u, p, x, release)
 }
 
 // proveReads sees to what reads at the primary need, those of a transaction that
@@ -137,18 +148,20 @@
 }
 
 // concludeAtPrimary turns the finished exchange into a reply: an open
-// transaction, or a confirmed outcome.
-func (g *Group) concludeAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange) (*execution.Reply, error) {
+// transaction, or a confirmed outcome. release gives back the slot that an open
+// transaction keeps; it is nil where the slot was given back.
+func (g *Group) concludeAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, release func()) (*execution.Reply, error) {
 	if x.KeyFailure != nil {
 		return nil, g.keyRefused(ctx, u, x)
 	}
 	if err := g.refusedAtPrimary(p, x); err != nil {
 		x.verification.Drop()
 		g.giveBack(x)
+		freeSlot(release)
 		return nil, err
 	}
 	if x.Final != wire.Idle {
-		return g.beginAtPrimary(ctx, u, p, x)
+		return g.beginAtPrimary(ctx, u, p, x, release)
 	}
 	if x.verification != nil {
 		return g.concludeFresh(ctx, u, p, x)
@@ -187,14 +200,22 @@
 
 // beginAtPrimary keeps the transaction that the unit opened. The answer to a
 // fresh read in it waits for the proof.
-func (g *Group) beginAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange) (*execution.Reply, error) {
+func (g *Group) beginAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, release func()) (*execution.Reply, error) {
 	if x.verification != nil && u.ReadOnly {
 		if err := g.verified(ctx, p, x); err != nil {
 			g.giveBack(x)
+			freeSlot(release)
 			return nil, err
 		}
 	}
-	return g.openTransaction(u, x, false, p.keyOf(u)), nil
+	return g.openTransaction(u, x, false, p.keyOf(u), release), nil
+}
+
+// freeSlot gives back a slot that is still held.
+func freeSlot(release func()) {
+	if release != nil {
+		release()
+	}
 }
 
 // concludeFresh answers a read that had to be fresh.
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -26,7 +26,7 @@
 	for attempt := 1; ; attempt++ {
 		m, ok := g.pickReplica(n, exclude)
 		if !ok {
-			return g.readAtPrimary(ctx, u, p, partial)
+			return g.atPrimary(ctx, u, p, partial)
 		}
 		reply, streamed, err := g.atReplica(ctx, u, p, m, n, partial)
 		if err == nil || streamed || !g.mayRetryRead(ctx, err, attempt) {
@@ -69,7 +69,7 @@
 		Checked:       g.Wire.ChecksPosition,
 		FailureDomain: g.FailureDomain,
 		Exclude:       exclude,
-		Load:          g.running.at,
+		Load:          g.loadAt,
 		Behind:        func(address string) bool { return g.behind.at(address, now) },
 	}
 	if n.maxAge > 0 {
@@ -80,22 +80,31 @@
 	return routing.Replica(g.Tracker.Snapshot(), r, g.Random)
 }
 
-func (g *Group) readAtPrimary(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
-	release, err := g.enter(ctx, p, false)
-	if err != nil {
-		return nil, err
+// loadAt is how many statements of this instance run at a member or wait for it.
+func (g *Group) loadAt(address string) int {
+	load := g.running.at(address)
+	if q, ok := g.Gate.(memberQueues); ok {
+		load += q.Waiting(address)
 	}
-	return g.atPrimary(ctx, u, p, partial, release)
+	return load
 }
 
+// memberQueues is a gate that keeps a queue for each member.
+type memberQueues interface{ Waiting(member string) int }
+
 // atReplica runs the read at one replica. The second value says that a piece of
 // the answer has gone out, after which the read cannot be sent elsewhere.
 func (g *Group) atReplica(ctx context.Context, u *execution.Unit, p plan, m group.MemberView, n need, partial func([]byte) error) (*execution.Reply, bool, error) {
-	release, err := g.enter(ctx, p, false)
+	release, err := g.enter(ctx, p, m.Address)
 	if err != nil {
 		return nil, false, err
 	}
-	defer release()
+	held := false
+	defer func() {
+		if !held {
+			release()
+		}
+	}()
 	c, err := g.Pool.Acquire(ctx, m.Address)
 	if err != nil {
 		g.reportRefused(m.Address, err)
@@ -119,7 +128,8 @@
 	}
 	if x.Final != wire.Idle {
 		u.Token = n.token
-		return g.openTransaction(u, x, true, ""), false, nil
+		held = g.Wire.SlotIsConnection
+		return g.openTransaction(u, x, true, "", release), false, nil
 	}
 	g.Pool.Release(c)
 	return g.reply(n.token, x, true), false, nil
--- a/internal/executor/reply.go
+++ b/internal/executor/reply.go
@@ -18,10 +18,14 @@
 	}
 }
 
-// openTransaction keeps the connection for the transaction that the unit opened.
-func (g *Group) openTransaction(u *execution.Unit, x *exchange, replica bool, key string) *execution.Reply {
+// openTransaction keeps the connection for the transaction that the unit opened, and
+// with it the slot where one stands for a connection.
+func (g *Group) openTransaction(u *execution.Unit, x *exchange, replica bool, key string, release func()) *execution.Reply {
 	tx := &transaction{key: key, conn: x.conn, replica: replica, term: x.term, token: u.Token, lastUsed: g.Clock.Now(),
 		wrote: !u.ReadOnly && !replica}
+	if g.Wire.SlotIsConnection {
+		tx.release = release
+	}
 	if !u.ReadOnly {
 		tx.verification = x.verification
 	}
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -10,7 +10,7 @@
 // proved not to have run, or where it only reads.
 func (g *Group) write(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
 	for attempt := 1; ; attempt++ {
-		reply, err := g.writeOnce(ctx, u, p, partial)
+		reply, err := g.atPrimary(ctx, u, p, partial)
 		if err == nil {
 			return reply, nil
 		}
@@ -26,11 +26,3 @@
 		return nil, err
 	}
 }
-
-func (g *Group) writeOnce(ctx context.Context, u *execution.Unit, p plan, partial func([]byte) error) (*execution.Reply, error) {
-	release, err := g.enter(ctx, p, false)
-	if err != nil {
-		return nil, err
-	}
-	return g.atPrimary(ctx, u, p, partial, release)
-}
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -20,11 +20,13 @@
 // a seat of the group's connections first; only with a seat does it connect to
 // members and take units.
 type home struct {
-	group    document.Group
-	watcher  *group.Watcher
-	claimer  *failover.Claimer
-	pool     *pool.Limited
-	gate     *admission.Controller
+	group   document.Group
+	watcher *group.Watcher
+	claimer *failover.Claimer
+	pool    *pool.Limited
+	gate    *admission.Controller
+	// queues are the gate where members have slots of their own; nil otherwise.
+	queues   *admission.PerMember
 	executor *executor.Group
 	router   *executor.Router
 	seats    share
@@ -53,13 +55,18 @@
 	})
 	h.claimer = n.newClaimer(g, h.watcher)
 	h.pool = n.newPool(g)
-	h.gate = admission.New(admission.Config{
+	gate := admission.Config{
 		Group:   g.Name,
 		Clock:   n.options.Clock,
 		Rand:    n.random("admission/" + g.Name),
 		Logger:  n.options.Logger,
 		Metrics: n.metrics.admission,
-	})
+	}
+	if n.protocol.Wire.SlotIsConnection {
+		h.queues = admission.NewPerMember(gate)
+	} else {
+		h.gate = admission.New(gate)
+	}
 	h.executor = n.newExecutor(g, h)
 	h.seats = n.newShare(g, version, h)
 	return h
@@ -89,7 +96,7 @@
 		Service:       func() *document.Service { return n.service(g.Name) },
 		Tracker:       n.tracker(h.watcher),
 		Pool:          h.pool,
-		Gate:          h.gate,
+		Gate:          h.gateInUse(),
 		Budget: retry.New(retry.Config{
 			Group:   g.Name,
 			Clock:   n.options.Clock,
@@ -107,6 +114,20 @@
 	})
 }
 
+// gateInUse returns the gate that units go through.
+func (h *home) gateInUse() admission.Gate {
+	if h.queues != nil {
+		return h.queues
+	}
+	return h.gate
+}
+
+// setPerMember bounds what the home uses of each member.
+func (h *home) setPerMember(connections int) {
+	h.pool.SetMemberLimit(connections)
+	h.queues.SetSlots(connections)
+}
+
 // tracker returns the view of a group that execution uses.
 func (n *Instance) tracker(w *group.Watcher) group.Tracker {
 	if n.options.WrapTracker == nil {
@@ -121,7 +142,7 @@
 	if n.protocol.MemberShares {
 		e := &shares.Even{
 			Connections: shares.Pool(h.pool),
-			Slots:       shares.Gate(h.gate),
+			Each:        h.setPerMember,
 			Control:     controlPerMember,
 			Homes:       func() int { return len(n.members.Homes(g.Name)) },
 			SeatChanged: h.seatChanged,
--- a/internal/pool/dispatch.go
+++ b/internal/pool/dispatch.go
@@ -41,6 +41,8 @@
 	switch {
 	case c.openings[m] < m.opening:
 		c.openings[m]++
+	case p.memberFull(m, 0):
+		// The end of a use dispatches again.
 	case p.opening >= p.cfg.MaxOpening || !m.mayOpen(now):
 		// The end of an opening or of the pause dispatches again.
 	case p.total() < p.limit:
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -21,15 +21,17 @@
 	stop       context.CancelFunc
 	gauges     gauges
 
-	mu       sync.Mutex
-	limit    int
-	entries  map[wire.Conn]*entry
-	members  map[string]*memberState
-	waiting  waitlist.List[*waiter]
-	arrivals uint64
-	inUse    int
-	opening  int
-	probing  int
+	mu    sync.Mutex
+	limit int
+	// memberLimit bounds the connections to each member; zero means no bound.
+	memberLimit int
+	entries     map[wire.Conn]*entry
+	members     map[string]*memberState
+	waiting     waitlist.List[*waiter]
+	arrivals    uint64
+	inUse       int
+	opening     int
+	probing     int
 	// closing counts closings whose end the member has not confirmed yet and
 	// failed openings that the member may still see.
 	closing int
@@ -180,6 +182,27 @@
 	p.dispatch()
 }
 
+// SetMemberLimit changes the limit of each member. Idle connections past it are
+// closed at once, those in use when they are released.
+func (p *Limited) SetMemberLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.memberLimit = n
+	for _, m := range p.members {
+		for p.memberFull(m, 1) && len(m.idle) > 0 {
+			p.idle--
+			p.startClose(m.takeOldest(), closedLimit)
+		}
+	}
+	p.dispatch()
+}
+
+// memberFull reports whether a member has its limit of connections, or more than
+// that by over.
+func (p *Limited) memberFull(m *memberState, over int) bool {
+	return p.memberLimit > 0 && m.counted() >= p.memberLimit+over
+}
+
 // Settle waits until no more connections count than the limit allows.
 func (p *Limited) Settle(ctx context.Context) error {
 	return p.changed.Wait(ctx, &p.mu, func() bool { return p.total() <= p.limit })
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -23,6 +23,9 @@
 	refused bool
 }
 
+// counted is how many connections to the member count.
+func (m *memberState) counted() int { return len(m.idle) + m.inUse + m.opening + m.probing }
+
 // takeIdle removes and returns the connection used last; nil if there is none.
 func (m *memberState) takeIdle() *entry {
 	n := len(m.idle)
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -45,6 +45,8 @@
 	case p.total()-p.closing >= p.limit:
 		// The limit was lowered; e itself is not in the counts here.
 		p.startClose(e, closedLimit)
+	case p.memberFull(e.member, 0):
+		p.startClose(e, closedLimit)
 	case e.suspect:
 		p.startProbe(e)
 	default:
--- a/internal/shares/even.go
+++ b/internal/shares/even.go
@@ -11,9 +11,10 @@
 // how many homes there are; then a member refuses a connection and the pool waits,
 // which costs less than a ledger that every instance writes.
 type Even struct {
-	// Connections and Slots are bounded by the share.
+	// Connections is bounded by the share.
 	Connections Resource
-	Slots       Resource
+	// Each is told how many connections the share has to each member.
+	Each func(perMember int)
 	// Control is how many connections to each member a home uses beside those of
 	// Connections.
 	Control int
@@ -46,7 +47,6 @@
 	e.setSeated(false)
 	e.SeatChanged(false)
 	e.Connections.Set(0)
-	e.Slots.Set(0)
 	return e.Connections.Settle(ctx)
 }
 
@@ -72,7 +72,7 @@
 	e.mu.Unlock()
 	if changed {
 		e.Connections.Set(next.Connections)
-		e.Slots.Set(next.Slots)
+		e.Each(perMember)
 	}
 }
 
--- a/internal/wire/features.go
+++ b/internal/wire/features.go
@@ -9,6 +9,9 @@
 	// TellsLog says that answers tell the member's log, so that a commit needs no
 	// report behind it.
 	TellsLog bool
+	// SlotIsConnection says that a slot of the gate stands for a connection to one
+	// member, so that a transaction keeps its slot.
+	SlotIsConnection bool
 	// TellsEnd says that units tell for certain which of them commits, so that a
 	// transaction whose commit was not sent is known to be rolled back.
 	TellsEnd bool
