Ask silent members for a report; hedge slow reads

A member that has answered nothing for 150 ms while it has statements is asked for its report, and a read that stands alone asks a second replica after a third of its objective, out of the retry budget.

--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -80,6 +80,9 @@
 	MaxQueue int
 	// Timeout is the class's deadline; zero means Limits.RequestTimeout.
 	Timeout time.Duration
+	// Objective is the time in which callers want their answer; zero where none is
+	// stated.
+	Objective time.Duration
 }
 
 // RequestClass is a declared kind of request that may write.
--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -44,7 +44,7 @@
 	x.ticket = g.Tracker.Ask()
 	g.running.start(x.Unit.ID, x.conn, g.Clock.Now())
 	err := x.conn.Run(&x.Exchange)
-	g.running.stop(x.Unit.ID, x.conn)
+	g.running.stop(x.Unit.ID, x.conn, g.Clock.Now(), err == nil)
 	if err == nil && x.Log != (logpos.Mark{}) {
 		g.Tracker.Sighted(x.conn.Address(), x.ticket, group.Sighting{Log: x.Log, Committed: x.Committed})
 	}
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -32,6 +32,7 @@
 	priority   int
 	maxQueue   int
 	timeout    time.Duration
+	objective  time.Duration
 	limits     document.Limits
 }
 
@@ -53,6 +54,7 @@
 		p.read = !r.Writes || u.OnlyReads()
 		p.maxAge = r.MaxAge
 		p.fresh = r.Primary
+		p.objective = r.Objective
 		p.override(r.Priority, r.MaxQueue, r.Timeout)
 		return p, nil
 	}
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -28,14 +28,23 @@
 		if !ok {
 			return g.atPrimary(ctx, u, p, partial)
 		}
-		reply, streamed, err := g.atReplica(ctx, u, p, m, n, partial)
-		if err == nil || streamed || !g.mayRetryRead(ctx, err, attempt) {
-			return reply, err
+		o := g.attempt(ctx, u, p, m, n, exclude, partial)
+		if o.err == nil || o.streamed || !g.mayRetryRead(ctx, o.err, attempt) {
+			return o.reply, o.err
 		}
-		exclude[m.Address] = true
+		exclude[o.member] = true
 	}
 }
 
+// attempt runs a read at a replica, with a hedge where it may have one.
+func (g *Group) attempt(ctx context.Context, u *execution.Unit, p plan, m group.MemberView, n need, exclude map[string]bool, partial func([]byte) error) outcome {
+	if g.hedgeable(u, p) {
+		return g.hedged(ctx, u, p, m, n, exclude, partial)
+	}
+	reply, streamed, err := g.atReplica(ctx, u, p, m, n, partial)
+	return outcome{m.Address, reply, streamed, err}
+}
+
 // onlyPrepares reports that a unit shows no rows and changes none. What its
 // statements name must still be there, so a session that may have made it
 // elsewhere a moment ago is not meant.
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -13,6 +13,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { g.endDoomed(ctx) })
 	parts.Go(func() { g.endIdle(ctx) })
+	parts.Go(func() { g.watchSilence(ctx) })
 	parts.Wait()
 }
 
--- a/internal/executor/running.go
+++ b/internal/executor/running.go
@@ -22,10 +22,12 @@
 	mu    sync.Mutex
 	units map[string]*runningUnit
 	load  map[string]int
+	// heard is when a member last ended a unit.
+	heard map[string]time.Time
 }
 
 func newRunning() *running {
-	return &running{units: make(map[string]*runningUnit), load: make(map[string]int)}
+	return &running{units: make(map[string]*runningUnit), load: make(map[string]int), heard: make(map[string]time.Time)}
 }
 
 func (r *running) start(unitID string, c wire.Conn, now time.Time) {
@@ -37,7 +39,7 @@
 
 // stop ends a unit. A connection that a cancel request names is spoiled: the
 // request may arrive late and would stop the next caller's statement.
-func (r *running) stop(unitID string, c wire.Conn) {
+func (r *running) stop(unitID string, c wire.Conn, now time.Time, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if u := r.units[unitID]; u != nil && u.cancelled {
@@ -45,6 +47,9 @@
 	}
 	delete(r.units, unitID)
 	r.load[c.Address()]--
+	if answered {
+		r.heard[c.Address()] = now
+	}
 }
 
 // claimCancel returns the connection of a unit that is still at work, for one
@@ -78,3 +83,20 @@
 	defer r.mu.Unlock()
 	return r.load[address]
 }
+
+// silent returns the members that have ended no unit since a moment, and have one
+// that was sent before it.
+func (r *running) silent(since time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []string
+	seen := make(map[string]bool)
+	for _, u := range r.units {
+		address := u.conn.Address()
+		if !seen[address] && u.since.Before(since) && r.heard[address].Before(since) {
+			seen[address] = true
+			found = append(found, address)
+		}
+	}
+	return found
+}
--- a/internal/retry/reason.go
+++ b/internal/retry/reason.go
@@ -31,6 +31,8 @@
 	NoPrimary Reason = "no_primary"
 	// Replaced: the member turned out not to be the primary, before sending.
 	Replaced Reason = "primary_replaced"
+	// Slow: the member has not answered a read yet, and another one is asked too.
+	Slow Reason = "slow"
 	// NotFresh: the chosen replica did not reach the position in time.
 	NotFresh Reason = "no_fresh_replica"
 	// PeerUnreachable: no home instance of the group could be reached.
--- a/internal/wire/features.go
+++ b/internal/wire/features.go
@@ -12,6 +12,9 @@
 	// SlotIsConnection says that a slot of the gate stands for a connection to one
 	// member, so that a transaction keeps its slot.
 	SlotIsConnection bool
+	// HoldsAnswers says that answers are always held whole, so that two attempts of a
+	// read cannot both have sent a piece.
+	HoldsAnswers bool
 	// TellsEnd says that units tell for certain which of them commits, so that a
 	// transaction whose commit was not sent is known to be rolled back.
 	TellsEnd bool
