Spill aged reads to an idle primary; be patient with busy members

And an instance that came out of a cut claimed a term at once, because the primary had been silent to it for six seconds.

A read goes to the primary where its replica has two statements of this instance more; a question to a member that answers statements is waited for; a lost primary's time counts from when the instance reaches a majority again, and the others are probed when one member answers.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -13,6 +13,8 @@
 	Now() time.Time
 	// NewTimer returns a timer that fires once after d.
 	NewTimer(d time.Duration) *time.Timer
+	// AfterFunc calls f in its own goroutine after d, unless the timer is stopped.
+	AfterFunc(d time.Duration, f func()) *time.Timer
 }
 
 // System is the Clock of the running process.
@@ -23,3 +25,6 @@
 
 // NewTimer implements Clock.
 func (System) NewTimer(d time.Duration) *time.Timer { return time.NewTimer(d) }
+
+// AfterFunc implements Clock.
+func (System) AfterFunc(d time.Duration, f func()) *time.Timer { return time.AfterFunc(d, f) }
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -74,12 +74,13 @@
 func (g *Group) pickReplica(n need, exclude map[string]bool) (group.MemberView, bool) {
 	now := g.Clock.Now()
 	r := routing.Read{
-		Required:      n.position,
-		Checked:       g.Wire.ChecksPosition,
-		FailureDomain: g.FailureDomain,
-		Exclude:       exclude,
-		Load:          g.loadAt,
-		Behind:        func(address string) bool { return g.behind.at(address, now) },
+		Required:       n.position,
+		Checked:        g.Wire.ChecksPosition,
+		FailureDomain:  g.FailureDomain,
+		Exclude:        exclude,
+		Load:           g.loadAt,
+		SpillToPrimary: g.spill(),
+		Behind:         func(address string) bool { return g.behind.at(address, now) },
 	}
 	if n.maxAge > 0 {
 		r.NotBefore = now.Add(-n.maxAge)
@@ -89,6 +90,21 @@
 	return routing.Replica(g.Tracker.Snapshot(), r, g.Random)
 }
 
+// spillAfter is how many statements of this instance a replica must have more than
+// the primary before an aged read goes to the primary. With one replica of two lost,
+// all aged reads of a group met the other one, whose queue then held up the
+// confirmations of writes as well, while the primary had room.
+const spillAfter = 2
+
+// spill is how many statements busier replicas must be for a read to go to the
+// primary; zero where a read there needs more than a position.
+func (g *Group) spill() int {
+	if g.Wire.ChecksPosition {
+		return spillAfter
+	}
+	return 0
+}
+
 // loadAt is how many statements of this instance run at a member or wait for it.
 func (g *Group) loadAt(address string) int {
 	load := g.running.at(address)
@@ -141,7 +157,7 @@
 		return g.openTransaction(u, x, true, "", release), false, nil
 	}
 	g.Pool.Release(c)
-	return g.reply(n.token, x, true), false, nil
+	return g.reply(n.token, x, m.Address != g.Tracker.Snapshot().Primary), false, nil
 }
 
 // refusedByMember returns the error of a read that another member may answer.
--- a/internal/failover/claim_model_test.go
+++ b/internal/failover/claim_model_test.go
@@ -25,6 +25,9 @@
 // NewTimer implements clock.Clock.
 func (h *hurried) NewTimer(time.Duration) *time.Timer { return time.NewTimer(0) }
 
+// AfterFunc implements clock.Clock.
+func (h *hurried) AfterFunc(_ time.Duration, f func()) *time.Timer { return time.AfterFunc(0, f) }
+
 // fixedView is a view that the model replaces.
 type fixedView struct {
 	View
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -20,6 +20,8 @@
 	// troubled is when the term last rose or its primary last missed a probe.
 	rises    int
 	troubled time.Time
+	// reachable is since when a majority has been reached; zero while none is.
+	reachable time.Time
 }
 
 // maxPatience bounds how often the detection time doubles, once for each rise
@@ -45,11 +47,16 @@
 func (p *suspicion) assess(now time.Time, s *group.Snapshot, rank int) verdict {
 	cause := p.causeOf(s)
 	p.note(now, s, cause)
+	p.noteReach(now, s)
 	began, wait := p.since, time.Duration(rank)*p.settings.Stagger
 	switch cause {
 	case CauseLost:
 		m, _ := s.Find(s.Primary)
 		began = m.Failing
+		// While this instance was cut off itself, the primary's silence said nothing.
+		if p.reachable.After(began) {
+			began = p.reachable
+		}
 		wait += p.detection(m)
 	case CauseLeaderless:
 		wait += p.takeover()
@@ -68,6 +75,16 @@
 	return verdict{cause: cause, began: began, due: began.Add(wait)}
 }
 
+// noteReach keeps the time since which a majority has been reached.
+func (p *suspicion) noteReach(now time.Time, s *group.Snapshot) {
+	switch {
+	case !reaches(s):
+		p.reachable = time.Time{}
+	case p.reachable.IsZero():
+		p.reachable = now
+	}
+}
+
 // detection is how long the primary must have failed. A refused probe is no
 // matter of patience: a process that is slow does not refuse.
 func (p *suspicion) detection(m group.MemberView) time.Duration {
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -95,10 +95,12 @@
 
 // ask sends one question and takes in its outcome.
 func (f *follower) ask(ctx context.Context, q question) {
-	ctx, cancel := context.WithTimeout(ctx, q.bound)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	fresh := f.control == nil
 	t := f.begin(cancel, fresh)
+	ctx, stop := f.bounded(ctx, t, q.bound)
+	defer stop()
 	s, err := f.call(ctx, q)
 	f.finish(t, q, s, err)
 	f.noteSilence(t, fresh, err)
@@ -120,11 +122,45 @@
 	}
 }
 
+// bounded ends a question when its bound has passed and the member has answered
+// nothing else since it was asked. One that answers statements is busy and not gone;
+// to give up on it would cost a new connection, which waits in the same queue.
+func (f *follower) bounded(ctx context.Context, t Ticket, bound time.Duration) (context.Context, context.CancelFunc) {
+	if f.w.intervals.Spread == 0 {
+		return context.WithTimeout(ctx, bound)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	latest := t.at.Add(busyFactor * bound)
+	var expire func()
+	expire = func() {
+		now := f.w.clock.Now()
+		if f.answeredSince(now.Add(-bound)) && now.Before(latest) && ctx.Err() == nil {
+			f.w.clock.AfterFunc(bound, expire)
+			return
+		}
+		cancel(context.DeadlineExceeded)
+	}
+	timer := f.w.clock.AfterFunc(bound, expire)
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// busyFactor is how many times its bound a question to a busy member may take.
+const busyFactor = 20
+
+func (f *follower) answeredSince(moment time.Time) bool {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	return f.sightedAt.After(moment)
+}
+
 // noteSilence tells of a kept connection that never answered while a new one
 // does: something between the two ends has lost track of open connections.
 func (f *follower) noteSilence(t Ticket, fresh bool, err error) {
 	switch {
-	case !fresh && errors.Is(err, context.DeadlineExceeded):
+	case !fresh && err != nil:
 		f.silentSince = t.at
 	case fresh && err == nil && !f.silentSince.IsZero():
 		f.w.onSilence(f.silentSince)
@@ -220,9 +256,21 @@
 	}
 	f.w.log.Info("Member answers again.", "group", f.w.group, "member", f.view.Address)
 	f.view.Failing, f.view.Failures, f.view.Refused = time.Time{}, 0, false
+	f.w.probeOthers(f)
 	f.w.notify()
 }
 
+// probeOthers has the members that fail probed at once when one of them answers
+// again: what cut this instance off from it may be over for all.
+func (w *Watcher) probeOthers(recovered *follower) {
+	for _, f := range w.followers {
+		if f != recovered && !f.view.Failing.IsZero() {
+			f.askedAt = time.Time{}
+			f.wake()
+		}
+	}
+}
+
 // failed counts a failed probe on a new connection.
 func (f *follower) failed(t Ticket, err error) {
 	f.w.mu.Lock()
--- a/internal/routing/read.go
+++ b/internal/routing/read.go
@@ -27,6 +27,9 @@
 	Exclude map[string]bool
 	// Load tells how many statements of this instance run at a member.
 	Load func(address string) int
+	// SpillToPrimary lets the primary answer where the replicas are that much busier:
+	// by so many statements of this instance. Zero keeps reads off the primary.
+	SpillToPrimary int
 	// Behind tells whether a member lately lacked a required position; it may be
 	// nil.
 	Behind func(address string) bool
@@ -43,7 +46,7 @@
 		if !eligible(s, m, r) {
 			continue
 		}
-		score := score(m, r, random)
+		score := score(m, s.Primary, r, random)
 		if !found || score < bestScore {
 			best, bestScore, found = m, score, true
 		}
@@ -58,11 +61,14 @@
 // scoreStep separates the ranks of a score: load, own failure domain, chance.
 const scoreStep = 16
 
-func score(m group.MemberView, r Read, random *rand.Rand) int {
+func score(m group.MemberView, primary string, r Read, random *rand.Rand) int {
 	s := r.Load(m.Address) * 2
 	if m.FailureDomain != r.FailureDomain {
 		s++
 	}
+	if m.Address == primary {
+		s += r.SpillToPrimary * 2
+	}
 	if r.Behind != nil && r.Behind(m.Address) {
 		s += behindPenalty
 	}
@@ -71,8 +77,11 @@
 
 func eligible(s *group.Snapshot, m group.MemberView, r Read) bool {
 	st := m.Status
+	if m.Address == s.Primary {
+		return r.SpillToPrimary > 0 && !r.Exclude[m.Address] && !m.Leaving && m.Failing.IsZero()
+	}
 	switch {
-	case m.Address == s.Primary, r.Exclude[m.Address], m.Leaving, !m.Failing.IsZero():
+	case r.Exclude[m.Address], m.Leaving, !m.Failing.IsZero():
 		return false
 	case st.Role != member.RoleReplica:
 		return false
