Send callers away from an instance that is cut off

An instance that reaches less than a majority of the members of most groups for 300 ms is not ready, and after the balancer's two probes sends idle callers elsewhere. A stop no longer moves its homes to peers before its callers have left. Ruled out: refusing START, which callers meet again in the same failure domain.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
@@ -42,6 +43,9 @@
 type Server struct {
 	config Config
 
+	// dismissals counts the calls of Dismiss.
+	dismissals atomic.Uint64
+
 	mu       sync.Mutex
 	sessions map[Session]net.Conn
 	draining bool
@@ -119,6 +123,31 @@
 	return s.draining
 }
 
+// Dismiss sends the callers that are idle now elsewhere: their sessions end as soon
+// as nothing of theirs is open. Callers that come later are taken as usual.
+func (s *Server) Dismiss() {
+	s.dismissals.Add(1)
+	s.mu.Lock()
+	all := s.list()
+	s.mu.Unlock()
+	for _, n := range all {
+		n.Wake()
+	}
+}
+
+// Dismissals counts the calls of Dismiss. A session that sees it rise is to end when
+// it is idle.
+func (s *Server) Dismissals() uint64 { return s.dismissals.Load() }
+
+// list returns the sessions. The caller holds s.mu.
+func (s *Server) list() []Session {
+	all := make([]Session, 0, len(s.sessions))
+	for n := range s.sessions {
+		all = append(all, n)
+	}
+	return all
+}
+
 // Drain refuses new callers, wakes idle sessions so that they end, and lets
 // units and transactions in flight finish. It returns when every session has
 // ended; when ctx ends first, the sessions that are left are cut off.
@@ -145,11 +174,7 @@
 	if len(s.sessions) == 0 {
 		close(s.ended)
 	}
-	all := make([]Session, 0, len(s.sessions))
-	for n := range s.sessions {
-		all = append(all, n)
-	}
-	return all
+	return s.list()
 }
 
 func (s *Server) cutOff() {
--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -154,6 +154,9 @@
 	if l.instance.callers.Draining() || l.instance.leaving.Load() {
 		reasons = append(reasons, "draining")
 	}
+	if l.instance.cutOff.Load() {
+		reasons = append(reasons, "cut off from most groups")
+	}
 	var unasked []string
 	for name, h := range l.instance.homesCopy() {
 		if !asked(h.watcher.Snapshot()) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -37,6 +37,8 @@
 	members   *membership.Members
 	// registry keeps the list of instances where the platform does not; nil otherwise.
 	registry *registry.Registry
+	// cutOff says that the instance reaches only minorities of most groups.
+	cutOff atomic.Bool
 	// leaving says that the graceful shutdown has begun.
 	leaving atomic.Bool
 	peers   *peer.Server
@@ -176,6 +178,7 @@
 	n.reconciling.Go(func() { n.runHomes(parts) })
 	n.running.Go(func() { n.serveAdmin(parts) })
 	n.running.Go(func() { n.serveReady(parts) })
+	n.running.Go(func() { n.watchReach(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.callers.Serve(callers) })
 	select {
@@ -240,9 +243,14 @@
 	// Callers still come, and peers still send units here, until the balancer has
 	// seen that the instance is not ready.
 	_ = clock.Sleep(ctx, n.options.Clock, limits.Linger)
-	n.members.SetDraining()
+	if !n.protocol.MemberShares {
+		n.members.SetDraining()
+	}
 	// Callers that connect now are told to go elsewhere; the listener closes last.
 	err := n.callers.Drain(ctx)
+	// Where every instance is a home, those that are left go on at this one: sent
+	// elsewhere, they would open connections there for their last statements.
+	n.members.SetDraining()
 	err = errors.Join(err, n.router.Drain(ctx))
 	callers.Close()
 	// Peers that still send units here are told to go elsewhere; closing at once
--- /dev/null
+++ b/internal/instance/reach.go
@@ -0,0 +1,81 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/group"
+)
+
+const (
+	// cutOffAfter is how long an instance must have reached only minorities before it
+	// takes itself for cut off: long against the loss of one member, whose probes
+	// fail one by one.
+	cutOffAfter = 300 * time.Millisecond
+	// backAfter is how long it must reach majorities again before callers are asked
+	// to come: a link that flaps would else bring them back too soon.
+	backAfter = 300 * time.Millisecond
+	// dismissAfter is when idle callers are sent elsewhere, counted from when the
+	// instance is not ready: the balancer needs two probes a second apart, and one
+	// that reconnects before would come back here.
+	dismissAfter = 2200 * time.Millisecond
+)
+
+// reach decides whether an instance is cut off from the groups: it reaches less than a
+// majority of the members of most of them. It can then confirm nothing, whatever the
+// others do, and its callers are better served elsewhere. One group that is down says
+// nothing of the instance. It does no I/O.
+type reach struct {
+	// changed is when what is reached last changed between minorities and majorities;
+	// minority is what it changed to.
+	changed  time.Time
+	minority bool
+	// cutOff is the present verdict, since when, and whether idle callers were sent
+	// elsewhere since then.
+	cutOff    bool
+	since     time.Time
+	dismissed bool
+}
+
+// reachEvent is what follows from a look at the groups.
+type reachEvent int
+
+// Events.
+const (
+	reachSame reachEvent = iota
+	reachLost
+	reachBack
+	// reachDismiss asks that idle callers be sent elsewhere.
+	reachDismiss
+)
+
+// note takes in how many of the groups are reached by a majority.
+func (r *reach) note(now time.Time, groups, reached int) reachEvent {
+	minority := groups > 0 && 2*reached < groups
+	if minority != r.minority {
+		r.minority, r.changed = minority, now
+	}
+	held := now.Sub(r.changed)
+	switch {
+	case minority && !r.cutOff && held >= cutOffAfter:
+		r.cutOff, r.since, r.dismissed = true, now, false
+		return reachLost
+	case !minority && r.cutOff && held >= backAfter:
+		r.cutOff = false
+		return reachBack
+	case r.cutOff && !r.dismissed && now.Sub(r.since) >= dismissAfter:
+		r.dismissed = true
+		return reachDismiss
+	}
+	return reachSame
+}
+
+// majorityReached reports whether a majority of a group's members answers.
+func majorityReached(s *group.Snapshot) bool {
+	answering := 0
+	for _, m := range s.Members {
+		if m.Failing.IsZero() {
+			answering++
+		}
+	}
+	return 2*answering > len(s.Members)
+}
--- /dev/null
+++ b/internal/instance/reach_test.go
@@ -0,0 +1,40 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A failure domain is cut off for six seconds, and its link flaps once at the end. The
+// instance says so soon, sends idle callers elsewhere once the balancer has seen it,
+// and takes callers again only when the link holds.
+func TestInstanceThatIsCutOffSendsItsCallersElsewhere(t *testing.T) {
+	is := is.New(t)
+	var r reach
+	start := time.Now()
+	at := func(d time.Duration, reached int) reachEvent { return r.note(start.Add(d), 3, reached) }
+	is.Equal(at(0, 3), reachSame)
+	is.Equal(at(time.Second, 1), reachSame)
+	is.Equal(at(1200*time.Millisecond, 0), reachSame)
+	is.Equal(at(1300*time.Millisecond, 0), reachLost)
+	is.Equal(at(2*time.Second, 0), reachSame)
+	is.Equal(at(3500*time.Millisecond, 0), reachDismiss)
+	is.Equal(at(4*time.Second, 0), reachSame)
+	is.Equal(at(6*time.Second, 3), reachSame)
+	is.Equal(at(6100*time.Millisecond, 0), reachSame)
+	is.Equal(at(6200*time.Millisecond, 3), reachSame)
+	is.Equal(at(6500*time.Millisecond, 3), reachBack)
+}
+
+// One group of three has lost its members. The instance serves the other two, and
+// stays.
+func TestOneLostGroupIsNoCut(t *testing.T) {
+	is := is.New(t)
+	var r reach
+	for k := range 20 {
+		is.Equal(r.note(time.Unix(int64(k), 0), 3, 2), reachSame)
+	}
+	is.Equal(r.note(time.Unix(30, 0), 0, 0), reachSame)
+}
