Let members come and go under a home; end a stall with its cause

With one failure domain cut off, a third of the writes found no confirming replica for six seconds. The change of members also ended and began the home, in-flight units and all. And one report of a replica that was behind counted as a stall for as long as nobody asked again.

The watcher now takes members in and out while it runs, a majority is counted over no fewer than three, and a replica that does not get on is asked every 100 ms.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,7 +19,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/topazrock/topazrock/internal/clock"
-	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/platform"
 )
@@ -45,14 +44,11 @@
 	known       bool
 	roster      *roster
 	subscribers []func()
-	// groups remembers each group's members, so that one whose entry is gone
-	// still counts towards the group's size.
-	groups map[string][]document.Member
 }
 
 // New returns a Directory that knows nothing yet; Run makes it learn.
 func New(c Config) *Directory {
-	d := &Directory{config: c, log: c.Log.Named("directory"), roster: newRoster(), groups: make(map[string][]document.Member)}
+	d := &Directory{config: c, log: c.Log.Named("directory"), roster: newRoster()}
 	d.current.Store(emptyView())
 	return d
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"reflect"
-	"slices"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/document"
@@ -29,7 +28,7 @@
 	services  map[string]*document.Service
 	databases map[string]document.Database
 	upstreams map[string]platform.Upstream
-	// leaving holds the addresses of members that leave or are gone.
+	// leaving holds the addresses of members that leave.
 	leaving map[string]bool
 }
 
@@ -67,24 +66,23 @@
 }
 
 func (d *Directory) addGroup(v *view, g Group, present []platform.Upstream) {
-	members := d.membersOf(g.Name, present)
-	if len(members) == 0 {
+	if len(present) == 0 {
 		return
 	}
 	slots := 0
+	var members []document.Member
 	for _, u := range present {
 		slots += u.Slots
-	}
-	for _, m := range members {
-		if _, ok := v.upstreams[m.Address]; !ok {
-			v.leaving[m.Address] = true
-		}
+		members = append(members, document.Member{Address: u.Address, FailureDomain: u.FailureDomain})
 	}
 	v.services[g.Name] = &document.Service{
 		Name: g.Name,
 		Groups: []document.Group{{
 			Name: g.Name, Members: members, Slots: slots,
 			Connections: g.MemberConnections * len(members), MemberConnections: g.MemberConnections,
+			// A majority must not shrink because entries lapse: two instances that see
+			// different remainders of a group would each fence a majority of their own.
+			Size: document.MinMembers,
 		}},
 		Limits: document.Limits{
 			StatementTimeout:       requestTimeout,
@@ -97,30 +95,6 @@
 	}
 }
 
-// membersOf returns the members of a group: those that are present and, up to the
-// largest size that the group has had, those that are gone. A majority is counted
-// over them, and must not shrink because entries lapse: two instances that see
-// different remainders of a group would each fence a majority of their own.
-func (d *Directory) membersOf(group string, present []platform.Upstream) []document.Member {
-	var members []document.Member
-	for _, u := range present {
-		members = append(members, document.Member{Address: u.Address, FailureDomain: u.FailureDomain})
-	}
-	for _, old := range d.groups[group] {
-		if len(members) >= len(d.groups[group]) {
-			break
-		}
-		if !slices.ContainsFunc(members, func(m document.Member) bool { return m.Address == old.Address }) {
-			members = append(members, old)
-		}
-	}
-	slices.SortFunc(members, func(a, b document.Member) int {
-		return slices.Compare([]string{a.Address}, []string{b.Address})
-	})
-	d.groups[group] = members
-	return members
-}
-
 func (v *view) same(o *view) bool { return reflect.DeepEqual(v, o) }
 
 // Services returns the service of each group with the manifest's version.
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -28,6 +28,10 @@
 	// MemberConnections is how many connections each member takes, where that is
 	// what is limited; zero where the total alone is.
 	MemberConnections int
+	// Size is how many members a majority is counted over at least, where the list of
+	// members follows their own entries and may be short of some; zero means as many
+	// as are listed.
+	Size int
 	// Slots bounds the statements that run in the group at once, over all instances.
 	Slots int
 }
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -17,6 +17,8 @@
 	claim claim
 	term  logpos.Term
 	wards []*ward
+	// size is how many members a majority is counted over.
+	size int
 	// fenced takes each member's report once it has entered the term.
 	fenced chan fencing
 	// chosen is closed after target was set, once in the attempt's life, and
@@ -41,6 +43,7 @@
 		fenced: make(chan fencing, len(s.Members)),
 		chosen: make(chan struct{}),
 		led:    make(chan struct{}),
+		size:   sizeOf(s),
 	}
 	for _, m := range s.Members {
 		stalled := won.record.Cause == CauseStalled && m.Address == s.Primary
@@ -117,7 +120,7 @@
 func (a *attempt) gather(ctx context.Context) ([]fencing, error) {
 	grace := a.c.Clock.NewTimer(a.c.Settings.SwitchGrace)
 	defer grace.Stop()
-	need := majority(len(a.wards))
+	need := majority(a.size)
 	planned := a.claim.record.Cause.planned()
 	var all, others []fencing
 	for {
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -154,7 +154,7 @@
 			n++
 		}
 	}
-	return n >= majority(len(s.Members))
+	return n >= majority(sizeOf(s))
 }
 
 // best returns the report with the highest last record. Among equals one that
--- a/internal/failover/view.go
+++ b/internal/failover/view.go
@@ -15,6 +15,9 @@
 	Observe(address string, t group.Ticket, s member.Status)
 }
 
+// sizeOf is how many members of a group a majority is counted over.
+func sizeOf(s *group.Snapshot) int { return max(s.Size, len(s.Members)) }
+
 // majority is how many of n members a promotion must fence.
 func majority(n int) int { return n/2 + 1 }
 
@@ -29,5 +32,5 @@
 			n++
 		}
 	}
-	return n >= majority(len(s.Members))
+	return n >= majority(sizeOf(s))
 }
--- a/internal/group/config.go
+++ b/internal/group/config.go
@@ -17,7 +17,10 @@
 	Group string
 	// Members are all members of the group; a majority is counted over them.
 	Members []document.Member
-	Clock   clock.Clock
+	// Size is how many members a majority is counted over at least; zero means as
+	// many as there are.
+	Size  int
+	Clock clock.Clock
 	// Rand spreads the polls. The Watcher guards it; nothing else may use it.
 	Rand   *rand.Rand
 	Dialer member.Dialer
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -57,6 +57,8 @@
 	doubted   bool
 	doubtedAt time.Time
 	interrupt context.CancelFunc
+	// stop ends run; nil before it was started.
+	stop context.CancelFunc
 }
 
 func newFollower(w *Watcher, index int, m document.Member, d member.Dialer) *follower {
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -113,6 +113,7 @@
 		ConfirmedAt:  w.confirmedAt(),
 		StalledSince: w.stalledSince(),
 		Members:      make([]MemberView, len(w.followers)),
+		Size:         w.size(),
 	}
 	for i, f := range w.followers {
 		s.Members[i] = f.view
@@ -129,6 +130,9 @@
 		}
 		return time.Time{}
 	}
+	if len(w.followers) < w.quorum {
+		return time.Time{}
+	}
 	times := make([]time.Time, 0, len(w.followers))
 	for _, f := range w.followers {
 		times = append(times, f.attachedAt)
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -10,6 +10,10 @@
 // instances that started together do not ask together.
 const pollSpread = 0.1
 
+// stalledPoll is the time between two reports of a replica that has not got any
+// further although the primary is ahead.
+const stalledPoll = 100 * time.Millisecond
+
 const (
 	failuresPerDoubling = 3
 	maxDoublings        = 4
@@ -62,6 +66,10 @@
 		q.delay = max(f.until(f.missPause()), f.w.turn(f))
 	case f.w.unsettled():
 		q.delay = f.until(f.w.intervals.FastPoll)
+	case !f.stalledAt.IsZero():
+		// A stall is held against writes and in the end against the primary. It must
+		// not outlive its cause because nobody asks.
+		q.delay = f.until(min(f.w.intervals.ReplicaPoll, stalledPoll))
 	default:
 		q.delay = f.untilPoll(f.w.intervals.ReplicaPoll)
 	}
--- a/internal/group/samples.go
+++ b/internal/group/samples.go
@@ -109,3 +109,12 @@
 	}
 	return logpos.Mark{}, false
 }
+
+// forget drops what one member holds.
+func (s *samples) forget(index int) {
+	for _, list := range [][]sample{s.past, s.list} {
+		for i := range list {
+			list[i].holders &^= 1 << index
+		}
+	}
+}
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -50,6 +50,8 @@
 	// primary that is cut off from its replicas alone still answers probes.
 	StalledSince time.Time
 	Members      []MemberView
+	// Size is how many members a majority is counted over.
+	Size int
 }
 
 // Find returns the view of the member at an address.
--- a/internal/group/stall.go
+++ b/internal/group/stall.go
@@ -23,6 +23,7 @@
 		f.reached, f.stalledAt = s.Last.Position, time.Time{}
 	case f.stalledAt.IsZero():
 		f.stalledAt = t.at
+		f.wake()
 	}
 }
 
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -12,6 +12,7 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
 )
 
 // Watcher implements Tracker for one group with one goroutine a member.
@@ -29,6 +30,11 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	followers []*follower
+	// least is Config.Size, dialer opens the followers' connections, and running
+	// starts one; nil while the Watcher does not run.
+	least     int
+	dialer    member.Dialer
+	running   func(f *follower)
 	tickets   uint64
 	term      logpos.Term
 	primary   string
@@ -53,7 +59,8 @@
 		log:       c.Logger,
 		metrics:   c.Metrics,
 		intervals: c.Intervals,
-		quorum:    len(c.Members) / 2,
+		least:     c.Size,
+		dialer:    c.Dialer,
 		rand:      c.Rand,
 		waiters:   make(map[*waiter]struct{}),
 		changed:   make(chan struct{}),
@@ -72,9 +79,10 @@
 	if w.intervals == (Intervals{}) {
 		w.intervals = DefaultIntervals()
 	}
-	for i, m := range c.Members {
-		w.followers = append(w.followers, newFollower(w, i, m, c.Dialer))
+	for _, m := range c.Members {
+		w.addFollower(m)
 	}
+	w.quorum = w.size() / 2
 	w.publish()
 	return w
 }
@@ -82,9 +90,20 @@
 // Run asks the members until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, f := range w.followers {
+	w.mu.Lock()
+	w.running = func(f *follower) {
+		ctx, stop := context.WithCancel(ctx)
+		f.stop = stop
 		wg.Go(func() { f.run(ctx) })
 	}
+	for _, f := range w.followers {
+		w.running(f)
+	}
+	w.mu.Unlock()
+	<-ctx.Done()
+	w.mu.Lock()
+	w.running = nil
+	w.mu.Unlock()
 	wg.Wait()
 }
 
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -45,6 +45,7 @@
 	h.watcher = group.NewWatcher(group.Config{
 		Group:     g.Name,
 		Members:   g.Members,
+		Size:      g.Size,
 		Clock:     n.options.Clock,
 		Rand:      n.random("watcher/" + g.Name),
 		Dialer:    n.protocol.Control(g.Name),
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -44,7 +44,7 @@
 	wanted := n.wantedGroups()
 	for name, h := range n.homesCopy() {
 		w, ok := wanted[name]
-		if !ok || !sameMembers(w.Group, h.group) {
+		if !ok || !n.protocol.MembersChange && !sameMembers(w.Group, h.group) {
 			n.retire(ctx, h)
 		}
 	}
@@ -113,6 +113,9 @@
 			leaving = append(leaving, m.Address)
 		}
 	}
+	if n.protocol.MembersChange {
+		h.watcher.SetMembers(w.Members, w.Size)
+	}
 	h.watcher.SetLeaving(leaving)
 	h.pool.SetLeaving(leaving)
 	h.seats.SetAllocation(allocation(w.Group, w.Version))
--- a/internal/instance/protocol.go
+++ b/internal/instance/protocol.go
@@ -32,6 +32,9 @@
 	// MembersNumberTerms and ConfirmationAge are passed to failover and execution.
 	MembersNumberTerms bool
 	ConfirmationAge    time.Duration
+	// MembersChange says that members come and go while the group is served, by their
+	// own entries, and not by a new document.
+	MembersChange bool
 	// MemberShares says that each member limits its own connections, from whomever
 	// they come, and refuses more without harm: then an even share of a member's
 	// connections needs no ledger on the platform.
--- a/internal/instance/reach.go
+++ b/internal/instance/reach.go
@@ -77,5 +77,5 @@
 			answering++
 		}
 	}
-	return 2*answering > len(s.Members)
+	return 2*answering > max(s.Size, len(s.Members))
 }
