Give groups that were asked for before as many homes as the rest

The number of homes is learned after the instances; the view was not published anew when only that number changed, and the homes found before were carried over. So three instances were home to each group, and two of three statements took a hop.

--- a/internal/membership/carry.go
+++ b/internal/membership/carry.go
@@ -11,7 +11,7 @@
 // instances and groups that is about a second of processor time, and an
 // instance joins or leaves every minute.
 func (s *snapshot) carry(old *snapshot) {
-	if old == nil || old.self != s.self {
+	if old == nil || old.self != s.self || old.perFailureDomain != s.perFailureDomain {
 		return
 	}
 	joined, left := difference(old.live, s.live)
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -55,5 +55,5 @@
 }
 
 func (s *snapshot) same(o *snapshot) bool {
-	return s.self == o.self && slices.Equal(s.live, o.live) && maps.Equal(s.leaving, o.leaving)
+	return s.self == o.self && s.perFailureDomain == o.perFailureDomain && slices.Equal(s.live, o.live) && maps.Equal(s.leaving, o.leaving)
 }
