Divide connections by where callers come; close those that are not needed

Connections that a burst had opened stayed, and were counted for 3 s after a loss of power.

Before an instance knows the others it takes the usual part and not the whole.

--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -81,11 +81,13 @@
 		Open: func(ctx context.Context, address string) (wire.Conn, error) {
 			return n.protocol.Open(ctx, g.Name, address)
 		},
-		Probe:   func(ctx context.Context, c wire.Conn) error { return c.Probe(ctx) },
-		Check:   wire.Conn.Check,
-		Close:   func(ctx context.Context, c wire.Conn) error { return c.Shutdown(ctx) },
-		Logger:  n.options.Logger,
-		Metrics: n.metrics.pool,
+		Probe: func(ctx context.Context, c wire.Conn) error { return c.Probe(ctx) },
+		Check: wire.Conn.Check,
+		Close: func(ctx context.Context, c wire.Conn) error { return c.Shutdown(ctx) },
+
+		TrimInterval: n.protocol.TrimInterval,
+		Logger:       n.options.Logger,
+		Metrics:      n.metrics.pool,
 	})
 }
 
@@ -145,7 +147,7 @@
 			Connections: shares.Pool(h.pool),
 			Each:        h.setPerMember,
 			Control:     controlPerMember,
-			Homes:       func() int { return len(n.members.Homes(g.Name)) },
+			Part:        func(total int) int { return n.partOf(g.Name, total) },
 			SeatChanged: h.seatChanged,
 		}
 		e.SetAllocation(allocation(g, version))
--- a/internal/instance/homecount.go
+++ b/internal/instance/homecount.go
@@ -40,3 +40,19 @@
 	}
 	return max(least/usualShare/len(domains), 1)
 }
+
+// evenPart is the part of a member's connections that one home may use. Half of them
+// are divided evenly among the homes, and half among the failure domains first:
+// callers come to the instances of their own domain, so that where a domain has fewer
+// instances each has more to do. The parts of all homes sum to no more than the whole.
+func evenPart(total int, homes []platform.Instance, self platform.Instance) int {
+	domains := make(map[string]int)
+	for _, i := range homes {
+		domains[i.FailureDomain]++
+	}
+	mine := domains[self.FailureDomain]
+	if mine == 0 {
+		return 0
+	}
+	return (total*len(homes) + total*len(domains)*mine) / (2 * len(domains) * mine * len(homes))
+}
--- a/internal/instance/homecount_test.go
+++ b/internal/instance/homecount_test.go
@@ -35,3 +35,23 @@
 		})
 	}
 }
+
+// Three failure domains have four, two and two instances and as many callers each. The
+// parts follow the callers and never sum to more than the member takes.
+func TestPartsFollowTheCallersAndStayWithinTheWhole(t *testing.T) {
+	is := is.New(t)
+	var homes []platform.Instance
+	for i, domain := range []string{"a", "a", "a", "a", "b", "b", "c", "c"} {
+		homes = append(homes, platform.Instance{ID: fmt.Sprint(i), FailureDomain: domain})
+	}
+	is.Equal(evenPart(34, homes, homes[0]), 3)
+	is.Equal(evenPart(34, homes, homes[4]), 4)
+	is.Equal(evenPart(34, homes, platform.Instance{FailureDomain: "d"}), 0)
+	for total := range 200 {
+		sum := 0
+		for _, i := range homes {
+			sum += evenPart(total, homes, i)
+		}
+		is.True(sum <= total)
+	}
+}
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -74,6 +74,17 @@
 	}
 }
 
+// partOf is this instance's part of a number of connections to a member of a group.
+// Before it has learned of the others it takes the usual one: all instances that start
+// while the platform is away would else take the whole each.
+func (n *Instance) partOf(group string, total int) int {
+	part := evenPart(total, n.members.Homes(group), n.self())
+	if !n.members.Known() {
+		return min(part, usualShare)
+	}
+	return part
+}
+
 // wantedGroups returns the groups that this instance should be home to.
 func (n *Instance) wantedGroups() map[string]GroupInForce {
 	wanted := make(map[string]GroupInForce)
--- a/internal/instance/protocol.go
+++ b/internal/instance/protocol.go
@@ -32,6 +32,9 @@
 	// MembersNumberTerms and ConfirmationAge are passed to failover and execution.
 	MembersNumberTerms bool
 	ConfirmationAge    time.Duration
+	// TrimInterval is how often pools close idle connections that were not needed;
+	// zero keeps them.
+	TrimInterval time.Duration
 	// MembersChange says that members come and go while the group is served, by their
 	// own entries, and not by a new document.
 	MembersChange bool
--- a/internal/membership/adopt.go
+++ b/internal/membership/adopt.go
@@ -20,3 +20,9 @@
 		m.rebuild()
 	}
 }
+
+// Known reports whether the instances have been learned once.
+func (m *Members) Known() bool {
+	_, known := m.age()
+	return known
+}
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -61,6 +61,9 @@
 	CloseHold time.Duration
 	// MaxWait bounds Acquire where the context's deadline does not.
 	MaxWait time.Duration
+	// TrimInterval is how often idle connections that were not needed are closed;
+	// zero keeps them.
+	TrimInterval time.Duration
 	// MinPause and MaxPause bound how long opening to a member is held back
 	// after a failure.
 	MinPause, MaxPause time.Duration
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -47,7 +47,7 @@
 func New(cfg Config) *Limited {
 	cfg = cfg.withDefaults()
 	ctx, stop := context.WithCancel(context.Background())
-	return &Limited{
+	p := &Limited{
 		cfg:        cfg,
 		log:        cfg.Logger.Named("pool"),
 		background: ctx,
@@ -59,6 +59,10 @@
 		changed:    waitlist.NewSignal(),
 		waiting:    waitlist.New((*waiter).before),
 	}
+	if cfg.TrimInterval > 0 {
+		go p.trim(cfg.TrimInterval)
+	}
+	return p
 }
 
 // Stats returns the present counts.
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -10,10 +10,12 @@
 	address string
 	leaving bool
 	// idle is ordered by last use, the latest at the end.
-	idle    []*entry
-	inUse   int
-	opening int
-	probing int
+	idle []*entry
+	// leastIdle is how many were idle all the time since the last trim.
+	leastIdle int
+	inUse     int
+	opening   int
+	probing   int
 	// pause is the present length of the pause between failed openings; zero
 	// after one that went well.
 	pause       time.Duration
@@ -34,6 +36,7 @@
 	}
 	e := m.idle[n-1]
 	m.idle = m.idle[:n-1]
+	m.leastIdle = min(m.leastIdle, n-1)
 	return e
 }
 
--- a/internal/pool/metrics.go
+++ b/internal/pool/metrics.go
@@ -9,6 +9,7 @@
 	closedSilent   = "silent"
 	closedByMember = "closed_by_member"
 	closedLimit    = "limit_lowered"
+	closedSurplus  = "not_needed"
 	closedMakeRoom = "room_for_other_member"
 	closedShutdown = "shutdown"
 )
--- /dev/null
+++ b/internal/pool/trim.go
@@ -0,0 +1,31 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+)
+
+// trim closes, at an interval, the idle connections that were not needed since the
+// last time. A burst opens connections that are then idle for good; members count
+// them, and count them on for seconds when this instance loses power, so that its
+// successor finds no room.
+func (p *Limited) trim(interval time.Duration) {
+	for clock.Sleep(p.background, p.cfg.Clock, interval) == nil {
+		p.mu.Lock()
+		for _, m := range p.members {
+			p.trimMember(m)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// trimMember closes as many idle connections as were idle all the time, but for one.
+func (p *Limited) trimMember(m *memberState) {
+	surplus := min(m.leastIdle, len(m.idle)) - 1
+	for range surplus {
+		p.idle--
+		p.startClose(m.takeOldest(), closedSurplus)
+	}
+	m.leastIdle = len(m.idle)
+}
--- a/internal/shares/even.go
+++ b/internal/shares/even.go
@@ -5,8 +5,7 @@
 	"sync"
 )
 
-// Even is an even part of what each member takes: its connections divided by the
-// number of homes. It fits members that limit their connections themselves and
+// Even is a part of what each member takes, by the number of homes alone. It fits members that limit their connections themselves and
 // refuse one too many without harm. Two instances may disagree for a moment about
 // how many homes there are; then a member refuses a connection and the pool waits,
 // which costs less than a ledger that every instance writes.
@@ -18,8 +17,8 @@
 	// Control is how many connections to each member a home uses beside those of
 	// Connections.
 	Control int
-	// Homes returns how many instances share the group.
-	Homes func() int
+	// Part returns this instance's part of a number of connections.
+	Part func(total int) int
 	// SeatChanged is called with true when the share is held and with false before
 	// it is given up.
 	SeatChanged func(seated bool)
@@ -63,10 +62,12 @@
 
 // apply works the share out and sets the bounds.
 func (e *Even) apply() {
-	homes := max(e.Homes(), 1)
 	e.mu.Lock()
-	perMember := max(e.allocation.PerMember/homes-e.Control, leastPerMember)
-	next := Amount{Connections: perMember * e.allocation.Members, Slots: perMember * e.allocation.Members}
+	total, members := e.allocation.PerMember, e.allocation.Members
+	e.mu.Unlock()
+	perMember := max(e.Part(total)-e.Control, leastPerMember)
+	next := Amount{Connections: perMember * members, Slots: perMember * members}
+	e.mu.Lock()
 	changed := next != e.limit
 	e.limit = next
 	e.mu.Unlock()
