--- a/internal/config/harness_test.go
+++ b/internal/config/harness_test.go
@@ -272,6 +272,10 @@
 	return s.now().Delete(ctx, k, name, v)
 }
 
+func (s *switchable) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+	return s.now().ListStale(ctx, k)
+}
+
 func (s *switchable) Put(ctx context.Context, k platform.Kind, name string, value []byte, v int64) (platform.Object, error) {
 	return s.now().Put(ctx, k, name, value, v)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -39,9 +39,13 @@
 	log     hclog.Logger
 	current atomic.Pointer[view]
 
-	mu          sync.Mutex
-	manifest    Manifest
-	known       bool
+	mu       sync.Mutex
+	manifest Manifest
+	known    bool
+	// seenAt is when the platform last showed the manifest in force.
+	seenAt time.Time
+	// peers spares the platform most looks at the manifest; nil without.
+	peers       *peerCheck
 	roster      *roster
 	subscribers []func()
 }
@@ -70,23 +74,38 @@
 	upstreamCheck = 4 * time.Second
 )
 
+// upstreamSettle gathers the entries of members that start or change together into
+// one answer of the watch.
+const upstreamSettle = 200 * time.Millisecond
+
 // lapseCheck is how often missing entries are looked at.
 const lapseCheck = 500 * time.Millisecond
 
 // Run follows the platform until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	var parts sync.WaitGroup
-	parts.Go(func() { d.follower(platform.KindManifest, manifestSink{d}, 1, manifestCheck).Run(ctx) })
-	parts.Go(func() { d.follower(platform.KindUpstreams, upstreamSink{d}, 2, upstreamCheck).Run(ctx) })
+	parts.Go(func() { d.manifestFollower().Run(ctx) })
+	parts.Go(func() { d.upstreamFollower().Run(ctx) })
 	parts.Go(func() { d.watchLapses(ctx) })
 	parts.Wait()
 	return ctx.Err()
 }
 
-func (d *Directory) follower(k platform.Kind, s objectwatch.Sink, n uint64, check time.Duration) *objectwatch.Follower {
+func (d *Directory) manifestFollower() *objectwatch.Follower {
+	c := objectwatch.Config{
+		API: d.config.API, Kind: platform.KindManifest, Sink: manifestSink{d}, Clock: d.config.Clock, Log: d.config.Log,
+		Rand: rand.New(rand.NewPCG(d.config.Seed, 1)), Check: manifestCheck,
+	}
+	if d.peers != nil {
+		c.Current = d.peers.current
+	}
+	return objectwatch.New(c)
+}
+
+func (d *Directory) upstreamFollower() *objectwatch.Follower {
 	return objectwatch.New(objectwatch.Config{
-		API: d.config.API, Kind: k, Sink: s, Clock: d.config.Clock, Log: d.config.Log,
-		Rand: rand.New(rand.NewPCG(d.config.Seed, n)), Check: check,
+		API: d.config.API, Kind: platform.KindUpstreams, Sink: upstreamSink{d}, Clock: d.config.Clock, Log: d.config.Log,
+		Rand: rand.New(rand.NewPCG(d.config.Seed, 2)), Check: upstreamCheck, Stale: true, Settle: upstreamSettle,
 	})
 }
 
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -6,7 +6,14 @@
 type manifestSink struct{ d *Directory }
 
 // Listed implements objectwatch.Sink.
-func (s manifestSink) Listed(objects []platform.Object) { s.Changed(objects) }
+func (s manifestSink) Listed(objects []platform.Object) {
+	s.Changed(objects)
+	for _, o := range objects {
+		if o.Name == platform.ManifestName {
+			s.d.sawManifest(s.d.config.Clock.Now())
+		}
+	}
+}
 
 // Changed implements objectwatch.Sink.
 func (s manifestSink) Changed(objects []platform.Object) {
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -4,8 +4,10 @@
 	"context"
 
 	"github.com/topazrock/topazrock/internal/config"
+	"github.com/topazrock/topazrock/internal/directory"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/peer"
 )
 
 // Documents are the services in force.
@@ -24,6 +26,11 @@
 	Run(ctx context.Context) error
 }
 
+// peerUser is a source of documents that asks other instances.
+type peerUser interface {
+	UsePeers(f directory.Fleet, c peer.Caller, r peer.Registry)
+}
+
 // GroupInForce is a group and the version of the document that names it.
 type GroupInForce struct {
 	document.Group
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -119,6 +119,9 @@
 	if n.documents == nil {
 		n.documents = storedDocuments{n.store, n.members}
 	}
+	if d, ok := n.documents.(peerUser); ok {
+		d.UsePeers(n.members, n.client, n.peers)
+	}
 	n.protocol = n.postgres()
 	if o.Protocol != nil {
 		n.protocol = *o.Protocol
--- a/internal/instance/platformview_test.go
+++ b/internal/instance/platformview_test.go
@@ -68,6 +68,10 @@
 	return v.store.List(ctx, k)
 }
 
+func (v *platformView) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+	return v.List(ctx, k)
+}
+
 func (v *platformView) Put(ctx context.Context, k platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
 	if err := v.reach(ctx); err != nil {
 		return platform.Object{}, err
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -51,6 +51,11 @@
 	// watch may hear nothing for seconds while objects change, and nothing in its
 	// answers shows it; only a list bounds how late a change is learned.
 	Check time.Duration
+	// Stale says that such a list may be some seconds old, which the platform charges
+	// less for.
+	Stale bool
+	// Current, if set, is asked before each such list; true spares it.
+	Current func(ctx context.Context) bool
 }
 
 // Follower follows one kind.
@@ -85,7 +90,10 @@
 // which finds out as well.
 func (f *Follower) check(ctx context.Context) {
 	for clock.Sleep(ctx, f.Clock, f.Check) == nil {
-		objects, _, err := f.API.List(ctx, f.Kind)
+		if f.Current != nil && f.Current(ctx) {
+			continue
+		}
+		objects, _, err := f.list(ctx)
 		if err != nil {
 			f.Log.Debug("The objects were not listed.", "error", err)
 			continue
@@ -94,6 +102,14 @@
 	}
 }
 
+// list lists the objects for a check.
+func (f *Follower) list(ctx context.Context) ([]platform.Object, int64, error) {
+	if f.Stale {
+		return f.API.ListStale(ctx, f.Kind)
+	}
+	return f.API.List(ctx, f.Kind)
+}
+
 // tell calls the sink.
 func (f *Follower) tell(call func()) {
 	f.mu.Lock()
--- a/internal/platform/httpclient/get.go
+++ b/internal/platform/httpclient/get.go
@@ -31,6 +31,11 @@
 	return a.Objects, a.Revision, err
 }
 
+// ListStale implements platform.API.
+func (c *Client) ListStale(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	return c.List(ctx, kind)
+}
+
 // Watch implements platform.API.
 func (c *Client) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
 	var a listAnswer
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -85,6 +85,9 @@
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
 	// List returns all objects of a kind and the kind's revision.
 	List(ctx context.Context, kind Kind) ([]Object, int64, error)
+	// ListStale is List for a caller that bears an answer some seconds old; it may be
+	// cheaper for the platform.
+	ListStale(ctx context.Context, kind Kind) ([]Object, int64, error)
 	// Put stores value if the object's version is ifVersion (0: it must not
 	// exist) and returns the object as stored.
 	Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion int64) (Object, error)
--- a/internal/shares/fakeplatform_test.go
+++ b/internal/shares/fakeplatform_test.go
@@ -121,6 +121,10 @@
 	return platform.ErrUnavailable
 }
 
+func (p platformOf) ListStale(context.Context, platform.Kind) ([]platform.Object, int64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
 func (p platformOf) Watch(context.Context, platform.Kind, int64) ([]platform.Object, int64, error) {
 	return nil, 0, platform.ErrUnavailable
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -148,6 +148,11 @@
 	return objects, c.revision, nil
 }
 
+// ListStale implements platform.API.
+func (s *Store) ListStale(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	return s.List(ctx, kind)
+}
+
 // Put implements platform.API.
 func (s *Store) Put(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
 	if err := s.begin(ctx, CallPut); err != nil {
