Take a member that is late to greet for busy, not for lost

A member that has taken the network connection lives: its greeting may take a second, and a connection that comes late is kept.

--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -42,8 +42,10 @@
 	idle      bool
 	misses    int
 	connected bool
-	// busy says that the last probe found the member full.
-	busy bool
+	// busy says that the last probe found the member full, and busySince since when
+	// probes have.
+	busy      bool
+	busySince time.Time
 	// attachedAt is when the newest report of an attached replica was asked for.
 	attachedAt time.Time
 	// reached is the replica's highest position in the term, and stalledAt since
@@ -112,7 +114,10 @@
 			f.pace.took(f.w.clock.Now().Sub(t.at))
 		}
 		f.w.Observe(f.view.Address, t, s)
-	case errors.Is(err, member.ErrBusy):
+	case errors.Is(err, errLateConnection):
+		// The connection stands; the next question goes out on it.
+		f.answeredBusy()
+	case errors.Is(err, member.ErrBusy) && !f.busyTooLong():
 		// The member answered, only not with a report: it lives.
 		f.disconnect()
 		f.answeredBusy()
@@ -178,6 +183,9 @@
 			return member.Status{}, err
 		}
 		f.control = c
+		if ctx.Err() != nil {
+			return member.Status{}, errLateConnection
+		}
 	}
 	if q.wait {
 		return f.control.WaitPosition(ctx, q.position)
@@ -242,6 +250,30 @@
 	}
 }
 
+// errLateConnection says that a connection was opened when the bound of the question
+// had passed.
+var errLateConnection = errors.New("the connection came late")
+
+// busyPatience is how long a member may be too busy for a report before it is taken for
+// lost, as a process is that hangs while its machine still takes connections.
+const busyPatience = 5 * time.Second
+
+// busyTooLong reports whether the member has been too busy for its patience and has
+// answered nothing else meanwhile.
+func (f *follower) busyTooLong() bool {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	now := f.w.clock.Now()
+	if f.busySince.IsZero() {
+		f.busySince = now
+	}
+	since := f.busySince
+	if f.sightedAt.After(since) {
+		since = f.sightedAt
+	}
+	return now.Sub(since) > busyPatience
+}
+
 // answeredBusy notes that the member answered, and that the next try can wait.
 func (f *follower) answeredBusy() {
 	f.w.mu.Lock()
@@ -290,6 +322,7 @@
 
 // adopt makes s the member's newest report.
 func (f *follower) adopt(t Ticket, s member.Status) {
+	f.busySince = time.Time{}
 	f.view.Status, f.view.SeenAt = s, t.at
 	if attached(s, f.w.term) {
 		f.attachedAt = t.at
