Speak to every store through one client; test the adapter's codecs

The invented HTTP form of the store is gone with its client: instances of both wires use the published objects, and the stand-in serves them, with faults for silence, deaf watches and changes that take effect late.

--- a/internal/standin/bench/fleet.go
+++ b/internal/standin/bench/fleet.go
@@ -18,11 +18,11 @@
 	"github.com/topazrock/topazrock/internal/instance"
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
-	"github.com/topazrock/topazrock/internal/platform/httpclient"
 	"github.com/topazrock/topazrock/internal/settings"
 	"github.com/topazrock/topazrock/internal/standin/member"
 	"github.com/topazrock/topazrock/internal/standin/memnet"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
+	adapter "github.com/topazrock/topazrock/platform"
 )
 
 const (
@@ -226,7 +226,7 @@
 		Network:  network,
 		Clock:    clock.System{},
 		Seed:     seed,
-		Platform: httpclient.New(s.Platform.URL, network, s.Platform.Timeout),
+		Platform: adapter.NewClient(s.Platform.URL, network, s.Platform.Timeout),
 		Logger:   hclog.New(&hclog.LoggerOptions{Name: s.Instance.ID, Output: logs, Level: hclog.Info}),
 		Registry: prometheus.NewRegistry(),
 
