--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -11,9 +11,8 @@
 // Run ends what must not be waited for any longer, until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	var parts sync.WaitGroup
-	parts.Go(func() { g.endDoomed(ctx) })
+	parts.Go(func() { g.oversee(ctx) })
 	parts.Go(func() { g.endIdle(ctx) })
-	parts.Go(func() { g.watchSilence(ctx) })
 	parts.Wait()
 }
 
--- a/internal/executor/running.go
+++ b/internal/executor/running.go
@@ -24,10 +24,13 @@
 	load  map[string]int
 	// heard is when a member last ended a unit.
 	heard map[string]time.Time
+	// busy has room for one signal that the first unit is at work.
+	busy chan struct{}
 }
 
 func newRunning() *running {
-	return &running{units: make(map[string]*runningUnit), load: make(map[string]int), heard: make(map[string]time.Time)}
+	return &running{units: make(map[string]*runningUnit), load: make(map[string]int), heard: make(map[string]time.Time),
+		busy: make(chan struct{}, 1)}
 }
 
 func (r *running) start(unitID string, c wire.Conn, now time.Time) {
@@ -35,6 +38,20 @@
 	defer r.mu.Unlock()
 	r.units[unitID] = &runningUnit{conn: c, since: now}
 	r.load[c.Address()]++
+	if len(r.units) > 1 {
+		return
+	}
+	select {
+	case r.busy <- struct{}{}:
+	default:
+	}
+}
+
+// any reports whether units are at work.
+func (r *running) any() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.units) > 0
 }
 
 // stop ends a unit. A connection that a cancel request names is spoiled: the
