Take any answer of the platform for its return

A member's entry that lapsed while the platform was down stayed listed for up to 25 s after its return: only the end of a watch said that the platform answers, and the lists made besides it did not. A list that succeeds now says so too.

--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -61,13 +61,14 @@
 // Follower follows one kind.
 type Follower struct {
 	Config
+	// backoff is the last pause of the watch's loop.
 	backoff time.Duration
+
+	// mu serialises the calls of Sink and guards the fields below.
+	mu      sync.Mutex
 	inTouch bool
 	// failingSince is when the first of the present failures was met.
 	failingSince time.Time
-
-	// mu serialises the calls of Sink.
-	mu sync.Mutex
 }
 
 // New returns a Follower; Run makes it work.
@@ -98,6 +99,7 @@
 			f.Log.Debug("The objects were not listed.", "error", err)
 			continue
 		}
+		f.answered()
 		f.tell(func() { f.Sink.Listed(objects) })
 	}
 }
@@ -124,7 +126,8 @@
 			f.failed(ctx, err)
 			continue
 		}
-		f.succeeded()
+		f.backoff = 0
+		f.answered()
 		f.tell(func() { f.Sink.Listed(objects) })
 		f.watch(ctx, revision)
 	}
@@ -142,7 +145,8 @@
 			f.failed(ctx, err)
 			continue
 		}
-		f.succeeded()
+		f.backoff = 0
+		f.answered()
 		revision = next
 		if len(objects) > 0 {
 			f.tell(func() { f.Sink.Changed(objects) })
@@ -151,36 +155,51 @@
 	}
 }
 
-func (f *Follower) succeeded() {
-	if !f.inTouch {
-		f.inTouch = true
-		f.Log.Info("The platform answers.", "failing_for", f.failedFor())
-		f.tell(func() { f.Sink.Touch(true) })
+// answered notes that the platform answered. A list says so at once; a watch only when
+// something changes or it ends, which may be half a minute after an outage.
+func (f *Follower) answered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failing := f.failingSince
+	f.failingSince = time.Time{}
+	if f.inTouch {
+		return
 	}
-	f.backoff, f.failingSince = 0, time.Time{}
+	f.inTouch = true
+	f.Log.Info("The platform answers.", "failing_for", f.since(failing))
+	f.Sink.Touch(true)
 }
 
-func (f *Follower) failedFor() time.Duration {
-	if f.failingSince.IsZero() {
+// since is the time from a moment until now; zero for none.
+func (f *Follower) since(moment time.Time) time.Duration {
+	if moment.IsZero() {
 		return 0
 	}
-	return f.Clock.Now().Sub(f.failingSince)
+	return f.Clock.Now().Sub(moment)
 }
 
-// failed pauses before the next call.
+// failed notes a call of the watch's loop that failed and pauses before the next.
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	f.lost(err)
+	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
+	half := f.backoff / 2
+	_ = clock.Sleep(ctx, f.Clock, half+time.Duration(f.Rand.Int64N(int64(half)+1)))
+}
+
+// lost notes that the platform did not answer.
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.failingSince.IsZero() {
 		f.failingSince = f.Clock.Now()
 	}
-	if f.inTouch {
-		f.inTouch = false
-		f.Log.Warn("The platform does not answer.", "error", err)
-		f.tell(func() { f.Sink.Touch(false) })
+	if !f.inTouch {
+		return
 	}
-	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
-	half := f.backoff / 2
-	_ = clock.Sleep(ctx, f.Clock, half+time.Duration(f.Rand.Int64N(int64(half)+1)))
+	f.inTouch = false
+	f.Log.Warn("The platform does not answer.", "error", err)
+	f.Sink.Touch(false)
 }
--- /dev/null
+++ b/internal/objectwatch/follower_test.go
@@ -0,0 +1,116 @@
+package objectwatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// noted keeps what a sink is told.
+type noted struct {
+	values  map[string]string
+	lists   int
+	touches []bool
+}
+
+// Listed implements Sink.
+func (n *noted) Listed(objects []platform.Object) {
+	n.lists++
+	clear(n.values)
+	n.Changed(objects)
+}
+
+// Changed implements Sink.
+func (n *noted) Changed(objects []platform.Object) {
+	for _, o := range objects {
+		n.values[o.Name] = string(o.Value)
+		if o.Removed {
+			delete(n.values, o.Name)
+		}
+	}
+}
+
+// Touch implements Sink.
+func (n *noted) Touch(inTouch bool) { n.touches = append(n.touches, inTouch) }
+
+func follow(t *testing.T, check time.Duration, f func(is *is.I, s *standin.Store, n *noted)) {
+	synctest.Test(t, func(t *testing.T) {
+		store, n := standin.NewStore(), &noted{values: make(map[string]string)}
+		w := New(Config{API: store, Kind: platform.KindGroup, Sink: n, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)),
+			Log: hclog.NewNullLogger(), Check: check})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		f(is.New(t), store, n)
+		cancel()
+		<-done
+	})
+}
+
+func put(is *is.I, s *standin.Store, name, value string) {
+	held, _ := s.Get(context.Background(), platform.KindGroup, name)
+	_, err := s.Put(context.Background(), platform.KindGroup, name, []byte(value), held.Version)
+	is.NoErr(err)
+}
+
+// Objects change, one is removed, and the history is dropped behind a change that was
+// not heard. All is told, by the watch or by a new list.
+func TestChangesAreToldPastALostHistory(t *testing.T) {
+	follow(t, 0, func(is *is.I, s *standin.Store, n *noted) {
+		put(is, s, "a", "1")
+		put(is, s, "b", "1")
+		time.Sleep(time.Second)
+		is.Equal(fmt.Sprint(n.values), "map[a:1 b:1]")
+		is.NoErr(s.Delete(context.Background(), platform.KindGroup, "b", 1))
+		time.Sleep(time.Second)
+		is.Equal(fmt.Sprint(n.values), "map[a:1]")
+		s.SetFaults(standin.Faults{Outage: true})
+		time.Sleep(time.Second)
+		s.SetFaults(standin.Faults{})
+		put(is, s, "a", "2")
+		s.Compact(platform.KindGroup)
+		time.Sleep(2 * time.Second)
+		is.Equal(fmt.Sprint(n.values), "map[a:2]")
+		is.Equal(n.lists, 2)
+		is.Equal(n.touches, []bool{true, false, true})
+	})
+}
+
+// The watch is deaf. Without a check nothing is told; with one, a change is told within
+// its interval.
+func TestChecksBoundADeafWatch(t *testing.T) {
+	for _, check := range []time.Duration{0, 2 * time.Second} {
+		follow(t, check, func(is *is.I, s *standin.Store, n *noted) {
+			s.SetFaults(standin.Faults{DeafWatches: true})
+			put(is, s, "a", "1")
+			time.Sleep(check + 100*time.Millisecond)
+			is.Equal(n.values["a"] == "1", check > 0)
+		})
+	}
+}
+
+// The platform is away for a minute. It is asked about once a second, not in a loop.
+func TestCallsArePacedInAnOutage(t *testing.T) {
+	follow(t, 0, func(is *is.I, s *standin.Store, _ *noted) {
+		s.SetFaults(standin.Faults{Outage: true})
+		before := s.Calls()[standin.CallWatch]
+		time.Sleep(time.Minute)
+		calls := s.Calls()[standin.CallWatch] - before
+		is.True(calls < 130)
+		is.True(calls > 50)
+	})
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,90 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// adopted keeps the last list.
+type adopted struct{ list []platform.Instance }
+
+// Adopt implements List.
+func (a *adopted) Adopt(list []platform.Instance) { a.list = list }
+
+func newRegistry(store platform.API, id, address string) (*Registry, *adopted) {
+	a := &adopted{}
+	return New(Config{
+		API: store, Self: platform.Instance{ID: id, FailureDomain: "a", PeerAddress: address}, List: a,
+		Clock: clock.System{}, Seed: 1, Log: hclog.NewNullLogger(),
+	}), a
+}
+
+// Two instances start, the first over an entry that its last process left at another
+// address. Each learns of both; when one stops, the other is alone.
+func TestInstancesLearnOfEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := standin.NewStore()
+		old, _ := json.Marshal(platform.Instance{ID: "i1", PeerAddress: "10.0.0.9:1"})
+		_, err := store.Put(t.Context(), platform.KindInstances, "i1", old, 0)
+		is.NoErr(err)
+		_, err = store.Put(t.Context(), platform.KindInstances, "odd", []byte("{"), 0)
+		is.NoErr(err)
+		first, firstList := newRegistry(store, "i1", "10.0.0.1:1")
+		second, secondList := newRegistry(store, "i2", "10.0.0.2:1")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{}, 2)
+		for _, r := range []*Registry{first, second} {
+			go func() {
+				r.Run(ctx)
+				done <- struct{}{}
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(len(firstList.list), 2)
+		is.Equal(firstList.list, secondList.list)
+		is.Equal(firstList.list[0].PeerAddress, "10.0.0.1:1")
+		is.NoErr(second.Withdraw(t.Context()))
+		time.Sleep(3 * time.Second)
+		is.Equal(len(firstList.list), 1)
+		cancel()
+		<-done
+		<-done
+	})
+}
+
+// The platform is down when the instance starts. It goes on trying, and what it knew of
+// the others stays.
+func TestStartInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := standin.NewStore()
+		store.SetFaults(standin.Faults{Outage: true})
+		r, list := newRegistry(store, "i1", "10.0.0.1:1")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Run(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		is.Equal(len(list.list), 0)
+		is.True(errors.Is(r.Withdraw(t.Context()), platform.ErrUnavailable))
+		store.SetFaults(standin.Faults{})
+		time.Sleep(5 * time.Second)
+		is.Equal(len(list.list), 1)
+		cancel()
+		<-done
+	})
+}
