--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -115,3 +115,24 @@
 		b.listen.Close()
 	})
 }
+
+// The instance lost sight of most members, and its idle callers are better off
+// elsewhere. They are woken and leave; callers that come later are taken, because the
+// balancer has nowhere better for them.
+func TestDismissSendsIdleCallersAwayOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(9)
+		b.call()
+		before := b.server.Dismissals()
+		b.server.Dismiss()
+		synctest.Wait()
+		is.True(b.server.Dismissals() > before)
+		is.Equal(b.server.Callers(), 0)
+		b.call()
+		is.Equal(b.server.Callers(), 1)
+		is.Equal(len(b.refused), 0)
+		is.NoErr(b.server.Drain(t.Context()))
+		b.listen.Close()
+	})
+}
--- a/internal/executor/hedge.go
+++ b/internal/executor/hedge.go
@@ -58,6 +58,7 @@
 	if !ok || !g.mayHedge(ctx) {
 		return <-results
 	}
+	g.Logger.Info("Read is sent to a second member as well.", "request", u.Request, "unit", u.ID, "group", g.Group, "member", m.Address, "second", second.Address, "after", (p.objective / hedgePart).String())
 	launch(second, 2)
 	first := <-results
 	if first.err == nil {
--- /dev/null
+++ b/internal/executor/hedge_test.go
@@ -0,0 +1,244 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/document"
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/group"
+	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/member"
+	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/retry"
+	"github.com/topazrock/topazrock/internal/wire"
+)
+
+// objective is what callers of these tests want their answers in.
+const objective = 300 * time.Millisecond
+
+// scripted is a member that answers all statements in one way.
+type scripted struct {
+	after   time.Duration
+	err     error
+	failure *wire.Failure
+	// asked counts the statements that reached it.
+	asked int
+}
+
+// scriptedMembers are members by address, and the pool and tracker of a group.
+type scriptedMembers struct {
+	group.Tracker
+	snapshot group.Snapshot
+
+	mu      sync.Mutex
+	members map[string]*scripted
+	failed  []string
+}
+
+// scriptedConn is a connection to a scripted member.
+type scriptedConn struct {
+	wire.Conn
+	all     *scriptedMembers
+	address string
+}
+
+// Address implements wire.Conn.
+func (c scriptedConn) Address() string { return c.address }
+
+// Opened implements wire.Conn.
+func (c scriptedConn) Opened() time.Time { return time.Time{} }
+
+// SetDeadline implements wire.Conn.
+func (c scriptedConn) SetDeadline(time.Time) error { return nil }
+
+// Cancel implements wire.Conn.
+func (c scriptedConn) Cancel(context.Context, netio.Dialer) error { return nil }
+
+// Run implements wire.Conn.
+func (c scriptedConn) Run(x *wire.Exchange) error {
+	c.all.mu.Lock()
+	m := c.all.members[c.address]
+	m.asked++
+	c.all.mu.Unlock()
+	_ = clock.Sleep(context.Background(), clock.System{}, m.after)
+	x.Final, x.Failure = wire.Idle, m.failure
+	x.Messages = []byte(c.address)
+	return m.err
+}
+
+// Acquire implements pool.Pool.
+func (s *scriptedMembers) Acquire(_ context.Context, address string) (wire.Conn, error) {
+	return scriptedConn{all: s, address: address}, nil
+}
+
+// Release implements pool.Pool.
+func (*scriptedMembers) Release(wire.Conn) {}
+
+// Suspect implements pool.Pool.
+func (*scriptedMembers) Suspect(string, time.Time) {}
+
+// ProbeIdle implements pool.Pool.
+func (*scriptedMembers) ProbeIdle(time.Time) {}
+
+// Snapshot implements group.Tracker.
+func (s *scriptedMembers) Snapshot() *group.Snapshot { return &s.snapshot }
+
+// Ask implements group.Tracker.
+func (*scriptedMembers) Ask() group.Ticket { return group.Ticket{} }
+
+// Recheck implements group.Tracker.
+func (*scriptedMembers) Recheck(string) {}
+
+// ReportFailure implements group.Tracker.
+func (s *scriptedMembers) ReportFailure(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = append(s.failed, address)
+}
+
+// Proven implements group.Tracker.
+func (*scriptedMembers) Proven(time.Time) (logpos.Mark, bool) {
+	return logpos.Mark{Term: 1, Position: 10}, true
+}
+
+// asked is how often a member was asked.
+func (s *scriptedMembers) asked(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members[address].asked
+}
+
+// scriptedGroup is a group of a primary p and two replicas.
+func scriptedGroup(p, r1, r2 *scripted) (*Group, *scriptedMembers) {
+	now := time.Now()
+	view := func(address string, role member.Role) group.MemberView {
+		return group.MemberView{Address: address, SeenAt: now, FreshAsOf: now,
+			Status: member.Status{Role: role, Entered: 1, Attached: 1, Last: logpos.Mark{Term: 1, Position: 20}}}
+	}
+	s := &scriptedMembers{
+		members: map[string]*scripted{"p": p, "r1": r1, "r2": r2},
+		snapshot: group.Snapshot{Group: "g", Term: 1, Primary: "p", ConfirmedAt: now, Members: []group.MemberView{
+			view("p", member.RolePrimary), view("r1", member.RoleReplica), view("r2", member.RoleReplica)}},
+	}
+	service := &document.Service{
+		Limits: document.Limits{StatementTimeout: time.Minute, RequestTimeout: time.Minute, ConfirmTimeout: time.Second, AnswerBuffer: 1 << 20, MaxQueue: 10},
+		Reads:  []document.ReadClass{{Name: "aged", MaxAge: time.Hour, Priority: 5, Objective: objective}},
+	}
+	return NewGroup(Config{
+		Group: "g", Instance: "i", Service: func() *document.Service { return service },
+		Tracker: s, Pool: s, Clock: clock.System{}, Logger: hclog.NewNullLogger(),
+		Gate:    admission.NewPerMember(admission.Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Slots: 4}),
+		Budget:  retry.New(retry.Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 2))}),
+		Random:  rand.New(rand.NewPCG(1, 3)),
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+		Wire:    wire.Features{ChecksPosition: true, TellsLog: true, SlotIsConnection: true, HoldsAnswers: true, TellsEnd: true},
+	}), s
+}
+
+// readOnce runs one aged read and tells who answered, and after how long.
+func readOnce(t *testing.T, g *Group) (string, time.Duration, error) {
+	t.Helper()
+	began := time.Now()
+	u := &execution.Unit{ID: "u", Group: "g", Class: "aged", Timeout: time.Second, ReadOnly: true, Messages: []byte("read")}
+	reply, err := g.Execute(t.Context(), u, func([]byte) error { return nil })
+	if err != nil {
+		return "", time.Since(began), err
+	}
+	return string(reply.Messages), time.Since(began), nil
+}
+
+// A replica answers nothing for seconds, and closes no connection either. A read that
+// it was given is sent to the other replica as well when a third of the caller's
+// objective is over, and the caller has its answer in time, whichever replica was
+// picked first.
+func TestReadOfASilentReplicaIsAnsweredByAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		quick := &scripted{after: 10 * time.Millisecond}
+		g, s := scriptedGroup(&scripted{}, &scripted{after: 5 * time.Second}, quick)
+		slow := 0
+		for range 8 {
+			by, took, err := readOnce(t, g)
+			is.NoErr(err)
+			is.Equal(by, "r2")
+			is.True(took <= objective/hedgePart+10*time.Millisecond)
+			slow += s.asked("r1")
+		}
+		is.True(slow > 0)
+		_ = clock.Sleep(t.Context(), clock.System{}, 10*time.Second)
+	})
+}
+
+// A replica's connection breaks, or the statement fails there, or the replica lacks
+// what the read must see. The read changes nothing, so that another replica answers
+// it, and the caller sees no error.
+func TestReadThatFailsAtOneReplicaGoesToAnother(t *testing.T) {
+	for name, broken := range map[string]*scripted{
+		"broken": {err: net.ErrClosed},
+		"failed": {failure: &wire.Failure{Kind: wire.FailureRan, Code: "FAILED"}},
+		"behind": {failure: &wire.Failure{Kind: wire.FailureBehind}},
+		"full":   {failure: &wire.Failure{Kind: wire.FailureBusy}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g, s := scriptedGroup(&scripted{}, broken, &scripted{})
+				for range 4 {
+					by, _, err := readOnce(t, g)
+					is.NoErr(err)
+					is.Equal(by, "r2")
+				}
+				is.True(s.asked("r1") > 0)
+			})
+		})
+	}
+}
+
+// All members fail the statement. The caller is told the error after a few members,
+// not after a storm of attempts.
+func TestReadThatFailsEverywhereEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		broken := func() *scripted { return &scripted{err: net.ErrClosed} }
+		g, s := scriptedGroup(broken(), broken(), broken())
+		_, _, err := readOnce(t, g)
+		var e *result.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Code, result.ConnectionLost)
+		is.True(s.asked("p")+s.asked("r1")+s.asked("r2") <= maxReadAttempts+1)
+		is.True(len(s.failed) > 0)
+	})
+}
+
+// One replica of two is lost, and the other one has statements of this instance
+// queued while the primary has none. Aged reads go to the primary too.
+func TestAgedReadsSpillToAnIdlePrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, s := scriptedGroup(&scripted{after: time.Millisecond}, &scripted{after: 80 * time.Millisecond}, &scripted{after: 80 * time.Millisecond})
+		s.snapshot.Members = s.snapshot.Members[:2]
+		var all sync.WaitGroup
+		for range 8 {
+			all.Go(func() { _, _, _ = readOnce(t, g) })
+			synctest.Wait()
+		}
+		all.Wait()
+		_ = clock.Sleep(t.Context(), clock.System{}, time.Second)
+		is.True(s.asked("p") > 0)
+		is.True(s.asked("r1") >= spillAfter)
+	})
+}
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -32,6 +32,7 @@
 		if o.err == nil || o.streamed || !g.mayRetryRead(ctx, o.err, attempt) {
 			return o.reply, o.err
 		}
+		g.Logger.Info("Read is tried at another member.", "request", u.Request, "unit", u.ID, "group", g.Group, "member", o.member, "attempt", attempt, "error", o.err)
 		exclude[o.member] = true
 	}
 }
--- a/internal/executor/write.go
+++ b/internal/executor/write.go
@@ -14,10 +14,8 @@
 		if err == nil {
 			return reply, nil
 		}
-		if g.mayResend(ctx, p, err, attempt) {
-			continue
-		}
-		if p.read && g.mayRetryRead(ctx, err, attempt) {
+		if g.mayResend(ctx, p, err, attempt) || p.read && g.mayRetryRead(ctx, err, attempt) {
+			g.Logger.Info("Statement is sent to the primary again.", "request", u.Request, "unit", u.ID, "group", g.Group, "attempt", attempt, "error", err)
 			continue
 		}
 		if p.keyed(u) {
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -108,7 +108,9 @@
 		return err
 	}
 	a.c.at(StepFenced)
-	a.target = best(candidates).ward.address
+	winner := best(candidates)
+	a.target = winner.ward.address
+	a.c.log.Info("Member is promoted.", "term", a.term, "member", a.target, "log_end", winner.status.Last, "fenced", len(candidates))
 	close(a.chosen)
 	a.c.at(StepChosen)
 	return nil
--- a/internal/failover/guard.go
+++ b/internal/failover/guard.go
@@ -69,7 +69,8 @@
 		g.failed(v, err)
 		return
 	}
-	c.log.Info("Term claimed.", "term", won.record.Term, "cause", v.cause)
+	c.log.Info("Term claimed.", "term", won.record.Term, "cause", v.cause, "before", s.Term, "primary", s.Primary,
+		"suspected_for", decided.Sub(v.began).String(), "members", len(s.Members), "majority_of", s.Size)
 	c.Metrics.claim(v.cause, outcomeWon)
 	c.at(StepClaimed)
 	gap := Gap{Group: c.Group, Term: won.record.Term, Cause: v.cause,
@@ -125,7 +126,8 @@
 func (g *guard) report(gap Gap) {
 	g.c.Metrics.observe(gap)
 	g.c.log.Info("Primary replaced.", "term", gap.Term, "member", gap.Primary, "cause", gap.Cause,
-		"detect", gap.Detect, "claim", gap.Claim, "fence", gap.Fence, "promote", gap.Promote, "learn", gap.Learn)
+		"detect", gap.Detect.String(), "claim", gap.Claim.String(), "fence", gap.Fence.String(),
+		"promote", gap.Promote.String(), "learn", gap.Learn.String())
 	if g.c.OnFailover != nil {
 		g.c.OnFailover(gap)
 	}
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -166,7 +166,7 @@
 		return
 	}
 	f.inTouch = true
-	f.Log.Info("The platform answers.", "failing_for", f.since(failing))
+	f.Log.Info("The platform answers.", "failing_for", f.since(failing).String())
 	f.Sink.Touch(true)
 }
 
--- /dev/null
+++ b/internal/pool/memberlimit_test.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/wire"
+)
+
+// One member hangs, and all that it may have of connections are in use. Statements
+// for the other member still get theirs: the limit is one of each member, and no
+// member's connections are taken from another's.
+func TestFullMemberHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFakeMembers().newPool(100)
+		defer closePool(t, p)
+		p.SetMemberLimit(2)
+		held := []wire.Conn{acquire(t, p, firstMember), acquire(t, p, firstMember)}
+		other := acquire(t, p, secondMember)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := p.Acquire(ctx, firstMember)
+		is.Equal(code(err), result.TooManyConnections)
+		p.Release(held[0])
+		held[0] = acquire(t, p, firstMember)
+		for _, c := range append(held, other) {
+			p.Release(c)
+		}
+	})
+}
+
+// More instances share a member, so that each may hold fewer connections. Idle ones
+// past the new limit are closed at once, and one in use when it comes back: the
+// member resets whoever holds more than its part.
+func TestLowerMemberLimitClosesConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(100)
+		defer closePool(t, p)
+		p.SetMemberLimit(4)
+		var all []wire.Conn
+		for range 4 {
+			all = append(all, acquire(t, p, firstMember))
+		}
+		p.Release(all[0])
+		p.Release(all[1])
+		p.SetMemberLimit(1)
+		_ = clock.Sleep(t.Context(), clock.System{}, time.Second)
+		is.Equal(members.count(), 2)
+		p.Release(all[2])
+		_ = clock.Sleep(t.Context(), clock.System{}, time.Second)
+		is.Equal(members.count(), 1)
+		p.Release(all[3])
+	})
+}
+
+// A burst opens six connections, after which one at a time is enough. The idle ones
+// are closed within two intervals but for a spare one, so that the member has room
+// when this instance loses power and its successor comes.
+func TestConnectionsOfABurstAreTrimmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		cfg := members.config(100)
+		cfg.TrimInterval = time.Second
+		p := New(cfg)
+		defer closePool(t, p)
+		var all []wire.Conn
+		for range 6 {
+			all = append(all, acquire(t, p, firstMember))
+		}
+		for _, c := range all {
+			p.Release(c)
+		}
+		for range 25 {
+			c := acquire(t, p, firstMember)
+			_ = clock.Sleep(t.Context(), clock.System{}, 100*time.Millisecond)
+			p.Release(c)
+		}
+		is.True(members.count() <= 2)
+		is.Equal(members.openings, 6)
+	})
+}
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -68,7 +68,7 @@
 		outcome = "refused"
 	}
 	p.cfg.Metrics.opened.WithLabelValues(p.cfg.Group, outcome).Inc()
-	p.log.Warn("Opening a connection failed.", "group", p.cfg.Group, "member", m.address, "pause", m.pause, "error", err)
+	p.log.Warn("Opening a connection failed.", "group", p.cfg.Group, "member", m.address, "pause", m.pause.String(), "error", err)
 	if !errors.Is(err, wire.ErrRefused) && !errors.Is(err, syscall.ECONNREFUSED) {
 		// The attempt may have reached the member, which then holds a
 		// connection that this side has given up.
