Count a replica that is out of reach as one that does not get on

A group counted four members, one of them gone and one cut off; of the two replicas that a commit needs, one could answer. The group was not seen to stall, because the last report of the one cut off said that it was attached: writes were sent, could not be confirmed, and ended as unknown outcomes at their deadlines. Now they are refused before they are sent.

Ruled out: a replica that lags (its report holds the primary's position), and one that does not follow the term (entered 2, attached 2). The new log line with each member's last report showed both.

--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -119,6 +119,7 @@
 		s.Members[i] = f.view
 	}
 	w.snapshot.Store(s)
+	w.logStall(s.StalledSince)
 }
 
 // confirmedAt is the newest moment by which enough replicas for a confirmation
--- a/internal/group/sparse_test.go
+++ b/internal/group/sparse_test.go
@@ -184,6 +184,28 @@
 	})
 }
 
+// One replica is out of reach and the other one receives nothing. Writes would be sent
+// and never confirmed: the replica that is out of reach must not count as one that gets
+// on, or each of them would end as an unknown outcome after its whole time.
+func TestReplicaOutOfReachDoesNotHideAStall(t *testing.T) {
+	sparse(t, func(w *Watcher, members trio) {
+		is := is.New(t)
+		members["q"].mu.Lock()
+		members["q"].delay = time.Hour
+		members["q"].mu.Unlock()
+		time.Sleep(5 * time.Second)
+		q, _ := w.Snapshot().Find("q")
+		is.True(!q.Failing.IsZero())
+		is.True(w.Snapshot().StalledSince.IsZero())
+		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		w.Observe("r", w.Ask(), member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(100)})
+		is.True(!w.Snapshot().StalledSince.IsZero())
+		members["r"].set(member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(200)})
+		time.Sleep(300 * time.Millisecond)
+		is.True(w.Snapshot().StalledSince.IsZero())
+	})
+}
+
 // Members answer statements all the time. They are not polled as well.
 func TestAnswersStandForPolls(t *testing.T) {
 	sparse(t, func(w *Watcher, members trio) {
--- a/internal/group/stall.go
+++ b/internal/group/stall.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -37,6 +38,9 @@
 		case f.view.Address == w.primary:
 		case !f.stalledAt.IsZero():
 			stalled = append(stalled, f.stalledAt)
+		case !f.view.Failing.IsZero():
+			// What it reported before it was out of reach says nothing of now.
+			stalled = append(stalled, f.view.Failing)
 		case !f.attachedAt.IsZero():
 			missing--
 		}
@@ -47,3 +51,30 @@
 	slices.SortFunc(stalled, func(a, b time.Time) int { return b.Compare(a) })
 	return stalled[missing-1]
 }
+
+// stallLogAfter is how long a stall lasts before it is logged: lags of a usual length
+// are no news.
+const stallLogAfter = 500 * time.Millisecond
+
+// logStall logs a stall that lasts, once with each member's last report, and its end.
+func (w *Watcher) logStall(since time.Time) {
+	switch {
+	case since.IsZero() && w.stallLogged:
+		w.stallLogged = false
+		w.log.Info("Replicas get on again.", "group", w.group, "term", w.term)
+	case !since.IsZero() && !w.stallLogged && w.clock.Now().Sub(since) >= stallLogAfter:
+		w.stallLogged = true
+		w.log.Warn("Too few replicas get on.", "group", w.group, "term", w.term, "since", since, "members", w.reports())
+	}
+}
+
+// reports describes the last report of each member.
+func (w *Watcher) reports() []string {
+	all := make([]string, 0, len(w.followers))
+	for _, f := range w.followers {
+		s := f.view.Status
+		all = append(all, fmt.Sprintf("%s %s entered %d attached %d log %d.%d age %s failures %d",
+			f.view.Address, s.Role, s.Entered, s.Attached, s.Last.Term, s.Last.Position, w.clock.Now().Sub(f.view.SeenAt), f.view.Failures))
+	}
+	return all
+}
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -41,9 +41,11 @@
 	termStart logpos.Position
 	led       logpos.Term
 	// head is the highest position that the primary reported in the term.
-	head    logpos.Position
-	samples samples
-	waiters map[*waiter]struct{}
+	head logpos.Position
+	// stallLogged says that the present stall was logged.
+	stallLogged bool
+	samples     samples
+	waiters     map[*waiter]struct{}
 	// changed is closed and replaced when the term, the primary or a member's
 	// suspicion changes.
 	changed chan struct{}
