--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -181,6 +181,7 @@
 	n.reconciling.Go(func() { n.runHomes(parts) })
 	n.running.Go(func() { n.serveAdmin(parts) })
 	n.running.Go(func() { n.serveReady(parts) })
+	n.running.Go(func() { n.serveMetrics(parts) })
 	n.running.Go(func() { n.watchReach(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.callers.Serve(callers) })
--- a/internal/instance/pages_test.go
+++ b/internal/instance/pages_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"io"
 	"os"
 	"regexp"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/topazrock/topazrock/internal/frontend"
+	"github.com/topazrock/topazrock/internal/logqueue"
 )
 
 var (
@@ -25,6 +27,7 @@
 	r := prometheus.NewRegistry()
 	newMetrics(r)
 	frontend.NewMetrics(r)
+	logqueue.New(io.Discard, r).Close()
 	descriptions := make(chan *prometheus.Desc)
 	go func() {
 		defer close(descriptions)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -27,7 +27,7 @@
 	Sections: []inifile.SectionRule{
 		{Kind: "instance", Required: true}, {Kind: "caller", Required: true}, {Kind: "peer", Required: true},
 		{Kind: "admin", Required: true}, {Kind: "platform", Required: true}, {Kind: "upstream", Required: true},
-		{Kind: "homes"}, {Kind: "ready"}, {Kind: "promotion"}, {Kind: "drain"}, {Kind: "process"}, {Kind: "log"},
+		{Kind: "homes"}, {Kind: "ready"}, {Kind: "metrics"}, {Kind: "promotion"}, {Kind: "drain"}, {Kind: "process"}, {Kind: "log"},
 	},
 	Keys: []inifile.Key{
 		{Section: "instance", Name: "id", Kind: inifile.Name{}, Required: true,
@@ -74,6 +74,9 @@
 		{Section: "ready", Name: "address", Kind: optional{inifile.Address{}},
 			Meaning: "Where the balancer's readiness probe is answered, apart from the administration API. May be empty."},
 
+		{Section: "metrics", Name: "address", Kind: optional{inifile.Address{}},
+			Meaning: "Where metrics are served besides the administration API, for a collector that knows one port. May be empty."},
+
 		{Section: "promotion", Name: "url", Kind: optional{platformURL{}},
 			Meaning: "Base URL of the service that appoints primaries, for members that do not take the order themselves. May be empty."},
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -43,6 +43,7 @@
 			ApplicationName: upstream.String("application_name")},
 		Homes:     Homes{PerFailureDomain: section("homes").Int("per_failure_domain")},
 		Ready:     Ready{Address: section("ready").String("address")},
+		Metrics:   Metrics{Address: section("metrics").String("address")},
 		Promotion: Promotion{URL: section("promotion").String("url")},
 		Drain:     Drain{Linger: section("drain").Duration("linger"), Timeout: section("drain").Duration("timeout")},
 		Process:   Process{MemoryMB: section("process").Int("memory_mb")},
@@ -53,7 +54,7 @@
 // checkAddresses refuses two listeners at one address.
 func checkAddresses(f *inifile.File) {
 	owner := make(map[string]string)
-	for _, kind := range []string{"caller", "peer", "admin", "ready"} {
+	for _, kind := range []string{"caller", "peer", "admin", "ready", "metrics"} {
 		s := f.First(&schema, kind)
 		address := s.String("address")
 		if address == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	Upstream Upstream
 	Homes    Homes
 	Ready    Ready
+	Metrics  Metrics
 	// Promotion is where primaries are appointed, for members that do not take
 	// the order themselves; empty otherwise.
 	Promotion Promotion
@@ -89,6 +90,12 @@
 	Address string
 }
 
+// Metrics is a listener for metrics alone.
+type Metrics struct {
+	// Address is empty when there is no such listener.
+	Address string
+}
+
 // Promotion is where primaries are appointed.
 type Promotion struct{ URL string }
 
