--- a/internal/standin/command/bench.go
+++ b/internal/standin/command/bench.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/standin/bench"
+	"github.com/topazrock/topazrock/internal/standin/linedemo"
 )
 
 var errPromiseBroken = errors.New("a promise was broken; see the report")
@@ -14,16 +16,36 @@
 // demoCommand runs the demo.
 type demoCommand struct {
 	Seed uint64 `long:"seed" default:"1" description:"seed of every random choice"`
+	Wire string `long:"wire" default:"postgresql" choice:"postgresql" choice:"line" description:"protocol that callers and members speak"`
 	Logs bool   `long:"logs" description:"show the instances' logs on the error output"`
 	environment
 }
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
+	if c.Wire == "line" {
+		return c.lineDemo()
+	}
 	r, err := bench.Demo(c.ctx, c.Seed, c.out, c.logs(c.Logs))
 	return c.finish(r, err)
 }
 
+// lineDemo runs the demo over the line protocol. The report is the last line.
+func (c *demoCommand) lineDemo() error {
+	r, err := linedemo.Run(c.ctx, c.Seed, c.out, c.logs(c.Logs))
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(c.out, r.Words())
+	if err := r.Write(c.out); err != nil {
+		return err
+	}
+	if r.Failed() {
+		return errPromiseBroken
+	}
+	return nil
+}
+
 // benchCommand runs a profile under load, with a fault half way.
 type benchCommand struct {
 	Profile  string        `long:"profile" required:"true" choice:"ligacao-sul" choice:"lentes" description:"whose places, sizes and mix"`
--- /dev/null
+++ b/internal/standin/linedemo/system.go
@@ -0,0 +1,214 @@
+package linedemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/instance"
+	"github.com/topazrock/topazrock/internal/netio"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/settings"
+	"github.com/topazrock/topazrock/internal/standin/member"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+	adapter "github.com/topazrock/topazrock/platform"
+)
+
+const (
+	group = "demo-1"
+	// Databases of the demo: reads of one see their own session's writes, those of
+	// the other must be fresh.
+	ownDatabase   = "own"
+	freshDatabase = "fresh"
+
+	connections     = 34
+	slots           = 5
+	replicationLag  = 20 * time.Millisecond
+	statementCost   = 500 * time.Microsecond
+	connectDelay    = 10 * time.Millisecond
+	platformTimeout = 2 * time.Second
+	maxCallers      = 1000
+	drainTimeout    = time.Second
+)
+
+// domains are the failure domains; each has one member and one instance.
+var domains = []string{"a", "b", "c"}
+
+// system is everything that the demo runs.
+type system struct {
+	store   *standin.Store
+	nodes   []*member.Node
+	members []string
+	// fronts are the addresses at which instances take callers.
+	fronts  []string
+	closers []func()
+}
+
+// startSystem starts everything. The caller closes the system also on an error.
+func startSystem(seed uint64, logs io.Writer) (*system, error) {
+	s := &system{store: standin.NewStore()}
+	if err := s.startMembers(); err != nil {
+		return s, err
+	}
+	url, err := s.startPlatform()
+	if err != nil {
+		return s, err
+	}
+	s.publish()
+	for i := range domains {
+		if err := s.startInstance(i, url, seed, logs); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func memberID(i int) string { return fmt.Sprintf("i-demo-%d", i) }
+
+// hostOf is the loopback address of a failure domain.
+func hostOf(i int) string { return fmt.Sprintf("127.0.0.%d", 40*(i+1)) }
+
+// free returns an address with a port that nobody uses now.
+func free(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+func (s *system) startMembers() error {
+	for i := range domains {
+		address, err := free(hostOf(i))
+		if err != nil {
+			return err
+		}
+		s.members = append(s.members, address)
+	}
+	for i := range domains {
+		n := member.New(member.Options{
+			Address: s.members[i], Primary: s.members[0], Network: netio.TCP{}, ID: memberID(i), Group: group,
+			ConnectDelay: connectDelay, ConnectionTotal: connections, Slots: slots,
+			ReplicationLag: replicationLag, StatementCost: statementCost,
+		})
+		if err := n.Start(); err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, n)
+		s.closers = append(s.closers, n.Stop)
+	}
+	return nil
+}
+
+// startPlatform serves the store and the appointments at one address.
+func (s *system) startPlatform() (url string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		return "", err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", standin.Handler(s.store))
+	mux.Handle("POST /promotion", newAppointer(s))
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(l) }()
+	s.closers = append(s.closers, func() { _ = server.Close() })
+	return "http://" + l.Addr().String(), nil
+}
+
+// publish writes the manifest and the members' entries.
+func (s *system) publish() {
+	s.put(platform.KindManifest, platform.ManifestName, map[string]any{
+		"Version":  1,
+		"Services": []any{map[string]any{"Name": group, "MaxConns": connections}},
+		"Limits":   map[string]any{"TxIdleMs": 3000},
+		"Routes": []any{
+			map[string]any{"Name": "r1", "Host": freshDatabase, "Type": "primary", "Service": group, "TimeoutMs": 2000, "SloMs": 400, "Priority": 1},
+			map[string]any{"Name": "r2", "Host": ownDatabase, "Type": "read_your_writes", "Service": group, "TimeoutMs": 2000, "SloMs": 400, "Priority": 2, "MaxStalenessMs": 2500},
+		},
+	})
+	for i := range domains {
+		s.publishMember(i, i == 0)
+	}
+}
+
+// publishMember writes a member's entry.
+func (s *system) publishMember(i int, leads bool) {
+	role := "replica"
+	if leads {
+		role = "primary"
+	}
+	s.put(platform.KindUpstreams, memberID(i), map[string]any{
+		"Service": group, "Addr": s.members[i], "Zone": domains[i], "Version": "v1", "Slots": slots,
+		"State": "ready", "ColdMs": 0, "DbRole": role, "Seq": 1, "born": 1,
+	})
+}
+
+// put stores a specification over whatever is there.
+func (s *system) put(kind platform.Kind, name string, spec any) {
+	value, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // maps of plain values
+	}
+	ctx := context.Background()
+	held, _ := s.store.Get(ctx, kind, name) // not there: version zero creates it
+	_, _ = s.store.Put(ctx, kind, name, value, held.Version)
+}
+
+func (s *system) startInstance(i int, url string, seed uint64, logs io.Writer) error {
+	var addresses [3]string
+	for k := range addresses {
+		address, err := free(hostOf(i))
+		if err != nil {
+			return err
+		}
+		addresses[k] = address
+	}
+	s.fronts = append(s.fronts, addresses[0])
+	o := instance.Options{
+		Settings: &settings.Settings{
+			Instance:  settings.Instance{ID: "entry-" + domains[i], FailureDomain: domains[i], Region: "demo"},
+			Caller:    settings.Caller{Address: addresses[0], Wire: settings.WireLine, MaxCallers: maxCallers},
+			Peer:      settings.Peer{Address: addresses[1]},
+			Admin:     settings.Admin{Address: addresses[2]},
+			Platform:  settings.Platform{URL: url, Timeout: platformTimeout},
+			Homes:     settings.Homes{PerFailureDomain: 1},
+			Promotion: settings.Promotion{URL: url},
+			Drain:     settings.Drain{Timeout: drainTimeout},
+		},
+		Network: netio.TCP{}, Clock: clock.System{}, Seed: seed + uint64(i),
+		Platform: adapter.NewClient(url, netio.TCP{}, platformTimeout),
+		Logger:   hclog.New(&hclog.LoggerOptions{Name: "entry-" + domains[i], Output: logs, Level: hclog.Info, JSONFormat: true}),
+		Registry: prometheus.NewRegistry(),
+	}
+	adapter.SpeakLine(&o)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	n := instance.New(o)
+	go func() {
+		defer close(ended)
+		if err := n.Run(ctx); err != nil {
+			fmt.Fprintln(logs, "instance ended:", err)
+		}
+	}()
+	s.closers = append(s.closers, func() {
+		cancel()
+		<-ended
+	})
+	return nil
+}
+
+// close stops the instances first, then the rest.
+func (s *system) close() {
+	for _, c := range slices.Backward(s.closers) {
+		c()
+	}
+}
