Ask the other members when a primary fails

Cause: an instance that had no part in a promotion learned of the new primary at its next poll of a replica, up to two seconds later: when the primary failed, nothing woke the replicas' followers. Now the first failed probe of a primary wakes them, and while a group has no primary that answers they ask every 20 ms; those that had learned the term asked every 4 ms before, which was most of what a promotion cost in questions.

Ruled out: that the member's entry tells in time (it came at once and only names the member), and that standby units are not woken (they are, once the primary is found).

Test: TestNewPrimaryIsLearnedByThoseWhoDidNotPromoteIt, red before.

--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -305,6 +305,19 @@
 	}
 }
 
+// search has the other members asked when the primary fails: one of them may lead
+// already, by the doing of another instance, and their next polls may be seconds away.
+func (w *Watcher) search(failing *follower) {
+	if failing.view.Address != w.primary {
+		return
+	}
+	for _, f := range w.followers {
+		if f != failing {
+			f.wake()
+		}
+	}
+}
+
 // failed counts a failed probe on a new connection.
 func (f *follower) failed(t Ticket, err error) {
 	f.w.mu.Lock()
@@ -313,6 +326,7 @@
 	if f.view.Failing.IsZero() {
 		f.w.log.Warn("Member does not answer.", "group", f.w.group, "member", f.view.Address, "error", err)
 		f.view.Failing = t.at
+		f.w.search(f)
 	}
 	f.view.Failures++
 	f.view.Refused = errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -14,6 +14,11 @@
 // further although the primary is ahead.
 const stalledPoll = 100 * time.Millisecond
 
+// searchPoll is the least time between two reports of a replica while the group has no
+// primary that answers. The promotion takes several times as long, and who learns of
+// the new primary that much later loses nothing against it.
+const searchPoll = 20 * time.Millisecond
+
 const (
 	failuresPerDoubling = 3
 	maxDoublings        = 4
@@ -65,7 +70,7 @@
 	case q.wanted:
 		q.delay = max(f.until(f.missPause()), f.w.turn(f))
 	case f.w.unsettled():
-		q.delay = f.until(f.w.intervals.FastPoll)
+		q.delay = f.until(max(f.w.intervals.FastPoll, searchPoll))
 	case !f.stalledAt.IsZero():
 		// A stall is held against writes and in the end against the primary. It must
 		// not outlive its cause because nobody asks.
--- a/internal/group/sparse_test.go
+++ b/internal/group/sparse_test.go
@@ -206,6 +206,29 @@
 	})
 }
 
+// The primary is lost, and another instance has a replica promoted. This instance had
+// no part in it, and its replicas are polled rarely. It still learns of the new primary
+// within some tens of milliseconds, or its callers would be refused for a second more.
+func TestNewPrimaryIsLearnedByThoseWhoDidNotPromoteIt(t *testing.T) {
+	sparse(t, func(w *Watcher, members trio) {
+		is := is.New(t)
+		members["p"].mu.Lock()
+		members["p"].delay = time.Hour
+		members["p"].mu.Unlock()
+		w.ReportFailure("p")
+		time.Sleep(500 * time.Millisecond)
+		p, _ := w.Snapshot().Find("p")
+		is.True(!p.Failing.IsZero())
+		members["r"].set(member.Status{Role: member.RolePrimary, Entered: 2, Attached: 2, Last: logpos.Mark{Term: 2, Position: 120}, TermStart: 100})
+		members["q"].set(member.Status{Role: member.RoleReplica, Entered: 2, Attached: 2, Last: logpos.Mark{Term: 2, Position: 120}})
+		time.Sleep(60 * time.Millisecond)
+		is.Equal(w.Snapshot().Primary, "r")
+		before := members["q"].asked()
+		time.Sleep(time.Second)
+		is.True(members["q"].asked()-before <= 2)
+	})
+}
+
 // Members answer statements all the time. They are not polled as well.
 func TestAnswersStandForPolls(t *testing.T) {
 	sparse(t, func(w *Watcher, members trio) {
