Ask a primary whose replicas stall

All 24 callers waited for confirmations that no replica could give, because the primary died behind its answers; no statement was left to meet its end, and the next poll was seconds away. It was suspected only when the confirmations had timed out. Now the stall of its replicas has it asked every 100 ms, unless its answers to statements show that it lives.

Ruled out: that the replicas were not asked (they were, and logged the stall), and slow connections (refused at once as soon as somebody dialled).

Test: TestPrimaryThatDiesBehindItsAnswerIsFoundOut, red before.

--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -11,7 +11,7 @@
 const pollSpread = 0.1
 
 // stalledPoll is the time between two reports of a replica that has not got any
-// further although the primary is ahead.
+// further although the primary is ahead, and of a primary whose replicas have not.
 const stalledPoll = 100 * time.Millisecond
 
 // searchPoll is the least time between two reports of a replica while the group has no
@@ -53,7 +53,13 @@
 
 func (f *follower) nextOfPrimary() question {
 	q := question{bound: f.pace.bound(f.w.intervals.Probe)}
-	if !f.w.barrierWaits() {
+	switch {
+	case f.w.barrierWaits():
+	case !f.w.stalledSince().IsZero():
+		// It may have died behind its last answer, with every caller waiting for a
+		// confirmation and no statement that would meet its end.
+		q.delay = f.untilPoll(min(f.w.intervals.PrimaryPoll, stalledPoll))
+	default:
 		q.delay = f.untilPoll(f.w.intervals.PrimaryPoll)
 	}
 	return q
--- a/internal/group/sparse_test.go
+++ b/internal/group/sparse_test.go
@@ -229,6 +229,25 @@
 	})
 }
 
+// The primary dies when it has answered a write and no replica has it yet. All callers
+// wait for their confirmations, so that no statement meets the dead primary. It is
+// asked all the same, and found out long before the confirmations time out.
+func TestPrimaryThatDiesBehindItsAnswerIsFoundOut(t *testing.T) {
+	sparse(t, func(w *Watcher, members trio) {
+		is := is.New(t)
+		members["p"].mu.Lock()
+		members["p"].delay = time.Hour
+		members["p"].mu.Unlock()
+		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		go func() { _ = w.ConfirmCommit(ctx, at(200)) }()
+		time.Sleep(700 * time.Millisecond)
+		p, _ := w.Snapshot().Find("p")
+		is.True(!p.Failing.IsZero())
+	})
+}
+
 // Members answer statements all the time. They are not polled as well.
 func TestAnswersStandForPolls(t *testing.T) {
 	sparse(t, func(w *Watcher, members trio) {
--- a/internal/group/stall.go
+++ b/internal/group/stall.go
@@ -25,6 +25,9 @@
 	case f.stalledAt.IsZero():
 		f.stalledAt = t.at
 		f.wake()
+		if p := w.find(w.primary); p != nil {
+			p.wake()
+		}
 	}
 }
 
