--- a/internal/objectwatch/follower_test.go
+++ b/internal/objectwatch/follower_test.go
@@ -54,7 +54,7 @@
 			defer close(done)
 			w.Run(ctx)
 		}()
-		time.Sleep(time.Second)
+		pass(time.Second)
 		f(is.New(t), store, n)
 		cancel()
 		<-done
@@ -73,17 +73,17 @@
 	follow(t, 0, func(is *is.I, s *standin.Store, n *noted) {
 		put(is, s, "a", "1")
 		put(is, s, "b", "1")
-		time.Sleep(time.Second)
+		pass(time.Second)
 		is.Equal(fmt.Sprint(n.values), "map[a:1 b:1]")
 		is.NoErr(s.Delete(context.Background(), platform.KindGroup, "b", 1))
-		time.Sleep(time.Second)
+		pass(time.Second)
 		is.Equal(fmt.Sprint(n.values), "map[a:1]")
 		s.SetFaults(standin.Faults{Outage: true})
-		time.Sleep(time.Second)
+		pass(time.Second)
 		s.SetFaults(standin.Faults{})
 		put(is, s, "a", "2")
 		s.Compact(platform.KindGroup)
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		is.Equal(fmt.Sprint(n.values), "map[a:2]")
 		is.Equal(n.lists, 2)
 		is.Equal(n.touches, []bool{true, false, true})
@@ -97,7 +97,7 @@
 		follow(t, check, func(is *is.I, s *standin.Store, n *noted) {
 			s.SetFaults(standin.Faults{DeafWatches: true})
 			put(is, s, "a", "1")
-			time.Sleep(check + 100*time.Millisecond)
+			pass(check + 100*time.Millisecond)
 			is.Equal(n.values["a"] == "1", check > 0)
 		})
 	}
@@ -108,9 +108,16 @@
 	follow(t, 0, func(is *is.I, s *standin.Store, _ *noted) {
 		s.SetFaults(standin.Faults{Outage: true})
 		before := s.Calls()[standin.CallWatch]
-		time.Sleep(time.Minute)
+		pass(time.Minute)
 		calls := s.Calls()[standin.CallWatch] - before
 		is.True(calls < 130)
 		is.True(calls > 50)
 	})
 }
+
+// pass lets virtual time pass and everything come to rest, so that what the sink was
+// told may be read.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,10 +18,24 @@
 )
 
 // adopted keeps the last list.
-type adopted struct{ list []platform.Instance }
+type adopted struct {
+	mu   sync.Mutex
+	list []platform.Instance
+}
 
 // Adopt implements List.
-func (a *adopted) Adopt(list []platform.Instance) { a.list = list }
+func (a *adopted) Adopt(list []platform.Instance) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = list
+}
+
+// last returns the last list.
+func (a *adopted) last() []platform.Instance {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list
+}
 
 func newRegistry(store platform.API, id, address string) (*Registry, *adopted) {
 	a := &adopted{}
@@ -52,12 +67,12 @@
 			}()
 		}
 		time.Sleep(3 * time.Second)
-		is.Equal(len(firstList.list), 2)
-		is.Equal(firstList.list, secondList.list)
-		is.Equal(firstList.list[0].PeerAddress, "10.0.0.1:1")
+		is.Equal(len(firstList.last()), 2)
+		is.Equal(firstList.last(), secondList.last())
+		is.Equal(firstList.last()[0].PeerAddress, "10.0.0.1:1")
 		is.NoErr(second.Withdraw(t.Context()))
 		time.Sleep(3 * time.Second)
-		is.Equal(len(firstList.list), 1)
+		is.Equal(len(firstList.last()), 1)
 		cancel()
 		<-done
 		<-done
@@ -79,11 +94,11 @@
 			r.Run(ctx)
 		}()
 		time.Sleep(5 * time.Second)
-		is.Equal(len(list.list), 0)
+		is.Equal(len(list.last()), 0)
 		is.True(errors.Is(r.Withdraw(t.Context()), platform.ErrUnavailable))
 		store.SetFaults(standin.Faults{})
 		time.Sleep(5 * time.Second)
-		is.Equal(len(list.list), 1)
+		is.Equal(len(list.last()), 1)
 		cancel()
 		<-done
 	})
