Send a first read with what its barrier proved; guard a member's pace

TestLaggingReplicaAnswersOnlyWhatItMay failed in about one run of ten: the first read of a group was refused (no barrier) although its barrier had been confirmed. A write that was under way left a later sample first, and the barrier's own, being older, was not kept; the later one was not proved yet. The read now goes with the mark that the barrier returned. Test: TestFirstReadTakesTheBarriersPosition, red before.

The pace of a member's answers was written without the watcher's lock and read by the other followers under it. Ruled out as the cause of the refusal: the refusal came without a race as well.

--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -35,14 +35,18 @@
 	after   time.Duration
 	err     error
 	failure *wire.Failure
-	// asked counts the statements that reached it.
-	asked int
+	// asked counts the statements that reached it; required is what the last one
+	// demanded of its log.
+	asked    int
+	required logpos.Mark
 }
 
 // scriptedMembers are members by address, and the pool and tracker of a group.
 type scriptedMembers struct {
 	group.Tracker
 	snapshot group.Snapshot
+	// unproven says that no mark is proved but by a barrier.
+	unproven bool
 
 	mu      sync.Mutex
 	members map[string]*scripted
@@ -73,6 +77,7 @@
 	c.all.mu.Lock()
 	m := c.all.members[c.address]
 	m.asked++
+	m.required = x.Required
 	c.all.mu.Unlock()
 	_ = clock.Sleep(context.Background(), clock.System{}, m.after)
 	x.Final, x.Failure = wire.Idle, m.failure
@@ -111,8 +116,13 @@
 }
 
 // Proven implements group.Tracker.
-func (*scriptedMembers) Proven(time.Time) (logpos.Mark, bool) {
-	return logpos.Mark{Term: 1, Position: 10}, true
+func (s *scriptedMembers) Proven(time.Time) (logpos.Mark, bool) {
+	return logpos.Mark{Term: 1, Position: 10}, !s.unproven
+}
+
+// Barrier implements group.Tracker.
+func (*scriptedMembers) Barrier(context.Context) (logpos.Mark, error) {
+	return logpos.Mark{Term: 1, Position: 15}, nil
 }
 
 // asked is how often a member was asked.
@@ -242,3 +252,17 @@
 		is.True(s.asked("r1") >= spillAfter)
 	})
 }
+
+// The first read of a group comes while its first write is under way, and no earlier
+// position is proved. A barrier is; another sample, taken meanwhile, hides its own. The
+// read is sent with what the barrier itself proved, and not refused.
+func TestFirstReadTakesTheBarriersPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, s := scriptedGroup(&scripted{}, &scripted{}, &scripted{})
+		s.unproven = true
+		by, _, err := readOnce(t, g)
+		is.NoErr(err)
+		is.Equal(s.members[by].required, logpos.Mark{Term: 1, Position: 15})
+	})
+}
--- a/internal/executor/need.go
+++ b/internal/executor/need.go
@@ -53,11 +53,13 @@
 func (g *Group) needChecked(ctx context.Context, u *execution.Unit, p plan) (need, error) {
 	mark, ok := g.proven(p)
 	if !ok {
-		if err := g.barrier(ctx, p); err != nil {
+		var err error
+		if mark, err = g.barrier(ctx, p); err != nil {
 			return need{}, err
 		}
-		if mark, ok = g.proven(p); !ok {
-			return need{}, g.barrierFailed(nil)
+		// The barrier may have proved a lower mark as well.
+		if older, ok := g.proven(p); ok {
+			mark = older
 		}
 	}
 	if mark.Less(u.Token.Mark) {
@@ -99,16 +101,17 @@
 }
 
 // barrier asks the primary for its position and has it confirmed.
-func (g *Group) barrier(ctx context.Context, p plan) error {
+func (g *Group) barrier(ctx context.Context, p plan) (logpos.Mark, error) {
 	if err := g.barrierPossible(ctx, p); err != nil {
-		return err
+		return logpos.Mark{}, err
 	}
 	bounded, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
 	defer cancel()
-	if _, err := g.Tracker.Barrier(bounded); err != nil {
-		return g.barrierFailed(err)
+	mark, err := g.Tracker.Barrier(bounded)
+	if err != nil {
+		return logpos.Mark{}, g.barrierFailed(err)
 	}
-	return nil
+	return mark, nil
 }
 
 // barrierPossible refuses a barrier that no replica would confirm: at once where
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -111,7 +111,7 @@
 	switch {
 	case err == nil:
 		if !q.wait {
-			f.pace.took(f.w.clock.Now().Sub(t.at))
+			f.answeredAfter(f.w.clock.Now().Sub(t.at))
 		}
 		f.w.Observe(f.view.Address, t, s)
 	case errors.Is(err, errLateConnection):
@@ -274,6 +274,14 @@
 	return now.Sub(since) > busyPatience
 }
 
+// answeredAfter notes how long an answer took. The other followers look at it when they
+// choose who is asked first.
+func (f *follower) answeredAfter(d time.Duration) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	f.pace.took(d)
+}
+
 // answeredBusy notes that the member answered, and that the next try can wait.
 func (f *follower) answeredBusy() {
 	f.w.mu.Lock()
