Let a demoted primary confirm nothing of its own term

A zone was cut off with a primary and three instances; the others promoted a member of another zone. The platform then told the old primary that it is a replica before it had heard of the new term: it reported the old term, attached in it, with its whole log. The instances of its zone took that for the confirmation by a replica of every write that only it held, and for the proof that it had not been replaced.

Ruled out: a replica released from its fence too early (none of the two others was reachable from the zone), and the last changes of polling (they made the report come sooner, the gap in the proof is as old as the adapter).

Now a member that was seen to lead a term counts for nothing in it but as its primary; a write is sent only to a member seen to lead, so that whoever waits for its confirmation knows.

Test: TestPrimaryThatSteppedDownDoesNotConfirmItself, red before.

--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -52,6 +52,8 @@
 	// when it has not grown although the primary is ahead.
 	reached   logpos.Position
 	stalledAt time.Time
+	// led is the highest term in which the member was seen to lead.
+	led logpos.Term
 	// provenBy is the position that proved view.FreshAsOf.
 	provenBy logpos.Position
 	// doubted asks for a new connection, at doubtedAt for the last time;
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -19,6 +19,7 @@
 	}
 	w.raise(s.Entered)
 	f.recovered()
+	s = f.without(s)
 	// Two connections may deliver out of order; the older report still counts
 	// for waiters below, but must not take the view back.
 	if t.number > f.newest {
@@ -32,6 +33,19 @@
 	w.publish()
 }
 
+// without takes what proves nothing out of a report. A member that led a term holds its
+// own writes, whoever else has them; one that steps down before it hears of a later term
+// reports itself attached in the one that it led.
+func (f *follower) without(s member.Status) member.Status {
+	switch {
+	case s.Role == member.RolePrimary:
+		f.led = max(f.led, s.Entered)
+	case s.Attached != 0 && s.Attached == f.led:
+		s.Attached = 0
+	}
+	return s
+}
+
 // raise moves on to a higher term. All that was waiting in the old one fails,
 // for its primary is replaced or about to be.
 func (w *Watcher) raise(term logpos.Term) {
--- a/internal/group/sighting.go
+++ b/internal/group/sighting.go
@@ -35,9 +35,10 @@
 	}
 	switch {
 	case s.Committed:
+		f.led = max(f.led, s.Log.Term)
 		w.head = max(w.head, s.Log.Position)
 		w.samples.add(t, s.Log)
-	case address != w.primary:
+	case address != w.primary && f.led != w.term:
 		w.sightedReplica(f, t, s.Log)
 	}
 }
--- a/internal/group/sparse_test.go
+++ b/internal/group/sparse_test.go
@@ -248,6 +248,36 @@
 	})
 }
 
+// A primary is cut off with the instance beside it, and another one leads elsewhere. The
+// old one is told that it is a replica before it hears of the new term: it then reports
+// the old term and, of course, all that it committed itself. That confirms nothing, and
+// verifies nothing: no other member holds it.
+func TestPrimaryThatSteppedDownDoesNotConfirmItself(t *testing.T) {
+	sparse(t, func(w *Watcher, members trio) {
+		is := is.New(t)
+		for _, name := range []string{"r", "q"} {
+			members[name].mu.Lock()
+			members[name].delay = time.Hour
+			members[name].mu.Unlock()
+		}
+		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		v, err := w.Verify()
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		confirmed, verified := make(chan error, 1), make(chan error, 1)
+		go func() { confirmed <- w.ConfirmCommit(ctx, at(200)) }()
+		go func() { verified <- v.Wait(ctx) }()
+		synctest.Wait()
+		members["p"].set(member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(200)})
+		w.Recheck("p")
+		time.Sleep(100 * time.Millisecond)
+		w.Sighted("p", w.Ask(), Sighting{Log: at(200)})
+		is.True(<-confirmed != nil)
+		is.True(<-verified != nil)
+	})
+}
+
 // Members answer statements all the time. They are not polled as well.
 func TestAnswersStandForPolls(t *testing.T) {
 	sparse(t, func(w *Watcher, members trio) {
