End a claim's orders before another claim may stand

An attempt lasted 5 s and repeated its order, while others may claim after 2 s. And a claim counted as done as soon as members had entered its term, which they do before anybody leads in it, so that the next instance in rank claimed 100 ms later.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -60,7 +60,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer end(nil)
-	limit, cancel := context.WithTimeout(ctx, a.c.Settings.Attempt)
+	limit, cancel := context.WithTimeout(ctx, a.left())
 	defer cancel()
 	wg.Go(func() { a.watchTerm(limit) })
 	for _, w := range a.wards {
@@ -91,6 +91,12 @@
 	return nil
 }
 
+// left is the time that the attempt has left. It runs from when the claim was sent: others
+// give a claim its time from when they read it, which cannot be before.
+func (a *attempt) left() time.Duration {
+	return a.claim.sent.Add(a.c.Settings.Attempt).Sub(a.c.Clock.Now())
+}
+
 // lap returns the time since start, and now.
 func (a *attempt) lap(start time.Time) (time.Duration, time.Time) {
 	now := a.c.Clock.Now()
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -15,6 +15,8 @@
 type claim struct {
 	record  Record
 	version int64
+	// sent is when the claim was first sent; nobody can have read it before.
+	sent time.Time
 }
 
 // rival is another instance's claim of a term that has no primary yet.
@@ -30,7 +32,7 @@
 	if err != nil {
 		return claim{}, err
 	}
-	if current.Term > s.Term && !g.expired(current, s) {
+	if g.open(current, s) && !g.expired(current, s) {
 		return claim{}, ErrRivalClaim
 	}
 	// The witnesses and the platform took their time, or this process was
@@ -47,6 +49,16 @@
 	return won, err
 }
 
+// open reports whether a claim may still come to a primary. Where members number the terms
+// themselves, they enter the claimed one before somebody leads in it, so that only a
+// primary's own report ends the claim.
+func (g *guard) open(r Record, s *group.Snapshot) bool {
+	if g.c.MembersNumberTerms {
+		return r.Term > s.Led
+	}
+	return r.Term > s.Term
+}
+
 // nextTerm is the term to claim. Where members number the terms themselves, a
 // promotion leads to the one behind the highest they know, whatever was claimed:
 // a claim that came to nothing leaves no gap, and its term is claimed again.
@@ -105,12 +117,12 @@
 	if err != nil {
 		return claim{}, err
 	}
-	unsettled := false
+	unsettled, sent := false, g.c.Clock.Now()
 	for {
 		o, err := g.putOnce(ctx, value, version)
 		switch {
 		case err == nil:
-			return claim{record: r, version: o.Version}, nil
+			return claim{record: r, version: o.Version, sent: sent}, nil
 		case errors.Is(err, platform.ErrConflict):
 		case errors.Is(err, platform.ErrUnavailable) && !unsettled:
 			return claim{}, err
@@ -122,7 +134,7 @@
 		case err != nil:
 			return claim{}, err
 		case current.Claim == r.Claim:
-			return claim{record: r, version: at}, nil
+			return claim{record: r, version: at, sent: sent}, nil
 		case at != version:
 			return claim{}, ErrLostClaim
 		}
--- a/internal/failover/errors.go
+++ b/internal/failover/errors.go
@@ -13,4 +13,6 @@
 	errRecovered = errors.New("failover: the primary answers again")
 	// errReplaced ends an attempt whose term has passed.
 	errReplaced = errors.New("failover: a higher term was seen")
+	// errLate says that the attempt's time is over and another claim may stand.
+	errLate = errors.New("failover: the claim's time is over")
 )
--- a/internal/failover/ward.go
+++ b/internal/failover/ward.go
@@ -42,6 +42,10 @@
 
 func (w *ward) lead(ctx context.Context) {
 	_, err := w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
+		// A process that was stopped may wake behind its time before its timers do.
+		if w.a.left() <= 0 {
+			return member.Status{}, errLate
+		}
 		return c.Promote(ctx, member.Promotion{Term: w.a.term, Claimer: w.a.claim.record.Claimer, Claim: w.a.claim.record.Number})
 	})
 	if err == nil {
