--- a/internal/standin/bench/fleet.go
+++ b/internal/standin/bench/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/settings"
+	"github.com/topazrock/topazrock/internal/standin/loopback"
 	"github.com/topazrock/topazrock/internal/standin/member"
 	"github.com/topazrock/topazrock/internal/standin/memnet"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
@@ -77,15 +78,6 @@
 	return all
 }
 
-// freeAddress returns an address with a port that nobody uses now.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // startFleet starts everything. The caller closes the fleet also on an error.
 // A profile without latency gets the plain loopback network, which costs less.
 func startFleet(p profile, c Config, wrap func(group.Tracker) group.Tracker) (*fleet, error) {
@@ -141,7 +133,7 @@
 	for g := range f.profile.groups {
 		var addresses []string
 		for i := range f.profile.domains {
-			address, err := freeAddress(domainHost((g+i)%len(f.profile.domains), g))
+			address, err := loopback.FreeAddress(domainHost((g+i)%len(f.profile.domains), g))
 			if err != nil {
 				return err
 			}
@@ -198,7 +190,7 @@
 	ip := domainHost(domain, firstEntryHost+i)
 	var addresses [3]string
 	for j := range addresses {
-		address, err := freeAddress(ip)
+		address, err := loopback.FreeAddress(ip)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/standin/command/slopes.go
+++ b/internal/standin/command/slopes.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/standin/loopback"
 	"github.com/topazrock/topazrock/internal/standin/slopes"
 )
 
@@ -78,7 +79,7 @@
 		}
 	}
 	for range 3 {
-		address, err := freeAddress()
+		address, err := loopback.FreeAddress("127.0.0.1")
 		if err == nil {
 			addresses = append(addresses, address)
 			m := exec.Command(program, "member", "--address", address, "--primary", addresses[0],
@@ -101,15 +102,6 @@
 	return addresses, stop, nil
 }
 
-// freeAddress returns a loopback address that nothing listened at a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
 
 // waitListening dials until a process listens at the address.
 func waitListening(ctx context.Context, address string) error {
--- a/internal/standin/linedemo/system.go
+++ b/internal/standin/linedemo/system.go
@@ -18,6 +18,7 @@
 	"github.com/topazrock/topazrock/internal/netio"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/settings"
+	"github.com/topazrock/topazrock/internal/standin/loopback"
 	"github.com/topazrock/topazrock/internal/standin/member"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 	adapter "github.com/topazrock/topazrock/platform"
@@ -77,18 +78,9 @@
 // hostOf is the loopback address of a failure domain.
 func hostOf(i int) string { return fmt.Sprintf("127.0.0.%d", 40*(i+1)) }
 
-// free returns an address with a port that nobody uses now.
-func free(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 func (s *system) startMembers() error {
 	for i := range domains {
-		address, err := free(hostOf(i))
+		address, err := loopback.FreeAddress(hostOf(i))
 		if err != nil {
 			return err
 		}
@@ -166,7 +158,7 @@
 func (s *system) startInstance(i int, url string, seed uint64, logs io.Writer) error {
 	var addresses [3]string
 	for k := range addresses {
-		address, err := free(hostOf(i))
+		address, err := loopback.FreeAddress(hostOf(i))
 		if err != nil {
 			return err
 		}
