--- a/internal/standin/command/slopes.go
+++ b/internal/standin/command/slopes.go
@@ -102,7 +102,6 @@
 	return addresses, stop, nil
 }
 
-
 // waitListening dials until a process listens at the address.
 func waitListening(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, memberStartTimeout)
