Remove the entries of instances that are gone, and pass dead homes by

Cause: an instance's entry has no heartbeat, and nobody took away the entry of a machine that was removed for good, though the package comment promised it.

Two neighbours on a hash ring watch each instance and take its entry away after ten seconds of silence, if they reach anybody else; one that was only cut off writes it again once it reaches a peer (written before, it would be removed again every ten seconds). A home that could not be reached goes last for two seconds, and a call waits a quarter of a second for a connection.

--- a/internal/executor/avoided.go
+++ b/internal/executor/avoided.go
@@ -8,23 +8,29 @@
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-// avoidFor is how long a home that said it is draining goes to the end of the
-// order: longer than a graceful stop takes.
-const avoidFor = time.Minute
+const (
+	// avoidDraining is how long a home that said it is draining goes to the end of
+	// the order: longer than a graceful stop takes.
+	avoidDraining = time.Minute
+	// avoidUnreached is how long one that could not be reached does. A try holds
+	// units up for a quarter of a second, so that a dead home delays one in eight at
+	// most.
+	avoidUnreached = 2 * time.Second
+)
 
-// avoided holds homes that are shutting down.
+// avoided holds homes that are shutting down or out of reach.
 type avoided struct {
 	mu    sync.Mutex
 	until map[string]time.Time
 }
 
-func (a *avoided) add(id string, now time.Time) {
+func (a *avoided) add(id string, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.until == nil {
 		a.until = make(map[string]time.Time)
 	}
-	a.until[id] = now.Add(avoidFor)
+	a.until[id] = until
 }
 
 // order returns the homes with those that are avoided last.
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -60,7 +60,7 @@
 		if err == nil {
 			return reply, nil
 		}
-		r.noteDraining(home, err)
+		r.note(home, err)
 		if !notTaken(err) {
 			return nil, forwardFailed(err)
 		}
@@ -69,12 +69,17 @@
 	return nil, r.metrics.refused(u.Group, last)
 }
 
-// noteDraining remembers a home that refuses new units because it shuts down.
-// Units sent to it until the instance list shows that would race the close of
-// its connections.
-func (r *Router) noteDraining(home platform.Instance, err error) {
+// note remembers a home that refuses new units because it shuts down, as units sent
+// to it until the instance list shows that would race the close of its connections,
+// and one that cannot be reached, as each unit would else wait for that anew.
+func (r *Router) note(home platform.Instance, err error) {
+	now := r.clock.Now()
+	if errors.Is(err, peer.ErrNotSent) {
+		r.avoided.add(home.ID, now.Add(avoidUnreached))
+		return
+	}
 	if e, ok := result.As(err); ok && e.Code == result.Draining {
-		r.avoided.add(home.ID, r.clock.Now())
+		r.avoided.add(home.ID, now.Add(avoidDraining))
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -113,7 +113,9 @@
 	if o.SelfRegister {
 		n.registry = registry.New(registry.Config{
 			API: o.Platform, Self: n.self(), List: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
+			Peers: n.client,
 		})
+		n.registry.Register(n.peers)
 	}
 	n.documents = o.Documents
 	if n.documents == nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,8 +14,15 @@
 	"github.com/topazrock/topazrock/internal/result"
 )
 
-// dialTimeout bounds the opening of a connection to a peer.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = time.Second
+	// connectWait is how long a call waits for a connection: several round trips
+	// between regions. The machine of a dead peer answers nothing, and a call that
+	// waited for the dial's own bound would have no time left for another peer. The
+	// dial goes on for later calls.
+	connectWait = 250 * time.Millisecond
+)
 
 // Client calls peers over one kept connection each.
 //
@@ -44,7 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	channel, err := c.link(address).begin(ctx, func() (net.Conn, error) { return c.dial(address) })
+	channel, err := c.connect(ctx, address)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -59,6 +66,13 @@
 	return err
 }
 
+// connect returns an open channel to a peer.
+func (c *Client) connect(ctx context.Context, address string) (*channel, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	return c.link(address).begin(ctx, func() (net.Conn, error) { return c.dial(address) })
+}
+
 // send writes one call and waits for its answer. A failed write proves that the
 // peer did not see the call: it reads whole messages only, and the end of this
 // one was never handed to the network.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -3,8 +3,10 @@
 //
 // An entry is written when an instance starts and removed when it stops. There is
 // no heartbeat: with many instances, every beat would wake every watch. An instance
-// that died stays listed until another one finds that nobody answers there; what
-// is sent to it before is sent elsewhere, because it was not taken.
+// that died stays listed until one of the two that watch it finds that nobody has
+// answered there for a while; what is sent to it before is sent elsewhere, because
+// it was not taken. One that was only out of reach sees that its entry is gone and
+// writes it again.
 package registry
 
 import (
@@ -14,12 +16,14 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/objectwatch"
+	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -45,35 +49,72 @@
 	// Seed starts the random source that spreads the calls.
 	Seed uint64
 	Log  hclog.Logger
+	// Peers calls the other instances; nil leaves dead ones listed.
+	Peers peer.Caller
 }
 
 // Registry keeps one instance's entry and follows the others'.
 type Registry struct {
 	Config
-	// entries is used by the follower's goroutine alone.
+	// lost takes a token when the own entry is gone.
+	lost chan struct{}
+
+	// mu guards entries and is held for no call.
+	mu      sync.Mutex
 	entries map[string]platform.Instance
 }
 
 // New returns a Registry; Run makes it work.
 func New(c Config) *Registry {
 	c.Log = c.Log.Named("registry")
-	return &Registry{Config: c, entries: make(map[string]platform.Instance)}
+	return &Registry{Config: c, lost: make(chan struct{}, 1), entries: make(map[string]platform.Instance)}
 }
 
-// Run writes the own entry and follows the others until ctx ends.
+// Run writes the own entry, follows the others, and watches two of them, until ctx
+// ends.
 func (r *Registry) Run(ctx context.Context) {
+	r.write(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	if r.Peers != nil {
+		parts.Go(func() { r.keep(ctx) })
+		parts.Go(func() { newSweeper(r).run(ctx) })
+	}
+	objectwatch.New(objectwatch.Config{
+		API: r.API, Kind: platform.KindInstances, Sink: r, Clock: r.Clock, Log: r.Log,
+		Rand: rand.New(rand.NewPCG(r.Seed, 3)), Settle: settle,
+	}).Run(ctx)
+}
+
+// write writes the own entry, as often as it takes.
+func (r *Registry) write(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := r.announce(ctx)
 		if err == nil {
-			break
+			return
 		}
 		r.Log.Warn("The instance's entry was not written yet.", "error", err)
 		_ = clock.Sleep(ctx, r.Clock, retryPause)
 	}
-	objectwatch.New(objectwatch.Config{
-		API: r.API, Kind: platform.KindInstances, Sink: r, Clock: r.Clock, Log: r.Log,
-		Rand: rand.New(rand.NewPCG(r.Seed, 3)), Settle: settle,
-	}).Run(ctx)
+}
+
+// keep writes the own entry again whenever it is gone, once a peer can be reached:
+// written before, it would be removed again, and each time homes would change.
+func (r *Registry) keep(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.lost:
+		}
+		r.Log.Warn("The instance's entry was removed.")
+		for !r.reachesAny(ctx, ring(r.listed(), r.Self.ID)) {
+			if clock.Sleep(ctx, r.Clock, sweepInterval) != nil {
+				return
+			}
+		}
+		r.write(ctx)
+	}
 }
 
 // announce writes the own entry over whatever an earlier process of this instance
@@ -106,30 +147,53 @@
 
 // Listed implements objectwatch.Sink.
 func (r *Registry) Listed(objects []platform.Object) {
+	r.mu.Lock()
 	clear(r.entries)
+	r.mu.Unlock()
 	r.Changed(objects)
 }
 
 // Changed implements objectwatch.Sink. An entry that cannot be read names nobody.
 func (r *Registry) Changed(objects []platform.Object) {
+	r.mu.Lock()
 	for _, o := range objects {
-		var i platform.Instance
-		err := json.Unmarshal(o.Value, &i)
-		switch {
-		case o.Removed:
-			delete(r.entries, o.Name)
-		case err != nil || i.ID != o.Name || i.PeerAddress == "":
-			r.Log.Warn("Entry of an instance cannot be read.", "instance", o.Name, "error", err)
+		r.take(o)
+	}
+	_, listed := r.entries[r.Self.ID]
+	r.mu.Unlock()
+	if !listed {
+		select {
+		case r.lost <- struct{}{}:
 		default:
-			r.entries[o.Name] = i
 		}
 	}
+	r.List.Adopt(r.listed())
+}
+
+// take takes in one object. The caller holds r.mu.
+func (r *Registry) take(o platform.Object) {
+	var i platform.Instance
+	err := json.Unmarshal(o.Value, &i)
+	switch {
+	case o.Removed:
+		delete(r.entries, o.Name)
+	case err != nil || i.ID != o.Name || i.PeerAddress == "":
+		r.Log.Warn("Entry of an instance cannot be read.", "instance", o.Name, "error", err)
+	default:
+		r.entries[o.Name] = i
+	}
+}
+
+// listed returns the instances that are known, by ID.
+func (r *Registry) listed() []platform.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var all []platform.Instance
 	for _, i := range r.entries {
 		all = append(all, i)
 	}
 	slices.SortFunc(all, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	r.List.Adopt(all)
+	return all
 }
 
 // Touch implements objectwatch.Sink. The last list stays in use without touch.
--- /dev/null
+++ b/internal/registry/sweeper_test.go
@@ -0,0 +1,143 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// fakeNet carries calls between registries, but to addresses that are cut off.
+type fakeNet struct {
+	mu  sync.Mutex
+	at  map[string]peer.Handler
+	cut map[string]bool
+}
+
+// endpoint is one registry's side of the net.
+type endpoint struct {
+	net     *fakeNet
+	address string
+}
+
+// Handle implements peer.Registry.
+func (e endpoint) Handle(_ string, h peer.Handler) { e.net.at[e.address] = h }
+
+// Call implements peer.Caller.
+func (e endpoint) Call(ctx context.Context, address, _ string, params, reply any) error {
+	e.net.mu.Lock()
+	h, ok := e.net.at[address]
+	ok = ok && !e.net.cut[address] && !e.net.cut[e.address]
+	e.net.mu.Unlock()
+	if !ok {
+		<-ctx.Done()
+		return peer.ErrNotSent
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := h(ctx, "", raw)
+	if err != nil {
+		return err
+	}
+	back, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(back, reply)
+}
+
+func (n *fakeNet) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+// fleet starts registries of n instances; the result lists what each has adopted.
+func fleet(t *testing.T, n int) (*fakeNet, []*adopted) {
+	t.Helper()
+	store := standin.NewStore()
+	net := &fakeNet{at: make(map[string]peer.Handler), cut: make(map[string]bool)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	var lists []*adopted
+	for k := range n {
+		a := &adopted{}
+		address := fmt.Sprint("peer-", k)
+		r := New(Config{
+			API: store, Self: platform.Instance{ID: fmt.Sprint("i", k), FailureDomain: "a", PeerAddress: address}, List: a,
+			Clock: clock.System{}, Seed: uint64(k), Log: hclog.NewNullLogger(), Peers: endpoint{net, address},
+		})
+		r.Register(endpoint{net, address})
+		running.Go(func() { r.Run(ctx) })
+		lists = append(lists, a)
+	}
+	time.Sleep(5 * time.Second)
+	return net, lists
+}
+
+// A machine is removed for good and takes nothing back. Callers of its failure domain
+// see a part of their requests wait for a home that is not there, as long as its entry
+// counts. Two others watch it; the entry goes when it has been silent for goneAfter.
+func TestEntryOfADeadInstanceIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net, lists := fleet(t, 8)
+		is.Equal(len(lists[0].last()), 8)
+		net.setCut("peer-3", true)
+		time.Sleep(goneAfter - sweepInterval)
+		is.Equal(len(lists[0].last()), 8)
+		time.Sleep(3 * sweepInterval)
+		is.Equal(len(lists[0].last()), 7)
+	})
+}
+
+// An instance is cut off from its peers for longer than goneAfter and not from the
+// platform. It loses its entry, must not take away the entries of those it watches,
+// though it hears none of them, and is listed again without a restart.
+func TestCutOffInstanceRemovesNobodyAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net, lists := fleet(t, 8)
+		net.setCut("peer-3", true)
+		seen := 8
+		for range 60 {
+			time.Sleep(time.Second)
+			seen = min(seen, len(lists[0].last()))
+		}
+		is.Equal(seen, 7)
+		net.setCut("peer-3", false)
+		time.Sleep(3 * sweepInterval)
+		is.Equal(len(lists[0].last()), 8)
+	})
+}
+
+// A whole failure domain of a larger fleet is lost. Every one of its entries goes
+// although some of its instances were watched by each other.
+func TestEntriesOfALostDomainAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net, lists := fleet(t, 12)
+		for k := range 4 {
+			net.setCut(fmt.Sprint("peer-", 4+k), true)
+		}
+		time.Sleep(4 * goneAfter)
+		is.Equal(len(lists[0].last()), 8)
+	})
+}
