Answer reads without a primary, by what a majority of the members report

Cause: every proof of a read began with the primary's word.

A floor is the highest term and the highest position that a majority reports after the read arrived. Every acknowledged write is on a majority, and positions run on through a change of the primary, so that a log which holds the floor lacks none of them. Term and position are taken by themselves: a replica that has just heard of a new primary may tell the new term with an old position. It is used while the primary does not answer or replicas stall; else the primary's confirmed position is the lower one, which more replicas hold. Members check the position, also while they are held for a promotion. Where there is no primary a read waits up to 150 ms for a replica to apply what it has received.

The model of the protocol takes floors now, under both meanings that the term of a reported position may have.

Ruled out: extending the barrier itself. Its mark becomes the session's token on PostgreSQL, and a floor may end in records that a promotion discards. PostgreSQL callers keep the barrier.

--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -120,6 +120,9 @@
 	return logpos.Mark{Term: 1, Position: 10}, !s.unproven
 }
 
+// Floor implements group.Tracker.
+func (s *scriptedMembers) Floor(ctx context.Context) (logpos.Mark, error) { return s.Barrier(ctx) }
+
 // Barrier implements group.Tracker.
 func (*scriptedMembers) Barrier(context.Context) (logpos.Mark, error) {
 	return logpos.Mark{Term: 1, Position: 15}, nil
--- a/internal/executor/need.go
+++ b/internal/executor/need.go
@@ -54,10 +54,10 @@
 	mark, ok := g.proven(p)
 	if !ok {
 		var err error
-		if mark, err = g.barrier(ctx, p); err != nil {
+		if mark, err = g.floor(ctx, p); err != nil {
 			return need{}, err
 		}
-		// The barrier may have proved a lower mark as well.
+		// The question may have proved a lower mark as well.
 		if older, ok := g.proven(p); ok {
 			mark = older
 		}
@@ -73,9 +73,10 @@
 }
 
 // renew works out anew what a read must see, where that is held against the
-// moment of sending and not against proofs of each replica's age.
+// moment of sending and not against proofs of each replica's age, or against the
+// moment at which a fresh read arrived.
 func (g *Group) renew(ctx context.Context, u *execution.Unit, p plan, n need) (need, error) {
-	if !g.Wire.ChecksPosition {
+	if !g.Wire.ChecksPosition || p.fresh {
 		return n, nil
 	}
 	return g.needChecked(ctx, u, p)
@@ -100,20 +101,28 @@
 	return need{position: mark.Position, token: g.token(mark)}, nil
 }
 
-// barrier asks the primary for its position and has it confirmed.
-func (g *Group) barrier(ctx context.Context, p plan) (logpos.Mark, error) {
-	if err := g.barrierPossible(ctx, p); err != nil {
-		return logpos.Mark{}, err
+// floor asks for a position that covers all that was acknowledged before.
+func (g *Group) floor(ctx context.Context, p plan) (logpos.Mark, error) {
+	if !g.majorityAnswers() {
+		if err := g.barrierPossible(ctx, p); err != nil {
+			return logpos.Mark{}, err
+		}
 	}
 	bounded, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
 	defer cancel()
-	mark, err := g.Tracker.Barrier(bounded)
+	mark, err := g.Tracker.Floor(bounded)
 	if err != nil {
 		return logpos.Mark{}, g.barrierFailed(err)
 	}
 	return mark, nil
 }
 
+// majorityAnswers reports whether as many members answer as prove a position without
+// the primary.
+func (g *Group) majorityAnswers() bool {
+	return g.Tracker.Snapshot().Enough(func(m group.MemberView) bool { return m.Failing.IsZero() })
+}
+
 // barrierPossible refuses a barrier that no replica would confirm: at once where
 // the group has been without a primary for longer than a failover takes, as in a
 // failure domain that is cut off, and after that time otherwise.
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
@@ -23,8 +24,14 @@
 		return nil, err
 	}
 	exclude := make(map[string]bool)
+	patience := g.Clock.Now().Add(logWait)
 	for attempt := 1; ; attempt++ {
 		m, ok := g.pickReplica(n, exclude)
+		if !ok && g.mayWaitForLog(ctx, exclude, patience) {
+			clear(exclude)
+			attempt = 0
+			continue
+		}
 		if !ok {
 			return g.atPrimary(ctx, u, p, partial)
 		}
@@ -37,6 +44,23 @@
 	}
 }
 
+// logWait bounds how long a read waits for a replica to apply what it has received:
+// several times a usual lag, and short against what callers want.
+const logWait = 150 * time.Millisecond
+
+// mayWaitForLog waits for a moment, after which the members may be tried again that
+// were, where there is no primary to turn to: replicas apply what they have received
+// some milliseconds later, and a floor counts what they have received.
+func (g *Group) mayWaitForLog(ctx context.Context, tried map[string]bool, until time.Time) bool {
+	if !g.Wire.ChecksPosition || len(tried) == 0 || !g.Clock.Now().Before(until) {
+		return false
+	}
+	if _, err := g.findWritable(); err == nil || !g.majorityAnswers() {
+		return false
+	}
+	return g.pause(ctx) == nil
+}
+
 // attempt runs a read at a replica, with a hedge where it may have one.
 func (g *Group) attempt(ctx context.Context, u *execution.Unit, p plan, m group.MemberView, n need, exclude map[string]bool, partial func([]byte) error) outcome {
 	if g.hedgeable(u, p) {
--- a/internal/group/members.go
+++ b/internal/group/members.go
@@ -64,5 +64,6 @@
 	w.samples.forget(f.index)
 	for x := range w.waiters {
 		x.holders &^= f.bit()
+		delete(x.told, f.bit())
 	}
 }
--- a/internal/group/metrics.go
+++ b/internal/group/metrics.go
@@ -6,6 +6,7 @@
 type Metrics struct {
 	confirm  *prometheus.HistogramVec
 	barrier  *prometheus.HistogramVec
+	floor    *prometheus.HistogramVec
 	failures *prometheus.CounterVec
 	changes  *prometheus.CounterVec
 }
@@ -24,6 +25,11 @@
 			Help:    "Time from a barrier's call to its end, in seconds.",
 			Buckets: seconds,
 		}, []string{"group", "outcome"}),
+		floor: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "topazrock_group_floor_seconds",
+			Help:    "Time from the call for a floor of a read's position to its end, in seconds.",
+			Buckets: seconds,
+		}, []string{"group", "outcome"}),
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazrock_group_probe_failures_total",
 			Help: "Probes on new connections that failed.",
@@ -34,7 +40,7 @@
 		}, []string{"group"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.confirm, m.barrier, m.failures, m.changes)
+		reg.MustRegister(m.confirm, m.barrier, m.floor, m.failures, m.changes)
 	}
 	return m
 }
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -57,6 +57,7 @@
 	w.samples.reset(w.enough)
 	w.term, w.primary, w.termStart = term, "", 0
 	w.head = 0
+	w.lastFloor = sample{}
 	for _, f := range w.followers {
 		f.attachedAt, f.stalledAt, f.reached = time.Time{}, time.Time{}, 0
 		f.wake()
--- a/internal/group/protocol_model_test.go
+++ b/internal/group/protocol_model_test.go
@@ -20,7 +20,9 @@
 //
 //   - what was confirmed is in the log of every later primary;
 //   - nothing is confirmed that the present primary does not have;
-//   - a primary that was verified had not been replaced when the question began.
+//   - a primary that was verified had not been replaced when the question began;
+//   - no member whose log holds a floor lacks a write that was confirmed before the
+//     floor was asked for.
 
 // fault weakens one safeguard of the protocol.
 type fault string
@@ -48,6 +50,13 @@
 	// do. One that has not heard of the new term, and reaches the old primary and not
 	// the new one, then makes a majority with the old primary until it is held anew.
 	faultRestart fault = "a held member restarts before it hears of the new term"
+	// faultFloorSmall takes one member's report for a floor.
+	faultFloorSmall fault = "one report is a floor"
+	// faultFloorOldReport lets reports of before the read count for its floor.
+	faultFloorOldReport fault = "a report of before the read counts for its floor"
+	// faultFloorPair takes the highest mark for a floor, and not the highest term with
+	// the highest position.
+	faultFloorPair fault = "a floor is one member's mark"
 	// faultLeavingIgnored leaves the member that leaves out of the count.
 	faultLeavingIgnored fault = "a leaving member is not counted"
 )
@@ -100,6 +109,7 @@
 	// The seeds are of walks that break something, to spare the search for them.
 	for f, first := range map[fault]uint64{
 		faultSmallFence: 0, faultStaleNotHeld: 23000, faultUnfenced: 0, faultLateOrder: 15000, faultOldReport: 0,
+		faultFloorSmall: 0, faultFloorOldReport: 0, faultFloorPair: 0,
 		faultRoleUnasked: 6000, faultNewsEndHold: 2000, faultRestart: 6000, faultLeavingIgnored: 0,
 	} {
 		t.Run(string(f), func(t *testing.T) {
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -84,6 +84,9 @@
 	default:
 		q.delay = f.untilPoll(f.w.intervals.ReplicaPoll)
 	}
+	if f.w.floorWaits(f) {
+		q.delay = min(q.delay, f.until(max(f.w.intervals.FastPoll, floorPoll)))
+	}
 	return q
 }
 
--- a/internal/group/quorum.go
+++ b/internal/group/quorum.go
@@ -101,8 +101,11 @@
 	}
 	w.quorum = newQuorum(seats, w.least)
 	for x := range w.waiters {
-		if x.marked && w.confirmedBy(x.holders) {
+		switch {
+		case x.marked && w.confirmedBy(x.holders):
 			w.end(x, nil)
+		case x.floor:
+			w.proveFloor(x)
 		}
 	}
 }
--- a/internal/group/tracker.go
+++ b/internal/group/tracker.go
@@ -23,13 +23,20 @@
 	// Barrier returns a confirmed mark of the primary, asked for after the call
 	// began. Calls that wait at the same moment share one round.
 	Barrier(ctx context.Context) (logpos.Mark, error)
+	// Floor returns a mark that covers all that was acknowledged before the call:
+	// that of a Barrier, or what a majority of the members report, with or without
+	// a primary. The log of the latter may end in records that nobody acknowledged
+	// and a promotion discards, so that the mark is no token for a session: it is
+	// for reads by members that check it themselves.
+	Floor(ctx context.Context) (logpos.Mark, error)
 	// Verify begins to prove that the primary of the present term has not been
 	// replaced at the moment of the call. Wait for it after the answer of what
 	// was sent meanwhile, or Drop it.
 	Verify() (*Verification, error)
 	// Proven returns a mark of the log, asked for at or after notBefore, that
 	// covers all that was acknowledged before notBefore; the oldest one, which
-	// the most replicas have reached. False when no such mark is proved.
+	// the most replicas have reached, and the last Floor where there is no other.
+	// False when no such mark is proved.
 	Proven(notBefore time.Time) (logpos.Mark, bool)
 	// Ask takes a ticket before a statement is sent, and Sighted hands in what
 	// its answer showed of the member's log.
--- a/internal/group/waiter.go
+++ b/internal/group/waiter.go
@@ -20,6 +20,10 @@
 	// commit says that the mark is that of a commit which nobody else can make
 	// again: a log that holds it proves it at any time.
 	commit bool
+	// floor says that reports of a majority end the wait as well; told is what each
+	// member has told since it began, by the member's bit.
+	floor bool
+	told  map[uint64]logpos.Mark
 	// done is closed at the end, after err was set.
 	done chan struct{}
 	err  error
@@ -73,6 +77,19 @@
 		if x.marked && w.confirmedBy(x.holders) {
 			w.end(x, nil)
 		}
+		if x.floor && !x.ended() {
+			w.countReport(x, f, s.Last)
+		}
+	}
+}
+
+// ended reports whether the waiter was told its outcome.
+func (x *waiter) ended() bool {
+	select {
+	case <-x.done:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -114,10 +131,15 @@
 	}
 }
 
-// failOlder ends every waiter of a term below the one given.
+// failOlder ends every waiter of a term below the one given. One that a majority's
+// reports end as well goes on without its mark.
 func (w *Watcher) failOlder(term logpos.Term) {
 	for x := range w.waiters {
-		if x.marked && x.mark.Term < term {
+		switch {
+		case !x.marked || x.mark.Term >= term:
+		case x.floor:
+			x.marked, x.mark, x.holders = false, logpos.Mark{}, 0
+		default:
 			w.end(x, result.New(result.PrimaryReplaced, "term %d was replaced by %d", x.mark.Term, term))
 		}
 	}
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -45,7 +45,11 @@
 	// stallLogged says that the present stall was logged.
 	stallLogged bool
 	samples     samples
-	waiters     map[*waiter]struct{}
+	// lastFloor is the last floor that a majority proved in the term; it may lie
+	// past what is acknowledged, and is dropped with the term, whose end may never
+	// be in the log of the next.
+	lastFloor sample
+	waiters   map[*waiter]struct{}
 	// changed is closed and replaced when the term, the primary or a member's
 	// suspicion changes.
 	changed chan struct{}
@@ -113,7 +117,11 @@
 func (w *Watcher) Proven(notBefore time.Time) (logpos.Mark, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.samples.oldest(notBefore, w.enough)
+	if mark, ok := w.samples.oldest(notBefore, w.enough); ok {
+		return mark, true
+	}
+	fresh := w.lastFloor.ticket.number > 0 && !w.lastFloor.ticket.at.Before(notBefore)
+	return w.lastFloor.mark, fresh
 }
 
 // Snapshot implements Tracker.
--- a/internal/routing/read.go
+++ b/internal/routing/read.go
@@ -83,10 +83,11 @@
 	switch {
 	case r.Exclude[m.Address], m.Leaving, !m.Failing.IsZero():
 		return false
+	case r.Checked:
+		// A replica that is held for a promotion answers reads like any other.
+		return st.Role != member.RolePrimary
 	case st.Role != member.RoleReplica:
 		return false
-	case r.Checked:
-		return true
 	case st.Attached != s.Term || st.Entered != s.Term:
 		// A replica of another term may still hold a tail that was discarded.
 		return false
