Let witnesses look for the primary before they say that they cannot tell

Cause: a witness called a primary alive only on a report of the last 150 ms. Over the line protocol answers to statements stand for reports, so that the last one is mostly seconds old, and a witness with nothing to say counts for nothing: an instance whose own link to the primary was cut found nobody who reached it, and replaced a primary that served everybody else.

A witness goes by the last answer of any kind, and where that is old asks the members and waits 30 ms of the 50 that the claimer gives it. One that hears the primary and no majority cannot tell either: it may be cut off with the primary from all others, and its word would keep them from replacing it.

--- a/internal/failover/peerwitness.go
+++ b/internal/failover/peerwitness.go
@@ -88,7 +88,7 @@
 // ServeTestimony answers the questions of peers from the views of this
 // instance; views returns false for a group that it does not follow.
 func ServeTestimony(r peer.Registry, c clock.Clock, detect time.Duration, views func(group string) (View, bool)) {
-	r.Handle(MethodTestify, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	r.Handle(MethodTestify, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 		var q Question
 		if err := json.Unmarshal(params, &q); err != nil {
 			return nil, fmt.Errorf("failover: question: %w", err)
@@ -97,6 +97,6 @@
 		if !ok {
 			return Testimony{Opinion: OpinionNone}, nil
 		}
-		return Testimony{Opinion: opinionOf(c.Now(), v.Snapshot(), q, detect)}, nil
+		return Testimony{Opinion: testify(ctx, c, v, q, detect)}, nil
 	})
 }
--- a/internal/failover/testimony.go
+++ b/internal/failover/testimony.go
@@ -1,8 +1,10 @@
 package failover
 
 import (
+	"context"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
 )
@@ -33,22 +35,65 @@
 	Opinion       Opinion `json:"opinion"`
 }
 
-// opinionOf answers a question from a snapshot. An instance that has not seen
-// the term cannot tell, and neither can one that has had no report for longer
-// than the detection time and no failed probe yet.
-func opinionOf(now time.Time, s *group.Snapshot, q Question, detect time.Duration) Opinion {
+const (
+	// testimonyWait bounds the time that a witness takes to look for itself: a few
+	// round trips and reports, and less than a claimer waits for its witnesses.
+	testimonyWait = 30 * time.Millisecond
+	// testimonyPause is the time between two looks at what has come.
+	testimonyPause = 3 * time.Millisecond
+)
+
+// testify answers a question from what this instance sees, and has members asked where
+// that is too old to tell. Where answers to statements stand for reports, and in a
+// group that has little to do, nothing may have come from the primary for seconds: a
+// claimer whose own link was cut then heard of nobody who reached it, and replaced a
+// primary that served everybody else.
+func testify(ctx context.Context, k clock.Clock, v View, q Question, detect time.Duration) Opinion {
+	asked := k.Now()
+	rechecked := false
+	for {
+		s := v.Snapshot()
+		o := opinionOf(k.Now(), s, v.HeardAt, q, detect)
+		if o != OpinionNone || s.Term < q.Term || s.Primary == "" {
+			return o
+		}
+		if !rechecked {
+			rechecked = true
+			recheck(v, s)
+		}
+		if k.Now().Sub(asked) >= testimonyWait || clock.Sleep(ctx, k, testimonyPause) != nil {
+			return OpinionNone
+		}
+	}
+}
+
+// recheck has all members asked for their reports.
+func recheck(v View, s *group.Snapshot) {
+	for _, m := range s.Members {
+		v.Recheck(m.Address)
+	}
+}
+
+// opinionOf answers a question from a snapshot and from when members were last heard.
+// An instance that has not seen the term cannot tell, and neither can one that has
+// heard nothing for longer than the detection time and had no failed probe yet. One
+// that hears the primary and not enough members to confirm a write by cannot either:
+// it may be cut off with the primary from all the others.
+func opinionOf(now time.Time, s *group.Snapshot, heardAt func(address string) time.Time, q Question, detect time.Duration) Opinion {
 	if s.Term < q.Term || (s.Term == 0 && s.Primary == "") {
 		return OpinionNone
 	}
 	m, known := s.Find(s.Primary)
-	switch {
-	case !known || m.Failures > 0:
+	if !known || m.Failures > 0 {
 		return OpinionLost
-	case now.Sub(m.SeenAt) <= detect:
+	}
+	heard := func(m group.MemberView) bool {
+		return m.Failing.IsZero() && now.Sub(heardAt(m.Address)) <= detect
+	}
+	if heard(m) && s.Enough(heard) {
 		return OpinionAlive
-	default:
-		return OpinionNone
 	}
+	return OpinionNone
 }
 
 // agreed reports whether more failure domains call the primary lost than alive.
--- a/internal/failover/testimony_test.go
+++ b/internal/failover/testimony_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/platform"
 )
@@ -45,14 +47,84 @@
 		m.Address = "p"
 		return &group.Snapshot{Term: 2, Primary: "p", Members: []group.MemberView{m}}
 	}
+	heardIn := func(s *group.Snapshot) func(string) time.Time {
+		return func(address string) time.Time {
+			m, _ := s.Find(address)
+			return m.SeenAt
+		}
+	}
+	opinion := func(s *group.Snapshot, q Question) Opinion { return opinionOf(now, s, heardIn(s), q, detect) }
 	fresh := snapshot(group.MemberView{SeenAt: now.Add(-detect)})
-	is.Equal(opinionOf(now, fresh, Question{Term: 2}, detect), OpinionAlive)
-	is.Equal(opinionOf(now, fresh, Question{Term: 1}, detect), OpinionAlive)
-	is.Equal(opinionOf(now, fresh, Question{Term: 3}, detect), OpinionNone)
-	is.Equal(opinionOf(now, snapshot(group.MemberView{SeenAt: now.Add(-time.Second)}), Question{Term: 2}, detect), OpinionNone)
-	is.Equal(opinionOf(now, snapshot(group.MemberView{SeenAt: now, Failures: 1}), Question{Term: 2}, detect), OpinionLost)
-	is.Equal(opinionOf(now, &group.Snapshot{Term: 2}, Question{Term: 2}, detect), OpinionLost)
-	is.Equal(opinionOf(now, &group.Snapshot{}, Question{}, detect), OpinionNone)
+	is.Equal(opinion(fresh, Question{Term: 2}), OpinionAlive)
+	is.Equal(opinion(fresh, Question{Term: 1}), OpinionAlive)
+	is.Equal(opinion(fresh, Question{Term: 3}), OpinionNone)
+	is.Equal(opinion(snapshot(group.MemberView{SeenAt: now.Add(-time.Second)}), Question{Term: 2}), OpinionNone)
+	is.Equal(opinion(snapshot(group.MemberView{SeenAt: now, Failures: 1}), Question{Term: 2}), OpinionLost)
+	is.Equal(opinion(&group.Snapshot{Term: 2}, Question{Term: 2}), OpinionLost)
+	is.Equal(opinion(&group.Snapshot{}, Question{}), OpinionNone)
+}
+
+// A primary answers this witness, and of its two replicas none does: both may be cut off
+// from the primary together with everybody else. Its word must not keep the others from
+// replacing the primary. With one replica heard it does.
+func TestWitnessWithoutAMajorityCannotTell(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	detect := 150 * time.Millisecond
+	s := &group.Snapshot{Term: 2, Primary: "p", Size: 3, Members: []group.MemberView{{Address: "p"}, {Address: "r"}, {Address: "q"}}}
+	heard := map[string]time.Time{"p": now}
+	heardAt := func(address string) time.Time { return heard[address] }
+	is.Equal(opinionOf(now, s, heardAt, Question{Term: 2}, detect), OpinionNone)
+	heard["r"] = now.Add(-detect)
+	is.Equal(opinionOf(now, s, heardAt, Question{Term: 2}, detect), OpinionAlive)
+}
+
+// quietView is of a group that nobody has asked anything for minutes; its members answer
+// a question after some time, or never.
+type quietView struct {
+	View
+	snapshot group.Snapshot
+	after    time.Duration
+
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+// Snapshot implements View.
+func (q *quietView) Snapshot() *group.Snapshot { return &q.snapshot }
+
+// HeardAt implements View.
+func (q *quietView) HeardAt(address string) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.heard[address]
+}
+
+// Recheck implements View.
+func (q *quietView) Recheck(address string) {
+	asked := time.Now()
+	time.AfterFunc(q.after, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.heard[address] = asked
+	})
+}
+
+// One instance loses its link to the primary of a group that has little to do, and asks
+// the others. They have heard nothing of the primary for long. They look, and say within
+// the time that the claimer waits that it is well; of one that does not answer they
+// cannot tell.
+func TestWitnessLooksForItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for after, want := range map[time.Duration]Opinion{5 * time.Millisecond: OpinionAlive, time.Hour: OpinionNone} {
+			v := &quietView{after: after, heard: make(map[string]time.Time), snapshot: group.Snapshot{Term: 2, Primary: "p", Size: 3,
+				Members: []group.MemberView{{Address: "p"}, {Address: "r"}, {Address: "q"}}}}
+			began := time.Now()
+			is.Equal(testify(t.Context(), clock.System{}, v, Question{Term: 2}, 150*time.Millisecond), want)
+			is.True(time.Since(began) < DefaultSettings().Witness)
+		}
+	})
 }
 
 // stuck is a caller whose calls outlive their context.
--- a/internal/failover/view.go
+++ b/internal/failover/view.go
@@ -1,6 +1,8 @@
 package failover
 
 import (
+	"time"
+
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/member"
 )
@@ -13,6 +15,10 @@
 	// Ask and Observe hand in the reports that calls of the claimer bring.
 	Ask() group.Ticket
 	Observe(address string, t group.Ticket, s member.Status)
+	// HeardAt returns when a member was last asked anything that it answered, a
+	// statement included, and Recheck has it asked for its report.
+	HeardAt(address string) time.Time
+	Recheck(address string)
 }
 
 // answering reports whether the member answered lately, by the last probe.
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -202,6 +202,22 @@
 	f.wake()
 }
 
+// HeardAt returns when a member was last asked anything that it answered, a statement
+// included; zero where it never was.
+func (w *Watcher) HeardAt(address string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.find(address)
+	switch {
+	case f == nil:
+		return time.Time{}
+	case f.sightedAt.After(f.view.SeenAt):
+		return f.sightedAt
+	default:
+		return f.view.SeenAt
+	}
+}
+
 // Ask implements Tracker.
 func (w *Watcher) Ask() Ticket {
 	w.mu.Lock()
