Pass units on to a home that says that it can serve them

Cause: every instance decides by what it reaches itself. One that loses the primary, or all members but one, refused every unit of the group until the cut healed, while its peers served.

A unit is passed on once. What writes goes to a second home only if it did not leave this one; a read may. Writes that wait for a promotion stop waiting when another home has a primary.

--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -55,6 +55,9 @@
 	Request string `json:"request,omitempty"`
 	// ReplyTo is the peer address of the entry instance; empty when it is this one.
 	ReplyTo string `json:"reply_to,omitempty"`
+	// Relayed says that a home which could not serve the unit passed it on. It is
+	// passed on once, so that it does not travel in circles.
+	Relayed bool   `json:"relayed,omitempty"`
 	Group   string `json:"group"`
 	// Class and Key come from the request's tag; empty when untagged.
 	Class string `json:"class,omitempty"`
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -45,6 +45,7 @@
 	s.Handle(methodPartial, r.servePartial)
 	s.Handle(methodAbandon, r.serveAbandon)
 	s.Handle(methodCancel, r.serveCancel)
+	s.Handle(methodStanding, r.serveStanding)
 }
 
 // forward tries the homes of the unit's group in order. It goes on to the next
@@ -173,7 +174,7 @@
 		return nil, result.New(result.NotReady, "this instance is not home to group %s", u.Group)
 	}
 	defer g.leave()
-	return g.Execute(ctx, u, r.partialTo(ctx, u))
+	return r.atHome(ctx, g, u, r.partialTo(ctx, u))
 }
 
 // partialTo sends pieces to the entry instance. The next piece waits until the
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -61,6 +61,8 @@
 	running      *running
 	standby      *standby
 	behind       *behind
+	// scout finds homes that can serve what this one cannot; nil outside a Router.
+	scout *scout
 	// abandoning counts the rollbacks of abandoned transactions under way.
 	abandoning sync.WaitGroup
 	// atWork counts units between the router's look-up and their answer.
@@ -81,6 +83,13 @@
 	}
 }
 
+// forkRandom returns a random source for one part of the group.
+func (g *Group) forkRandom() *rand.Rand {
+	g.randomMu.Lock()
+	defer g.randomMu.Unlock()
+	return rand.New(rand.NewPCG(g.Random.Uint64(), g.Random.Uint64()))
+}
+
 // Busy reports whether units are at work or transactions are open.
 func (g *Group) Busy() bool { return g.atWork.Load() > 0 || g.OpenTransactions() > 0 }
 
--- a/internal/executor/metrics.go
+++ b/internal/executor/metrics.go
@@ -12,6 +12,7 @@
 	refusals  *prometheus.CounterVec
 	settlings *prometheus.CounterVec
 	reaped    *prometheus.CounterVec
+	relays    *prometheus.CounterVec
 }
 
 // NewMetrics registers the package's metrics.
@@ -33,8 +34,12 @@
 			Name: "topazrock_transactions_reaped_total",
 			Help: "Transactions rolled back because they were idle too long, by group.",
 		}, []string{"group"}),
+		relays: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_relays_total",
+			Help: "Units passed on to another home because this one could not serve them, by group and outcome.",
+		}, []string{"group", "outcome"}),
 	}
-	r.MustRegister(m.units, m.refusals, m.settlings, m.reaped)
+	r.MustRegister(m.units, m.refusals, m.settlings, m.reaped, m.relays)
 	return m
 }
 
@@ -58,4 +63,15 @@
 	m.settlings.WithLabelValues(group, c.Label()).Inc()
 }
 
+// relayed counts a unit that was passed on to another home.
+func (m *Metrics) relayed(group string, err error) {
+	outcome := "served"
+	if e, ok := result.As(err); ok {
+		outcome = e.Code.Label()
+	} else if err != nil {
+		outcome = "not reached"
+	}
+	m.relays.WithLabelValues(group, outcome).Inc()
+}
+
 func (m *Metrics) transactionReaped(group string) { m.reaped.WithLabelValues(group).Inc() }
--- /dev/null
+++ b/internal/executor/relay.go
@@ -0,0 +1,110 @@
+package executor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// methodStanding asks a home what it can do for a group.
+const methodStanding = "group.standing"
+
+// maxReadRelays is how many homes a read is passed on to, one after the other. What
+// writes goes on to a second one only if it did not leave this instance.
+const maxReadRelays = 2
+
+// leastRelayTime is the time that a unit must have left to be passed on: a few round
+// trips between failure domains and a usual statement.
+const leastRelayTime = 50 * time.Millisecond
+
+// atHome runs a unit of a group that this instance is home to, and passes it on to a
+// home that can serve it where this one cannot. Local service goes first: most of what
+// is refused here for want of a primary waits for a promotion that nobody has done.
+func (r *Router) atHome(ctx context.Context, g *Group, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
+	began := r.clock.Now()
+	reply, err := g.Execute(ctx, u, partial)
+	if err == nil || u.Relayed || g.scout == nil || !relayable(err) {
+		return reply, err
+	}
+	return r.relay(ctx, g, u, partial, began, err)
+}
+
+// relayable reports whether a unit did not run because of what this instance reaches.
+func relayable(err error) bool {
+	e, ok := result.As(err)
+	if !ok {
+		return false
+	}
+	switch e.Code {
+	case result.NoPrimary, result.NoConfirmingReplica, result.NoReplicaFresh:
+		return true
+	default:
+		return false
+	}
+}
+
+// relay passes a unit that did not run here on to a home that says it can serve it.
+// refusal is what this instance had to say, and still says where no home is found.
+func (r *Router) relay(ctx context.Context, g *Group, u *execution.Unit, partial func([]byte) error, began time.Time, refusal error) (*execution.Reply, error) {
+	for range maxReadRelays {
+		passed := *u
+		passed.Relayed = true
+		passed.Timeout = u.Timeout - r.clock.Now().Sub(began)
+		if passed.Timeout < leastRelayTime {
+			return nil, refusal
+		}
+		home, ok := g.scout.find(ctx, u)
+		if !ok {
+			return nil, refusal
+		}
+		reply, err := r.send(ctx, home, &passed, partial)
+		r.metrics.relayed(u.Group, err)
+		if err == nil {
+			return reply, nil
+		}
+		g.scout.failed(home)
+		g.Logger.Info("Unit was passed on and not served.", "request", u.Request, "unit", u.ID, "group", u.Group, "home", home.ID, "error", err)
+		if !u.OnlyReads() && !errors.Is(err, peer.ErrNotSent) {
+			return nil, forwardFailed(err)
+		}
+	}
+	return nil, refusal
+}
+
+// newGroupScout returns the scout of a group that this instance is home to.
+func (r *Router) newGroupScout(g *Group) *scout {
+	homes := func() []platform.Instance {
+		var others []platform.Instance
+		for _, home := range r.homes.Homes(g.Group) {
+			if home.ID != r.self {
+				others = append(others, home)
+			}
+		}
+		return others
+	}
+	ask := func(ctx context.Context, home platform.Instance) (standing, error) {
+		var s standing
+		err := r.caller.Call(ctx, home.PeerAddress, methodStanding, reference{Group: g.Group}, &s)
+		return s, err
+	}
+	return newScout(r.clock, g.forkRandom(), homes, ask)
+}
+
+// serveStanding answers another home's scout.
+func (r *Router) serveStanding(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var ref reference
+	if err := json.Unmarshal(params, &ref); err != nil {
+		return nil, err
+	}
+	g := r.Local(ref.Group)
+	if g == nil {
+		return standing{}, nil
+	}
+	return g.standing(), nil
+}
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -68,6 +68,9 @@
 func (r *Router) Add(g *Group) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.caller != nil {
+		g.scout = r.newGroupScout(g)
+	}
 	r.groups[g.Group] = g
 }
 
@@ -142,7 +145,7 @@
 	}
 	if g := r.enter(u.Group); g != nil {
 		defer g.leave()
-		return g.Execute(ctx, u, partial)
+		return r.atHome(ctx, g, u, partial)
 	}
 	return r.forward(ctx, u, partial)
 }
--- a/internal/executor/standby.go
+++ b/internal/executor/standby.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/result"
 	"github.com/topazrock/topazrock/internal/retry"
 )
@@ -91,8 +92,19 @@
 		if _, err := g.writablePrimary(); err == nil {
 			return true
 		}
-		if !g.Clock.Now().Before(until) || g.pause(ctx) != nil {
+		if !g.Clock.Now().Before(until) || g.servedElsewhere() || g.pause(ctx) != nil {
 			return false
 		}
 	}
 }
+
+// servedElsewhere reports whether another home is known to have a primary to write to,
+// so that there is nothing to wait for here. It has the others asked.
+func (g *Group) servedElsewhere() bool {
+	if g.scout == nil {
+		return false
+	}
+	g.scout.want()
+	_, ok := g.scout.pick(&execution.Unit{})
+	return ok
+}
