Serve first what can be in time, and send a member no more than keeps it busy

- Waiters that can still be in time, with twice a usual answer left, go before those that cannot; among each kind priority, then the moment wanted.
What is late keeps the turns of the longest wait, and is refused once its deadline cannot be kept even if nothing else were served.
- How many requests of an instance are at work at a member follows from how long its answers take against how long they take when it is idle: up to twice.
The rest waits here, in order.
- The time to an answer is taken apart from the time that a transaction holds its slot, which made every wait look several times as long as it was.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,11 +1,12 @@
 // Package admission decides which request may run now, which waits, and which
 // is refused at once.
 //
-// Waiters are ordered by priority, then by deadline, then by arrival. Every
-// eighth slot given to a waiter goes to the one that has waited longest, so
-// that a low priority keeps a small share under any load and a high one loses
-// no more than that. Bulk requests leave a part of the slots free while urgent
-// writes come in.
+// Waiters that can still be answered within their class's objective go before
+// those that cannot. Each of the two kinds is ordered by priority, then by the
+// moment at which the answer is wanted, then by arrival. Every eighth slot given to
+// a waiter goes to the one that has waited longest, so that a low priority, and what
+// is late, keep a small share under any load and the others lose no more than that.
+// Bulk requests leave a part of the slots free while urgent writes come in.
 //
 // Lock order: Controller.mu is the only lock; nothing is called under it but
 // the clock, the random source and the metrics.
@@ -25,6 +26,9 @@
 	MaxQueue int
 	// Deadline is the caller's deadline.
 	Deadline time.Time
+	// WantedBy is when the class's objective for the answer is over; zero where the
+	// class has none.
+	WantedBy time.Time
 	// Write says that the request runs at the primary.
 	Write bool
 	// Member is the address of the member that the request goes to, for gates that
@@ -34,7 +38,7 @@
 
 // Gate hands out the slots of one group.
 type Gate interface {
-	// Enter returns a function that gives the slot back, to be called once.
-	// Errors are *result.Error of the did-not-run family with a retry-after.
-	Enter(ctx context.Context, r Request) (release func(), err error)
+	// Enter waits for a slot. Errors are *result.Error of the did-not-run family with
+	// a retry-after.
+	Enter(ctx context.Context, r Request) (*Slot, error)
 }
--- a/internal/admission/class.go
+++ b/internal/admission/class.go
@@ -14,14 +14,19 @@
 type class struct {
 	name    string
 	waiting int
-	// service is the moving average of the time a slot is held; zero while
-	// nothing has finished.
-	service  time.Duration
+	// service is the moving average of the time from admission to the answer; zero
+	// while nothing was answered.
+	service time.Duration
+	// usual is the slow average of the same times, over answers, and unloaded the
+	// lowest that it was: what an answer takes when the member is idle.
+	usual    time.Duration
+	unloaded time.Duration
+	answers  int
 	admitted prometheus.Counter
 	wait     prometheus.Observer
 }
 
-// observe takes in one more service time.
+// observe takes in one more time to an answer.
 func (c *class) observe(d time.Duration) {
 	if c.service == 0 {
 		c.service = d
@@ -29,3 +34,28 @@
 	}
 	c.service += (d - c.service) / averageWeight
 }
+
+const (
+	// usualWeight is the weight of one more answer in the slow average, as a divisor.
+	// Work differs by a factor of two or three from one statement to the next; over
+	// this many the average's lowest is some ten percent below its mean.
+	usualWeight = 64
+	// usualLeast is how many answers make an average that is worth a comparison.
+	usualLeast = 16
+	// unloadedRise is how much the unloaded time may rise with an answer. Work that
+	// has become longer for good is taken for the usual one after a minute or so of
+	// load; a queue of some seconds is not.
+	unloadedRise = 1.0005
+)
+
+// stretchOf returns how many times its unloaded time an answer took.
+func (c *class) stretchOf(took time.Duration) float64 {
+	c.answers++
+	c.usual += (took - c.usual) / time.Duration(min(c.answers, usualWeight))
+	if c.answers < usualLeast {
+		c.unloaded = c.usual
+		return 1
+	}
+	c.unloaded = min(time.Duration(float64(c.unloaded)*unloadedRise), c.usual)
+	return float64(took) / float64(max(c.unloaded, 1))
+}
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -43,4 +43,7 @@
 	Metrics *Metrics
 	// Slots is how many requests may run at once at first.
 	Slots int
+	// Adaptive bounds the requests at work by how long answers take, where slots are
+	// connections to a member that has a queue of its own.
+	Adaptive bool
 }
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -20,9 +20,13 @@
 	waits   prometheus.Gauge
 	slotsUp prometheus.Gauge
 
-	mu       sync.Mutex
-	slots    int
-	inUse    map[*slot]struct{}
+	mu    sync.Mutex
+	slots int
+	inUse map[*Slot]struct{}
+	// working counts the slots whose requests have no answer yet, and limit bounds
+	// them.
+	working  int
+	limit    inFlight
 	classes  map[string]*class
 	waiting  waitlist.List[*waiter]
 	arrivals uint64
@@ -52,12 +56,13 @@
 		waits:   cfg.Metrics.waiting.WithLabelValues(cfg.Group),
 		slotsUp: cfg.Metrics.slots.WithLabelValues(cfg.Group),
 		slots:   max(cfg.Slots, 0),
-		inUse:   make(map[*slot]struct{}),
+		inUse:   make(map[*Slot]struct{}),
 		classes: make(map[string]*class),
 		waiting: waitlist.New((*waiter).before),
 		changed: waitlist.NewSignal(),
 	}
 	c.slotsUp.Set(float64(c.slots))
+	c.limit = newInFlight(cfg.Adaptive, c.slots)
 	return c
 }
 
@@ -74,6 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.slots = max(n, 0)
+	c.limit.setMost(c.slots)
 	c.slotsUp.Set(float64(c.slots))
 	c.dispatch()
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatalf("enter: %v", err)
 	}
-	return release
+	return release.Release
 }
 
 // hold takes a slot and gives it back after d, so that the class's service time
@@ -47,7 +47,7 @@
 		release, err := c.Enter(context.Background(), r)
 		if err == nil {
 			got <- r.Class
-			release()
+			release.Release()
 		}
 	}()
 	synctest.Wait()
@@ -238,7 +238,7 @@
 				b.Error(err)
 				return
 			}
-			release()
+			release.Release()
 		}
 	})
 }
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -9,7 +9,8 @@
 // dispatch gives free slots to waiters. It runs under the lock after every
 // change of the tables.
 func (c *Controller) dispatch() {
-	for len(c.inUse) < c.slots {
+	c.sortOutLate()
+	for c.free() {
 		w := c.next()
 		if w == nil {
 			break
@@ -27,6 +28,12 @@
 	c.waits.Set(float64(c.waiting.Len()))
 }
 
+// free reports whether one more request may be sent: a slot is free, and not too many
+// are at work at the member.
+func (c *Controller) free() bool {
+	return len(c.inUse) < c.slots && c.working < c.limit.requests()
+}
+
 // next returns the waiter whose turn it is, nil if none may have a slot.
 func (c *Controller) next() *waiter {
 	fair := c.contended%fairEvery == fairEvery-1
@@ -75,24 +82,41 @@
 // admit gives w a slot.
 func (c *Controller) admit(w *waiter) {
 	now := c.cfg.Clock.Now()
-	s := &slot{class: w.class, since: now}
+	s := newSlot(c, w.class, now)
 	c.inUse[s] = struct{}{}
+	c.working++
 	w.class.admitted.Inc()
 	w.class.wait.Observe(now.Sub(w.arrived).Seconds())
 	w.granted <- grant{slot: s}
 	c.running.Set(float64(len(c.inUse)))
 }
 
-// release takes back a slot. A second call for the same slot does nothing.
-func (c *Controller) release(s *slot) {
+// answered notes that the request of a slot has its answer.
+func (c *Controller) answered(s *Slot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.inUse[s]; !ok {
-		c.log.Error("Released a slot twice.", "group", c.cfg.Group, "class", s.class.name)
+	c.note(s)
+	c.dispatch()
+}
+
+// note takes in the time of an answer, once.
+func (c *Controller) note(s *Slot) {
+	if s.answered {
 		return
 	}
+	s.answered = true
+	took := max(c.cfg.Clock.Now().Sub(s.since), time.Microsecond)
+	c.limit.observe(s.class, took, c.working)
+	s.class.observe(took)
+	c.working--
+}
+
+// release takes back a slot.
+func (c *Controller) release(s *Slot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.note(s)
 	delete(c.inUse, s)
-	s.class.observe(max(c.cfg.Clock.Now().Sub(s.since), time.Microsecond))
 	c.dispatch()
 	c.changed.Notify()
 }
--- a/internal/admission/enter.go
+++ b/internal/admission/enter.go
@@ -8,7 +8,7 @@
 )
 
 // Enter implements Gate.
-func (c *Controller) Enter(ctx context.Context, r Request) (func(), error) {
+func (c *Controller) Enter(ctx context.Context, r Request) (*Slot, error) {
 	w, err := c.enqueue(r)
 	if err != nil {
 		return nil, err
@@ -30,11 +30,11 @@
 }
 
 // answer turns a grant into what Enter returns.
-func (c *Controller) answer(g grant) (func(), error) {
+func (c *Controller) answer(g grant) (*Slot, error) {
 	if g.err != nil {
 		return nil, g.err
 	}
-	return func() { c.release(g.slot) }, nil
+	return g.slot, nil
 }
 
 // enqueue gives w a slot, queues it, or refuses it at once.
@@ -47,7 +47,7 @@
 	}
 	w := c.newWaiter(r, k)
 	c.dispatch()
-	if len(c.inUse) < c.slots && c.allowed(w) {
+	if c.free() && c.allowed(w) {
 		c.admit(w)
 		return w, nil
 	}
@@ -71,6 +71,7 @@
 	}
 	c.arrivals++
 	w := &waiter{request: r, class: k, arrived: now, arrival: c.arrivals, granted: make(chan grant, 1)}
+	w.late = w.misses(now)
 	if r.Write && w.urgent() {
 		c.urgentWrite = now
 	}
@@ -106,17 +107,27 @@
 		}
 		ahead += o.class.service
 	}
-	slots := c.slots
+	return c.nextFree(c.cfg.Clock.Now()) + ahead/time.Duration(c.servers(w))
+}
+
+// servers is how many requests may be at work at once while w waits.
+func (c *Controller) servers(w *waiter) int {
+	held := len(c.inUse) - c.working
+	n := min(c.slots-held, c.limit.requests())
 	if !w.urgent() {
-		slots -= c.reserve()
+		n -= c.reserve()
 	}
-	return c.nextFree(c.cfg.Clock.Now()) + ahead/time.Duration(slots)
+	return max(n, 1)
 }
 
 // nextFree estimates when the first slot in use comes free.
 func (c *Controller) nextFree(now time.Time) time.Duration {
 	first := time.Duration(-1)
 	for s := range c.inUse {
+		if s.answered && c.working >= c.limit.requests() {
+			// Its end lets nobody in.
+			continue
+		}
 		if left := s.remaining(now); first < 0 || left < first {
 			first = left
 		}
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -82,7 +82,7 @@
 		return
 	}
 	_ = clock.Sleep(context.Background(), clock.System{}, service)
-	release()
+	release.Release()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waits[r.Class] = append(l.waits[r.Class], waited)
--- a/internal/admission/permember.go
+++ b/internal/admission/permember.go
@@ -7,7 +7,8 @@
 
 // PerMember is a Gate whose slots belong to one member each, so that a member that
 // hangs or has a long queue holds up nothing that runs elsewhere. A slot stands for
-// one of the instance's connections to the member.
+// one of the instance's connections to the member. How many of them are at work at once
+// follows from how long the member's answers take.
 //
 // Lock order: PerMember.mu, then a Controller's; neither is held across a wait.
 type PerMember struct {
@@ -29,7 +30,7 @@
 }
 
 // Enter implements Gate.
-func (p *PerMember) Enter(ctx context.Context, r Request) (func(), error) {
+func (p *PerMember) Enter(ctx context.Context, r Request) (*Slot, error) {
 	return p.gate(r.Member).Enter(ctx, r)
 }
 
@@ -53,6 +54,7 @@
 	if !ok {
 		cfg := p.cfg
 		cfg.Slots = p.slots
+		cfg.Adaptive = true
 		cfg.Rand = forkRand(p.cfg.Rand)
 		g = New(cfg)
 		p.gates[member] = g
--- a/internal/admission/permember_test.go
+++ b/internal/admission/permember_test.go
@@ -30,7 +30,7 @@
 		p := newPerMember(1)
 		held, err := p.Enter(t.Context(), at(lookup, "replica"))
 		is.NoErr(err)
-		waiting := make(chan func())
+		waiting := make(chan *Slot)
 		go func() {
 			release, err := p.Enter(context.Background(), at(lookup, "replica"))
 			if err == nil {
@@ -43,9 +43,9 @@
 		release, err := p.Enter(t.Context(), at(renewal, "primary"))
 		is.NoErr(err)
 		is.Equal(time.Since(began), time.Duration(0))
-		release()
-		held()
-		(<-waiting)()
+		release.Release()
+		held.Release()
+		(<-waiting).Release()
 	})
 }
 
@@ -57,7 +57,7 @@
 		p := newPerMember(1)
 		held, err := p.Enter(t.Context(), at(lookup, "first"))
 		is.NoErr(err)
-		waiting := make(chan func(), 1)
+		waiting := make(chan *Slot, 1)
 		go func() {
 			release, err := p.Enter(context.Background(), at(lookup, "first"))
 			if err == nil {
@@ -66,12 +66,12 @@
 		}()
 		synctest.Wait()
 		p.SetSlots(2)
-		(<-waiting)()
-		held()
+		(<-waiting).Release()
+		held.Release()
 		for range 2 {
 			release, err := p.Enter(t.Context(), at(lookup, "second"))
 			is.NoErr(err)
-			defer release()
+			defer release.Release()
 		}
 		is.Equal(p.Waiting("second"), 0)
 	})
--- a/internal/admission/slot.go
+++ b/internal/admission/slot.go
@@ -1,18 +1,39 @@
 package admission
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
-// slot is one slot in use.
-type slot struct {
-	class *class
-	since time.Time
+// Slot is a slot in use. Whoever was admitted gives it back once.
+type Slot struct {
+	controller *Controller
+	class      *class
+	since      time.Time
+	// answered says that the request has its answer. The slot may be held on, by the
+	// transaction that the request has opened. Guarded by Controller.mu.
+	answered bool
+	release  func()
 }
 
+func newSlot(c *Controller, k *class, now time.Time) *Slot {
+	s := &Slot{controller: c, class: k, since: now}
+	s.release = sync.OnceFunc(func() { c.release(s) })
+	return s
+}
+
+// Answered notes that the member has answered the request. What is held on does no work
+// at the member, so that another request may be sent.
+func (s *Slot) Answered() { s.controller.answered(s) }
+
+// Release gives the slot back. A second call does nothing.
+func (s *Slot) Release() { s.release() }
+
 // remaining estimates how long the slot stays in use. One that is held longer
 // than its class usually takes is expected to stay as long again: were it
 // expected to end now, requests would queue behind a stalled member up to the
 // bound instead of being refused at once.
-func (s *slot) remaining(now time.Time) time.Duration {
+func (s *Slot) remaining(now time.Time) time.Duration {
 	held := now.Sub(s.since)
 	if held < s.class.service {
 		return s.class.service - held
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/execution"
 )
 
@@ -12,7 +13,11 @@
 	if err != nil {
 		return nil, g.Metrics.refused(g.Group, err)
 	}
-	ctx, cancel := context.WithDeadline(ctx, g.Clock.Now().Add(min(u.Timeout, p.timeout)))
+	arrived := g.Clock.Now()
+	if p.objective > 0 {
+		p.wantedBy = arrived.Add(p.objective)
+	}
+	ctx, cancel := context.WithDeadline(ctx, arrived.Add(min(u.Timeout, p.timeout)))
 	defer cancel()
 	g.Budget.Request()
 	reply, err := g.dispatch(ctx, u, p, partial)
@@ -35,19 +40,23 @@
 }
 
 // enter waits for a slot to run a unit at a member.
-func (g *Group) enter(ctx context.Context, p plan, member string) (func(), error) {
+func (g *Group) enter(ctx context.Context, p plan, member string) (*admission.Slot, error) {
 	deadline, _ := ctx.Deadline()
 	return g.Gate.Enter(ctx, p.admission(deadline, member, false))
 }
 
 // enterTransaction waits for a slot for one more unit of an open transaction. Where
 // a slot stands for a connection, the transaction has it already.
-func (g *Group) enterTransaction(ctx context.Context, p plan, tx *transaction) (func(), error) {
-	if tx.release != nil {
+func (g *Group) enterTransaction(ctx context.Context, p plan, tx *transaction) (release func(), err error) {
+	if tx.slot != nil {
 		return func() {}, nil
 	}
 	deadline, _ := ctx.Deadline()
-	return g.Gate.Enter(ctx, p.admission(deadline, tx.conn.Address(), true))
+	slot, err := g.Gate.Enter(ctx, p.admission(deadline, tx.conn.Address(), true))
+	if err != nil {
+		return nil, err
+	}
+	return slot.Release, nil
 }
 
 // Cancel implements execution.Executor.
--- a/internal/executor/intransaction.go
+++ b/internal/executor/intransaction.go
@@ -155,8 +155,8 @@
 		tx.conn.Spoil()
 	}
 	g.Pool.Release(tx.conn)
-	if tx.release != nil {
-		tx.release()
+	if tx.slot != nil {
+		tx.slot.Release()
 	}
 }
 
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -33,7 +33,10 @@
 	maxQueue   int
 	timeout    time.Duration
 	objective  time.Duration
-	limits     document.Limits
+	// wantedBy is when the objective is over, counted from the unit's arrival; zero
+	// where the class has none.
+	wantedBy time.Time
+	limits   document.Limits
 }
 
 // newPlan looks the unit's class up in the document. A unit without a class is
@@ -110,6 +113,7 @@
 		Priority: p.priority,
 		MaxQueue: p.maxQueue,
 		Deadline: deadline,
+		WantedBy: p.wantedBy,
 		Write:    !p.read,
 		Member:   member,
 	}
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
@@ -73,18 +74,18 @@
 	if err != nil {
 		return nil, err
 	}
-	release, err := g.enter(ctx, p, s.Primary)
+	slot, err := g.enter(ctx, p, s.Primary)
 	if err != nil {
 		return nil, err
 	}
 	// The wait may have outlived the primary.
 	if s, err = g.writablePrimary(); err != nil {
-		release()
+		slot.Release()
 		return nil, err
 	}
 	c, err := g.Pool.Acquire(ctx, s.Primary)
 	if err != nil {
-		release()
+		slot.Release()
 		g.reportRefused(s.Primary, err)
 		return nil, err
 	}
@@ -92,14 +93,15 @@
 	x.term = s.Term
 	x.keyed = p.keyed(u)
 	if err := g.proveReads(ctx, u, p, x); err != nil {
-		release()
+		slot.Release()
 		g.Pool.Release(c)
 		return nil, err
 	}
 	err = g.converse(ctx, p, x, g.primarySteps(u, p)...)
+	slot.Answered()
 	if err != nil || x.Final == wire.Idle || !g.Wire.SlotIsConnection {
-		release()
-		release = nil
+		slot.Release()
+		slot = nil
 	}
 	if err != nil {
 		x.verification.Drop()
@@ -107,7 +109,7 @@
 		g.reportBroken(c, err)
 		return nil, unknown(ctx, err)
 	}
-	return g.concludeAtPrimary(ctx, u, p, x, release)
+	return g.concludeAtPrimary(ctx, u, p, x, slot)
 }
 
 // proveReads sees to what reads at the primary need, those of a transaction that
@@ -148,20 +150,20 @@
 }
 
 // concludeAtPrimary turns the finished exchange into a reply: an open
-// transaction, or a confirmed outcome. release gives back the slot that an open
-// transaction keeps; it is nil where the slot was given back.
-func (g *Group) concludeAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, release func()) (*execution.Reply, error) {
+// transaction, or a confirmed outcome. slot is what an open transaction keeps; it is
+// nil where the slot was given back.
+func (g *Group) concludeAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, slot *admission.Slot) (*execution.Reply, error) {
 	if x.KeyFailure != nil {
 		return nil, g.keyRefused(ctx, u, x)
 	}
 	if err := g.refusedAtPrimary(p, x); err != nil {
 		x.verification.Drop()
 		g.giveBack(x)
-		freeSlot(release)
+		freeSlot(slot)
 		return nil, err
 	}
 	if x.Final != wire.Idle {
-		return g.beginAtPrimary(ctx, u, p, x, release)
+		return g.beginAtPrimary(ctx, u, p, x, slot)
 	}
 	if x.verification != nil {
 		return g.concludeFresh(ctx, u, p, x)
@@ -200,21 +202,21 @@
 
 // beginAtPrimary keeps the transaction that the unit opened. The answer to a
 // fresh read in it waits for the proof.
-func (g *Group) beginAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, release func()) (*execution.Reply, error) {
+func (g *Group) beginAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, slot *admission.Slot) (*execution.Reply, error) {
 	if x.verification != nil && u.ReadOnly {
 		if err := g.verified(ctx, p, x); err != nil {
 			g.giveBack(x)
-			freeSlot(release)
+			freeSlot(slot)
 			return nil, err
 		}
 	}
-	return g.openTransaction(u, x, false, p.keyOf(u), release), nil
+	return g.openTransaction(u, x, false, p.keyOf(u), slot), nil
 }
 
 // freeSlot gives back a slot that is still held.
-func freeSlot(release func()) {
-	if release != nil {
-		release()
+func freeSlot(slot *admission.Slot) {
+	if slot != nil {
+		slot.Release()
 	}
 }
 
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -145,14 +145,14 @@
 // atReplica runs the read at one replica. The second value says that a piece of
 // the answer has gone out, after which the read cannot be sent elsewhere.
 func (g *Group) atReplica(ctx context.Context, u *execution.Unit, p plan, m group.MemberView, n need, partial func([]byte) error) (*execution.Reply, bool, error) {
-	release, err := g.enter(ctx, p, m.Address)
+	slot, err := g.enter(ctx, p, m.Address)
 	if err != nil {
 		return nil, false, err
 	}
 	held := false
 	defer func() {
 		if !held {
-			release()
+			slot.Release()
 		}
 	}()
 	c, err := g.Pool.Acquire(ctx, m.Address)
@@ -179,7 +179,8 @@
 	if x.Final != wire.Idle {
 		u.Token = n.token
 		held = g.Wire.SlotIsConnection
-		return g.openTransaction(u, x, true, "", release), false, nil
+		slot.Answered()
+		return g.openTransaction(u, x, true, "", slot), false, nil
 	}
 	g.Pool.Release(c)
 	return g.reply(n.token, x, m.Address != g.Tracker.Snapshot().Primary), false, nil
--- a/internal/executor/reply.go
+++ b/internal/executor/reply.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/wire"
@@ -20,11 +21,11 @@
 
 // openTransaction keeps the connection for the transaction that the unit opened, and
 // with it the slot where one stands for a connection.
-func (g *Group) openTransaction(u *execution.Unit, x *exchange, replica bool, key string, release func()) *execution.Reply {
+func (g *Group) openTransaction(u *execution.Unit, x *exchange, replica bool, key string, slot *admission.Slot) *execution.Reply {
 	tx := &transaction{key: key, conn: x.conn, replica: replica, term: x.term, token: u.Token, lastUsed: g.Clock.Now(),
 		wrote: !u.ReadOnly && !replica}
 	if g.Wire.SlotIsConnection {
-		tx.release = release
+		tx.slot = slot
 	}
 	if !u.ReadOnly {
 		tx.verification = x.verification
--- a/internal/executor/transaction.go
+++ b/internal/executor/transaction.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/wire"
@@ -23,9 +24,9 @@
 	// verification proves that the primary had not been replaced when the
 	// transaction began; nil where no read of it needs that any more.
 	verification *group.Verification
-	// release gives back the slot that the transaction holds from its first unit to
-	// its end, where a slot stands for a connection; nil otherwise.
-	release func()
+	// slot is held from the transaction's first unit to its end, where a slot stands
+	// for a connection; nil otherwise.
+	slot *admission.Slot
 	// token is what the session must see at least after the transaction.
 	token logpos.Token
 
