Say from logs what was refused, when and why

topazrock explain reads the log lines of one or more instances and puts the refusals of each second, by code, instance, group and class, beside what instances came to believe then.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -202,7 +202,7 @@
 }
 
 var commandNames = []string{
-	"serve", "check", "apply", "get", "list", "history", "versions", "status", "drain", "verifier", "codes", "version",
+	"serve", "check", "apply", "get", "list", "history", "versions", "status", "drain", "explain", "verifier", "codes", "version",
 }
 
 func TestEveryCommandHelpsWithAnExample(t *testing.T) {
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -20,6 +20,7 @@
 		{"versions", "list what version each instance has in force", "topazrock versions base-ligacoes", &versionsCommand{root: r}},
 		{"status", "show groups, pools, peers and readiness", "topazrock status --api 10.0.0.1:6434", &statusCommand{root: r}},
 		{"drain", "begin the graceful shutdown of the instance", "topazrock drain --api 10.0.0.1:6434 --token-file token", &drainCommand{root: r}},
+		{"explain", "say what logs show was refused, and why", "topazrock explain --group orders-1 instance-*.log", &explainCommand{root: r}},
 		{"verifier", "make a password verifier for a document", "topazrock verifier < password.txt", &verifierCommand{root: r}},
 		{"codes", "print the page of result codes", "topazrock codes > docs/RESULT-CODES.md", &codesCommand{root: r}},
 		{"version", "print the version of the program", "topazrock version", &versionCommand{root: r}},
