Pass members by that take no connection, and leave them room for a return

Cause: after all instances lose power the members count the old connections on for three seconds. Seven instances held 21 of 22, a spare one to each member among them; those that came back met refusals, held each statement in the pool until its deadline with every other one queued behind it, and tried again in growing pauses, the last of 0.8 s after there was room.

- Idle connections that were not needed are closed without leaving a spare one.
- A member that refused two openings in a row while there is no connection to it is passed by: reads go to another member or the primary, statements for it are refused at once, and passed on to a home that has a connection.
- While there is none, tries are at most 0.4 s apart.

Ruled out: more retries (the budget begins with three; the refusals are not chance); opening fewer control connections at the start (one of three a member; left for later).

--- a/internal/executor/bench_test.go
+++ b/internal/executor/bench_test.go
@@ -106,5 +106,8 @@
 // ProbeIdle implements pool.Pool.
 func (onePool) ProbeIdle(time.Time) {}
 
+// Full implements pool.Pool.
+func (onePool) Full(string) bool { return false }
+
 // Ask implements group.Tracker.
 func (s *shown) Ask() group.Ticket { return group.Ticket{} }
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -99,6 +99,9 @@
 // ProbeIdle implements pool.Pool.
 func (*scriptedMembers) ProbeIdle(time.Time) {}
 
+// Full implements pool.Pool.
+func (*scriptedMembers) Full(string) bool { return false }
+
 // Snapshot implements group.Tracker.
 func (s *scriptedMembers) Snapshot() *group.Snapshot { return &s.snapshot }
 
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -34,14 +34,16 @@
 	return g.Clock.Now()
 }
 
+// findWritable returns the present snapshot, with an error unless a write to its primary
+// can be confirmed.
 func (g *Group) findWritable() (*group.Snapshot, error) {
 	s := g.Tracker.Snapshot()
 	m, known := s.Find(s.Primary)
 	if !known || m.Failures >= lostProbes {
-		return nil, result.New(result.NoPrimary, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
+		return s, result.New(result.NoPrimary, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
 	}
 	if !g.confirmable(s) {
-		return nil, result.New(result.NoConfirmingReplica, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
+		return s, result.New(result.NoConfirmingReplica, "group %s", g.Group).WithRetryAfter(retryAfterFailover)
 	}
 	return s, nil
 }
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -42,7 +42,7 @@
 		return false
 	}
 	switch e.Code {
-	case result.NoPrimary, result.NoConfirmingReplica, result.NoReplicaFresh:
+	case result.NoPrimary, result.NoConfirmingReplica, result.NoReplicaFresh, result.TooManyConnections:
 		return true
 	default:
 		return false
--- a/internal/executor/standing.go
+++ b/internal/executor/standing.go
@@ -20,13 +20,21 @@
 
 // standing returns what this instance can do for the group now. A primary that has
 // missed a single probe does not count: here its units wait, but those of other
-// instances would be sent to it and be lost with it.
+// instances would be sent to it and be lost with it. Nor does a member that takes no
+// connection of this instance.
 func (g *Group) standing() standing {
 	s, err := g.findWritable()
-	if err != nil {
-		return standing{Reads: g.majorityAnswers()}
-	}
 	primary, _ := s.Find(s.Primary)
-	writes := primary.Failing.IsZero()
-	return standing{Writes: writes, Reads: writes || g.majorityAnswers()}
+	writes := err == nil && primary.Failing.IsZero() && !g.Pool.Full(s.Primary)
+	return standing{Writes: writes, Reads: writes || g.majorityAnswers() && g.connects()}
+}
+
+// connects reports whether some member of the group that answers can be sent statements.
+func (g *Group) connects() bool {
+	for _, m := range g.Tracker.Snapshot().Members {
+		if m.Failing.IsZero() && !g.Pool.Full(m.Address) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -93,12 +93,27 @@
 	if !m.refused {
 		return p.unreachable(m)
 	}
-	if m.pausedUntil.Before(deadline) {
+	if m.pausedUntil.Before(deadline) && !p.staysFull(m) {
 		return nil
 	}
 	return p.full(m)
 }
 
+// staysFull reports whether a member has refused openings twice or more in a row and
+// there is no connection to it: it will be full for a while, as members are that still
+// count the connections of machines that lost power, and others are to be asked.
+func (p *Limited) staysFull(m *memberState) bool {
+	return m.refused && m.counted() == m.opening && m.pause > p.cfg.MinPause
+}
+
+// Full reports whether statements for a member are refused because it takes no
+// connection and there is none.
+func (p *Limited) Full(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.staysFull(p.member(address))
+}
+
 // giveUp ends w's wait without a connection.
 func (p *Limited) giveUp(w *waiter) (*entry, *result.Error) {
 	p.mu.Lock()
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -380,3 +380,45 @@
 		is.Equal(members.count(), 0)
 	})
 }
+
+// All instances lost power, and the members still count their connections, so that this
+// one's first openings are refused. Statements are told so at once from the second
+// refusal on, and can go elsewhere, instead of waiting for their deadlines; when the
+// member has room again, it is found out within half a second.
+func TestMemberThatStaysFullIsPassedByAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(10)
+		defer closePool(t, p)
+		members.full[firstMember] = true
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		_, err := p.Acquire(ctx, firstMember)
+		is.Equal(code(err), result.TooManyConnections)
+		is.True(time.Since(began) < 4*DefaultMinPause)
+		is.True(p.Full(firstMember))
+		is.True(!p.Full(secondMember))
+		for range 20 {
+			began = time.Now()
+			_, err := p.Acquire(ctx, firstMember)
+			is.Equal(code(err), result.TooManyConnections)
+			is.True(time.Since(began) <= maxFullPause)
+			_ = clock.Sleep(t.Context(), clock.System{}, 100*time.Millisecond)
+		}
+		members.mu.Lock()
+		members.full[firstMember] = false
+		members.mu.Unlock()
+		free := time.Now()
+		for {
+			c, err := p.Acquire(t.Context(), firstMember)
+			if err == nil {
+				p.Release(c)
+				break
+			}
+			_ = clock.Sleep(t.Context(), clock.System{}, 10*time.Millisecond)
+		}
+		is.True(time.Since(free) < 500*time.Millisecond)
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,4 +32,7 @@
 	// used since a moment. It is for signs that something between this instance
 	// and the members has lost track of connections.
 	ProbeIdle(since time.Time)
+	// Full reports whether statements for the member at address are refused because
+	// it takes no connection and there is none.
+	Full(address string) bool
 }
--- a/internal/pool/trim.go
+++ b/internal/pool/trim.go
@@ -20,9 +20,11 @@
 	}
 }
 
-// trimMember closes as many idle connections as were idle all the time, but for one.
+// trimMember closes as many idle connections as were idle all the time, and leaves one
+// connection at least. A spare one as well, in each of seven instances, was a third of
+// what a member takes: none was free for the first seconds after all had lost power.
 func (p *Limited) trimMember(m *memberState) {
-	surplus := min(m.leastIdle, len(m.idle)) - 1
+	surplus := min(m.leastIdle, len(m.idle), m.counted()-1)
 	for range surplus {
 		p.idle--
 		p.startClose(m.takeOldest(), closedSurplus)
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -56,13 +56,22 @@
 	p.changed.Notify()
 }
 
+// maxFullPause bounds the pause between tries of a member that takes no more
+// connections, while there is none to it. It answers such a try at once, and has room again some seconds later:
+// when it has, it must not take another second to find out.
+const maxFullPause = 400 * time.Millisecond
+
 // openFailed holds back openings to the member, and ends the wait of those
 // whom nothing else can serve.
 func (p *Limited) openFailed(m *memberState, err error) {
 	now := p.cfg.Clock.Now()
-	m.holdBack(now, p.cfg.Rand, p.cfg.MinPause, p.cfg.MaxPause)
-	go p.dispatchAfter(m.pausedUntil.Sub(now))
 	m.refused = errors.Is(err, wire.ErrFull)
+	longest := p.cfg.MaxPause
+	if m.refused && m.counted() == m.opening {
+		longest = min(longest, maxFullPause)
+	}
+	m.holdBack(now, p.cfg.Rand, p.cfg.MinPause, longest)
+	go p.dispatchAfter(m.pausedUntil.Sub(now))
 	outcome := "failed"
 	if m.refused {
 		outcome = "refused"
@@ -78,6 +87,9 @@
 		p.changed.Notify()
 	}
 	if m.refused {
+		if p.staysFull(m) {
+			p.refuseWaiters(m, p.waiting.Len(), p.full(m))
+		}
 		return
 	}
 	// A member that takes no new connection has often lost the old ones too. A
