Search for a primary with ever fewer questions

For the time of a promotion the pause stays; behind that it is a thirty-second part of the time the search has gone on, at most 150 ms.

--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -30,6 +30,9 @@
 	}
 	w.sample(f, t, s)
 	w.count(f, t, s)
+	if !w.unsettled() {
+		w.searchingSince = time.Time{}
+	}
 	w.publish()
 }
 
@@ -57,6 +60,8 @@
 	w.samples.reset(w.enough)
 	w.term, w.primary, w.termStart = term, "", 0
 	w.head = 0
+	// A claim is under way: its end is near.
+	w.searchingSince = time.Time{}
 	w.lastFloor = sample{}
 	for _, f := range w.followers {
 		f.attachedAt, f.stalledAt, f.reached = time.Time{}, time.Time{}, 0
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -15,9 +15,15 @@
 const stalledPoll = 100 * time.Millisecond
 
 // searchPoll is the least time between two reports of a replica while the group has no
-// primary that answers. The promotion takes several times as long, and who learns of
-// the new primary that much later loses nothing against it.
-const searchPoll = 20 * time.Millisecond
+// primary that answers, and searchPollMost the most. The promotion takes several times
+// the least, and who learns of the new primary that much later loses nothing against
+// it. In between the time is searchPart of how long the search has gone on: where an
+// instance is cut off for seconds, the questions are most of what it costs.
+const (
+	searchPoll     = 20 * time.Millisecond
+	searchPollMost = 150 * time.Millisecond
+	searchPart     = 32
+)
 
 const (
 	failuresPerDoubling = 3
@@ -76,7 +82,7 @@
 	case q.wanted:
 		q.delay = max(f.until(f.missPause()), f.w.turn(f))
 	case f.w.unsettled():
-		q.delay = f.until(max(f.w.intervals.FastPoll, searchPoll))
+		q.delay = f.until(max(f.w.intervals.FastPoll, f.w.searchPause()))
 	case !f.stalledAt.IsZero():
 		// A stall is held against writes and in the end against the primary. It must
 		// not outlive its cause because nobody asks.
@@ -175,6 +181,15 @@
 	return d + time.Duration(pollSpread*f.w.rand.Float64()*float64(d))
 }
 
+// searchPause is the time between two reports of a replica in a search that goes on now.
+func (w *Watcher) searchPause() time.Duration {
+	now := w.clock.Now()
+	if w.searchingSince.IsZero() {
+		w.searchingSince = now
+	}
+	return min(max(now.Sub(w.searchingSince)/searchPart, searchPoll), searchPollMost)
+}
+
 // unsettled reports whether writes are impossible: the term has no primary that
 // answers, or too few replicas have reported themselves attached in it.
 func (w *Watcher) unsettled() bool {
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -42,6 +42,9 @@
 	led       logpos.Term
 	// head is the highest position that the primary reported in the term.
 	head logpos.Position
+	// searchingSince is when the search for a primary that answers began; zero while
+	// there is one.
+	searchingSince time.Time
 	// stallLogged says that the present stall was logged.
 	stallLogged bool
 	samples     samples
