--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -1,6 +1,13 @@
 // Package executor runs units at the members of a group, on an instance that is
 // home to the group, and forwards units of other groups to their homes.
 //
+// A unit's way is the same five steps for reads, writes and transactions, each in one
+// file: execute.go begins it; plan.go says what the service document asks for;
+// admit.go waits for a slot; place.go chooses the member; exchange.go talks to it;
+// conclude.go makes the answer of what came back (concludein.go inside a transaction).
+// read.go, primary.go and intransaction.go put the steps together; retries.go says what
+// may be tried again, and relay.go what another home is asked to do.
+//
 // Invariants. A unit's bytes go to at most one primary, once. What a primary
 // answered is passed on only after the group confirmed the position at which
 // the unit ended, in the primary's term. Before the first byte was written a
--- a/internal/executor/need.go
+++ b/internal/executor/need.go
@@ -117,12 +117,6 @@
 	return mark, nil
 }
 
-// majorityAnswers reports whether as many members answer as prove a position without
-// the primary.
-func (g *Group) majorityAnswers() bool {
-	return g.Tracker.Snapshot().Enough(func(m group.MemberView) bool { return m.Failing.IsZero() })
-}
-
 // barrierPossible refuses a barrier that no replica would confirm: at once where
 // the group has been without a primary for longer than a failover takes, as in a
 // failure domain that is cut off, and after that time otherwise.
--- a/internal/executor/standby.go
+++ b/internal/executor/standby.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
-	"github.com/topazrock/topazrock/internal/result"
-	"github.com/topazrock/topazrock/internal/retry"
 )
 
 // failoverWait is how long a write may wait for a primary, counted from the
@@ -63,24 +61,6 @@
 	s.waiting[class]--
 }
 
-// mayResend waits until a write that was refused before it ran may be sent again.
-func (g *Group) mayResend(ctx context.Context, p plan, err error, attempt int) bool {
-	e, ok := result.As(err)
-	if !ok || attempt >= maxWriteAttempts {
-		return false
-	}
-	switch e.Code {
-	case result.NoPrimary, result.NoConfirmingReplica:
-		return g.awaitPrimary(ctx, p)
-	case result.UpstreamUnreachable:
-		deadline, _ := ctx.Deadline()
-		a := retry.Attempt{Number: attempt, Reason: retry.Unreachable, RetryAfter: e.RetryAfter, Deadline: deadline}
-		return g.Budget.Wait(ctx, a) == nil && g.awaitPrimary(ctx, p)
-	default:
-		return false
-	}
-}
-
 // awaitPrimary waits until there is a primary to write to.
 func (g *Group) awaitPrimary(ctx context.Context, p plan) bool {
 	until, ok := g.standby.join(g.Clock.Now(), p.class, p.maxQueue)
