Let instances that are home to no group know that they are cut off

Cause: readiness follows from the members that an instance reaches, and with 77 instances most are home to no group and reach none.

Ruled out: readiness by what callers were refused (a domain that gets no callers would never be ready again); by the platform's answers (an outage of the platform would take all instances away).

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -138,6 +138,7 @@
 		MaxCallers: s.Caller.MaxCallers,
 	})
 	n.serveTestimony()
+	n.serveReach()
 	n.holder = n.newHolder()
 	n.seats = shares.NewDirectory(n.holder.Incarnation)
 	n.seats.Register(n.peers)
