Bind the scout to its home, and refuse at once what it knows that nobody serves

Cause: the scout's rounds of questions ran in a goroutine of their own that nothing ended. The rounds now belong to the group's Run and end with it.

TestWriteWaitsThroughAFailover showed the second half: a caller of a group that nobody serves waited 120 ms for answers that had come a moment before. The scout waits only if fewer homes were asked of late than two rounds ask.

--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -8,11 +8,15 @@
 	"github.com/topazrock/topazrock/internal/clock"
 )
 
-// Run ends what must not be waited for any longer, until ctx ends.
+// Run ends what must not be waited for any longer, and asks other homes where units need
+// it, until ctx ends. A Router has been told of the group before.
 func (g *Group) Run(ctx context.Context) {
 	var parts sync.WaitGroup
 	parts.Go(func() { g.oversee(ctx) })
 	parts.Go(func() { g.endIdle(ctx) })
+	if g.scout != nil {
+		parts.Go(func() { g.scout.run(ctx) })
+	}
 	parts.Wait()
 }
 
--- a/internal/executor/scout.go
+++ b/internal/executor/scout.go
@@ -41,17 +41,20 @@
 	// homes returns the group's other homes, and ask asks one of them.
 	homes func() []platform.Instance
 	ask   func(ctx context.Context, home platform.Instance) (standing, error)
+	// wake takes a token when somebody wants to know.
+	wake chan struct{}
 
 	mu     sync.Mutex
 	random *rand.Rand
-	// wantedAt is when a unit last could not be served here; asking says that rounds
-	// go on, and round is closed at the end of the present one.
+	// wantedAt is when a unit last could not be served here, and round is closed at the
+	// end of the present round of questions.
 	wantedAt time.Time
-	asking   bool
 	round    chan struct{}
 	// next is where the next round goes on in the list of homes.
 	next  int
 	known map[string]answer
+	// askedAt is when each home was asked last, whether it answered or not.
+	askedAt map[string]time.Time
 }
 
 // answer is what a home told, and when it was asked.
@@ -62,11 +65,13 @@
 }
 
 func newScout(k clock.Clock, r *rand.Rand, homes func() []platform.Instance, ask func(context.Context, platform.Instance) (standing, error)) *scout {
-	return &scout{clock: k, random: r, homes: homes, ask: ask, round: make(chan struct{}), known: make(map[string]answer)}
+	return &scout{clock: k, random: r, homes: homes, ask: ask, wake: make(chan struct{}, 1), round: make(chan struct{}), known: make(map[string]answer),
+		askedAt: make(map[string]time.Time)}
 }
 
-// find returns a home that can serve the unit. It waits for a short time for the first
-// answers, and returns false when no home is known to.
+// find returns a home that can serve the unit, and false when none is known to. It waits
+// for answers for a short time, unless enough homes were asked just now: whoever cannot
+// be served is told so at once.
 func (s *scout) find(ctx context.Context, u *execution.Unit) (platform.Instance, bool) {
 	began := s.clock.Now()
 	for {
@@ -75,7 +80,7 @@
 			return home, true
 		}
 		left := scoutPatience - s.clock.Now().Sub(began)
-		if left <= 0 || !s.await(ctx, round, left) {
+		if left <= 0 || s.told() || !s.await(ctx, round, left) {
 			return platform.Instance{}, false
 		}
 	}
@@ -100,9 +105,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wantedAt = s.clock.Now()
-	if !s.asking {
-		s.asking = true
-		go s.run()
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
 	return s.round
 }
@@ -126,6 +131,21 @@
 	return able[s.random.IntN(len(able))].home, true
 }
 
+// told reports whether as many homes were asked of late as two rounds ask.
+func (s *scout) told() bool {
+	homes := s.homes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.clock.Now().Add(-scoutMemory)
+	asked := 0
+	for _, home := range homes {
+		if !s.askedAt[home.ID].Before(oldest) {
+			asked++
+		}
+	}
+	return asked >= min(len(homes), 2*scoutWidth)
+}
+
 // failed forgets what a home told: it did not serve what it said it could.
 func (s *scout) failed(home platform.Instance) {
 	s.mu.Lock()
@@ -133,26 +153,34 @@
 	delete(s.known, home.ID)
 }
 
-// run asks homes round by round as long as somebody wants to know.
-func (s *scout) run() {
-	for s.askRound() {
-		_ = clock.Sleep(context.Background(), s.clock, scoutInterval)
+// run asks homes round by round as long as somebody wants to know, until ctx ends.
+func (s *scout) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		for s.askRound(ctx) {
+			if clock.Sleep(ctx, s.clock, scoutInterval) != nil {
+				return
+			}
+		}
 	}
 }
 
 // askRound asks some homes at once. It returns false when nobody wants to know any more.
-func (s *scout) askRound() bool {
+func (s *scout) askRound(ctx context.Context) bool {
 	var calls sync.WaitGroup
 	for _, home := range s.nextHomes() {
-		calls.Go(func() { s.askOne(home) })
+		calls.Go(func() { s.askOne(ctx, home) })
 	}
 	calls.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.round)
 	s.round = make(chan struct{})
-	s.asking = s.clock.Now().Sub(s.wantedAt) < scoutLinger
-	return s.asking
+	return s.clock.Now().Sub(s.wantedAt) < scoutLinger
 }
 
 // nextHomes returns the homes that the next round asks, in turn.
@@ -169,13 +197,14 @@
 }
 
 // askOne keeps what a home tells. One that does not answer is not known to serve.
-func (s *scout) askOne(home platform.Instance) {
-	ctx, cancel := context.WithTimeout(context.Background(), scoutTimeout)
+func (s *scout) askOne(ctx context.Context, home platform.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
 	at := s.clock.Now()
 	told, err := s.ask(ctx, home)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.askedAt[home.ID] = at
 	if err != nil {
 		delete(s.known, home.ID)
 		return
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -214,8 +214,8 @@
 	h.stopParts = cancel
 	h.parts.Go(func() { h.watcher.Run(ctx) })
 	h.parts.Go(func() { h.claimer.Run(ctx) })
-	h.parts.Go(func() { h.executor.Run(ctx) })
 	h.router.Add(h.executor)
+	h.parts.Go(func() { h.executor.Run(ctx) })
 }
 
 // endParts closes the control connections and returns when they are closed.
