Share watches of the platform in large failure domains

Of 3,011 calls as they are charged 1,538 were watches of members' entries and 464 lists and watches of instances' entries: each change ended 77 watches, which began anew.

Two instances of a failure domain of five or more follow a kind at the platform, and the others follow one of those, by the platform's own revisions, so that a follower may go to the other reader or to the platform at any moment. A reader that has lost the platform says so. Where a failure domain has four instances or fewer nothing changes. The manifest is not shared so: it has a bound of its own, and its lists are shared already.

Ruled out: longer pauses between watches (a change of a primary or of a leaving member would be learned that much later).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,7 +45,9 @@
 	// seenAt is when the platform last showed the manifest in force.
 	seenAt time.Time
 	// peers spares the platform most looks at the manifest; nil without.
-	peers       *peerCheck
+	peers *peerCheck
+	// sharing spares the platform most watches of members' entries; nil without.
+	sharing     *objectwatch.Sharing
 	roster      *roster
 	subscribers []func()
 }
@@ -103,8 +105,12 @@
 }
 
 func (d *Directory) upstreamFollower() *objectwatch.Follower {
+	api := d.config.API
+	if d.sharing != nil {
+		api = d.sharing.API(platform.KindUpstreams)
+	}
 	return objectwatch.New(objectwatch.Config{
-		API: d.config.API, Kind: platform.KindUpstreams, Sink: upstreamSink{d}, Clock: d.config.Clock, Log: d.config.Log,
+		API: api, Kind: platform.KindUpstreams, Sink: upstreamSink{d}, Clock: d.config.Clock, Log: d.config.Log,
 		Rand: rand.New(rand.NewPCG(d.config.Seed, 2)), Check: upstreamCheck, Stale: true, Settle: upstreamSettle,
 	})
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -268,7 +268,7 @@
 		"no checkers are known":  {self, nil, answering{held: held{Version: 5, AgeMS: 1}}, false},
 		"peer has an older one":  {self, []platform.Instance{near}, answering{held: held{Version: 4, AgeMS: 1}}, true},
 	} {
-		d.UsePeers(fakeFleet{c.self, c.checkers}, &c.peer, &c.peer)
+		d.UsePeers(fakeFleet{c.self, c.checkers}, &c.peer, &c.peer, nil)
 		if got := d.peers.current(context.Background()); got != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
--- a/internal/directory/peercheck.go
+++ b/internal/directory/peercheck.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
 )
@@ -43,9 +44,10 @@
 	caller peer.Caller
 }
 
-// UsePeers lets the directory ask other instances for the manifest's version. It comes
-// before Run.
-func (d *Directory) UsePeers(f Fleet, c peer.Caller, r peer.Registry) {
+// UsePeers lets the directory ask other instances for the manifest's version, and share
+// the watches of members' entries with them; s may be nil. It comes before Run.
+func (d *Directory) UsePeers(f Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing) {
+	d.sharing = s
 	d.peers = &peerCheck{d: d, fleet: f, caller: c}
 	r.Handle(methodManifest, func(context.Context, string, json.RawMessage) (any, error) {
 		return d.heldManifest(), nil
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -7,6 +7,7 @@
 	"github.com/topazrock/topazrock/internal/directory"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/peer"
 )
 
@@ -28,7 +29,7 @@
 
 // peerUser is a source of documents that asks other instances.
 type peerUser interface {
-	UsePeers(f directory.Fleet, c peer.Caller, r peer.Registry)
+	UsePeers(f directory.Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing)
 }
 
 // GroupInForce is a group and the version of the document that names it.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,6 +21,7 @@
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/executor"
 	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/registry"
@@ -110,9 +111,10 @@
 		Log:      o.Logger,
 		Metrics:  n.metrics.config,
 	})
+	sharing := objectwatch.NewSharing(o.Platform, n.members, n.client, n.peers)
 	if o.SelfRegister {
 		n.registry = registry.New(registry.Config{
-			API: o.Platform, Self: n.self(), List: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
+			API: sharing.API(platform.KindInstances), Self: n.self(), List: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
 			Peers: n.client,
 		})
 		n.registry.Register(n.peers)
@@ -122,7 +124,7 @@
 		n.documents = storedDocuments{n.store, n.members}
 	}
 	if d, ok := n.documents.(peerUser); ok {
-		d.UsePeers(n.members, n.client, n.peers)
+		d.UsePeers(n.members, n.client, n.peers, sharing)
 	}
 	n.protocol = n.postgres()
 	if o.Protocol != nil {
--- /dev/null
+++ b/internal/objectwatch/sharing_test.go
@@ -0,0 +1,229 @@
+package objectwatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// sharedInstance is one of the instances of a failure domain that follow a kind.
+type sharedInstance struct {
+	domain *sharedDomain
+	id     string
+	view   *standin.View
+	// handlers are its methods; down says that it answers nobody.
+	handlers map[string]peer.Handler
+	down     atomic.Bool
+	calls    atomic.Int64
+
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// sharedDomain is a failure domain with a store; it is the fleet of its instances.
+type sharedDomain struct {
+	store     *standin.Store
+	instances []*sharedInstance
+}
+
+// Watch counts the watches that reach the platform.
+func (i *sharedInstance) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	i.calls.Add(1)
+	return i.view.Watch(ctx, kind, after)
+}
+
+// countedAPI is an instance's view of the platform with its watches counted.
+type countedAPI struct {
+	platform.API
+	*sharedInstance
+}
+
+// Watch implements platform.API.
+func (c countedAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	return c.sharedInstance.Watch(ctx, kind, after)
+}
+
+// Self implements Fleet.
+func (i *sharedInstance) Self() platform.Instance {
+	return platform.Instance{ID: i.id, FailureDomain: "a", PeerAddress: i.id}
+}
+
+// Pick implements Fleet: the first ones have every duty.
+func (i *sharedInstance) Pick(_ string, n int) []platform.Instance {
+	var all []platform.Instance
+	for _, o := range i.domain.instances[:min(n, len(i.domain.instances))] {
+		all = append(all, o.Self())
+	}
+	return all
+}
+
+// Handle implements peer.Registry.
+func (i *sharedInstance) Handle(method string, h peer.Handler) { i.handlers[method] = h }
+
+// Call implements peer.Caller.
+func (i *sharedInstance) Call(ctx context.Context, address, method string, params, reply any) error {
+	for _, o := range i.domain.instances {
+		if o.id != address {
+			continue
+		}
+		if o.down.Load() || i.down.Load() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		raw, err := json.Marshal(params)
+		if err != nil {
+			return err
+		}
+		answer, err := o.handlers[method](ctx, i.id, raw)
+		if err != nil {
+			return err
+		}
+		back, err := json.Marshal(answer)
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(back, reply)
+	}
+	return peer.ErrNotSent
+}
+
+// Listed implements Sink.
+func (i *sharedInstance) Listed(objects []platform.Object) {
+	i.mu.Lock()
+	i.names = make(map[string]bool)
+	i.mu.Unlock()
+	i.Changed(objects)
+}
+
+// Changed implements Sink.
+func (i *sharedInstance) Changed(objects []platform.Object) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, o := range objects {
+		i.names[o.Name] = !o.Removed
+	}
+}
+
+// Touch implements Sink.
+func (i *sharedInstance) Touch(bool) {}
+
+func (i *sharedInstance) knows(name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.names[name]
+}
+
+// inSharedDomain runs f with a number of instances that follow members' entries.
+func inSharedDomain(t *testing.T, n int, f func(is *is.I, d *sharedDomain)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &sharedDomain{store: standin.NewStore()}
+		for k := range n {
+			d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store),
+				handlers: make(map[string]peer.Handler), names: make(map[string]bool)})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for k, i := range d.instances {
+			s := NewSharing(countedAPI{i.view, i}, i, i, i)
+			follower := New(Config{API: s.API(platform.KindUpstreams), Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{},
+				Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
+			running.Go(func() { follower.Run(ctx) })
+		}
+		time.Sleep(time.Second)
+		f(is.New(t), d)
+		cancel()
+		running.Wait()
+	})
+}
+
+// put writes an object, and returns how many instances know of it some time later.
+func (d *sharedDomain) put(is *is.I, name string, later time.Duration) int {
+	_, err := d.store.Put(context.Background(), platform.KindUpstreams, name, []byte(`{}`), 0)
+	is.NoErr(err)
+	time.Sleep(later)
+	known := 0
+	for _, i := range d.instances {
+		if i.knows(name) {
+			known++
+		}
+	}
+	return known
+}
+
+// watches returns how many watches reached the platform.
+func (d *sharedDomain) watches() int64 {
+	var sum int64
+	for _, i := range d.instances {
+		sum += i.calls.Load()
+	}
+	return sum
+}
+
+// Twenty entries change one after the other in a failure domain of eight instances. All
+// learn each at once, and only two of them watch the platform.
+func TestTwoOfADomainWatchForAll(t *testing.T) {
+	inSharedDomain(t, 8, func(is *is.I, d *sharedDomain) {
+		before := d.watches()
+		for k := range 20 {
+			is.Equal(d.put(is, fmt.Sprint("m", k), 200*time.Millisecond), 8)
+		}
+		is.True(d.watches()-before <= 2*21)
+		is.NoErr(d.store.Delete(context.Background(), platform.KindUpstreams, "m3", 1))
+		time.Sleep(200 * time.Millisecond)
+		for _, i := range d.instances {
+			is.True(!i.knows("m3"))
+		}
+	})
+}
+
+// With four instances there is nothing to save, and each watches for itself.
+func TestFewInstancesWatchForThemselves(t *testing.T) {
+	inSharedDomain(t, 4, func(is *is.I, d *sharedDomain) {
+		is.Equal(d.put(is, "m", 200*time.Millisecond), 4)
+		for _, i := range d.instances {
+			is.True(i.calls.Load() > 0)
+		}
+	})
+}
+
+// A reader is cut off from the platform. It says that it cannot tell, and those who follow
+// it learn of a change by the other reader or by themselves.
+func TestReaderWithoutThePlatformIsPassedBy(t *testing.T) {
+	inSharedDomain(t, 8, func(is *is.I, d *sharedDomain) {
+		d.instances[0].view.SetAway(true)
+		time.Sleep(30 * time.Second)
+		is.Equal(d.put(is, "m", time.Second), 7)
+		d.instances[1].view.SetAway(true)
+		time.Sleep(30 * time.Second)
+		is.Equal(d.put(is, "n", time.Second), 6)
+		d.instances[0].view.SetAway(false)
+		d.instances[1].view.SetAway(false)
+		time.Sleep(5 * time.Second)
+		is.Equal(d.put(is, "o", time.Second), 8)
+	})
+}
+
+// A reader dies while all wait for its answer. They find out when the answer is overdue,
+// and follow the other one.
+func TestDeadReaderIsPassedBy(t *testing.T) {
+	inSharedDomain(t, 8, func(is *is.I, d *sharedDomain) {
+		d.instances[0].down.Store(true)
+		time.Sleep(2 * (afterWait + afterGrace))
+		is.True(d.put(is, "m", afterWait+2*afterGrace) >= 7)
+		d.instances[0].down.Store(false)
+	})
+}
