Use every slot: none is kept free for urgent writes

Cause: one slot in four, one of two at least, was kept free for five seconds after each write of the first priorities.

They still go first in the queue.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,7 +6,6 @@
 // moment at which the answer is wanted, then by arrival. Every eighth slot given to
 // a waiter goes to the one that has waited longest, so that a low priority, and what
 // is late, keep a small share under any load and the others lose no more than that.
-// Bulk requests leave a part of the slots free while urgent writes come in.
 //
 // Lock order: Controller.mu is the only lock; nothing is called under it but
 // the clock, the random source and the metrics.
@@ -29,8 +28,6 @@
 	// WantedBy is when the class's objective for the answer is over; zero where the
 	// class has none.
 	WantedBy time.Time
-	// Write says that the request runs at the primary.
-	Write bool
 	// Member is the address of the member that the request goes to, for gates that
 	// keep slots for each.
 	Member string
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -14,14 +14,6 @@
 	DefaultMaxQueue = 100
 	// DefaultMaxWait bounds the wait of a request without a deadline.
 	DefaultMaxWait = 30 * time.Second
-	// UrgentPriority is the lowest priority that may take the last slots.
-	UrgentPriority = 2
-	// reserveMemory is how long after an urgent write slots are kept free for
-	// the next one. A group without urgent writes so leaves no slot unused.
-	reserveMemory = 5 * time.Second
-	// reservePart is the part of the slots that is kept free: one in four, at
-	// least one, and none where there is only one slot.
-	reservePart = 4
 	// fairEvery is how often a slot goes to the waiter that waited longest.
 	fairEvery = 8
 	// waitMargin is the part of the expected wait that is added to it when it is
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -32,9 +32,7 @@
 	arrivals uint64
 	// contended counts the slots given to waiters.
 	contended uint64
-	// urgentWrite is when the last urgent write arrived.
-	urgentWrite time.Time
-	draining    bool
+	draining  bool
 	// changed is notified whenever a slot is given back.
 	changed *waitlist.Signal
 }
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -34,40 +34,22 @@
 	return len(c.inUse) < c.slots && c.working < c.limit.requests()
 }
 
-// next returns the waiter whose turn it is, nil if none may have a slot.
+// next returns the waiter whose turn it is, nil if there is none.
 func (c *Controller) next() *waiter {
-	fair := c.contended%fairEvery == fairEvery-1
-	var chosen *waiter
-	for _, w := range c.waiting.Items() {
-		if !c.allowed(w) {
-			continue
-		}
-		if !fair {
-			return w
-		}
-		if chosen == nil || w.arrival < chosen.arrival {
-			chosen = w
-		}
+	items := c.waiting.Items()
+	if len(items) == 0 {
+		return nil
 	}
-	return chosen
-}
-
-// allowed reports whether w may take a slot without touching the reserve.
-func (c *Controller) allowed(w *waiter) bool {
-	return w.urgent() || len(c.inUse) < c.slots-c.reserve()
-}
-
-// reserve is the number of slots kept free for urgent requests. Without it bulk
-// requests hold all slots when a renewal arrives, and the renewal waits for a
-// whole bulk request although it goes first in the queue.
-func (c *Controller) reserve() int {
-	if c.slots < 2 || c.urgentWrite.IsZero() {
-		return 0
+	if c.contended%fairEvery != fairEvery-1 {
+		return items[0]
 	}
-	if c.cfg.Clock.Now().Sub(c.urgentWrite) > reserveMemory {
-		return 0
+	longest := items[0]
+	for _, w := range items[1:] {
+		if w.arrival < longest.arrival {
+			longest = w
+		}
 	}
-	return max(c.slots/reservePart, 1)
+	return longest
 }
 
 // tooLate returns the error for a waiter that would not end by its deadline any
--- a/internal/admission/enter.go
+++ b/internal/admission/enter.go
@@ -47,7 +47,7 @@
 	}
 	w := c.newWaiter(r, k)
 	c.dispatch()
-	if c.free() && c.allowed(w) {
+	if c.free() {
 		c.admit(w)
 		return w, nil
 	}
@@ -72,9 +72,6 @@
 	c.arrivals++
 	w := &waiter{request: r, class: k, arrived: now, arrival: c.arrivals, granted: make(chan grant, 1)}
 	w.late = w.misses(now)
-	if r.Write && w.urgent() {
-		c.urgentWrite = now
-	}
 	return w
 }
 
@@ -95,7 +92,7 @@
 }
 
 // expectedWait is the time until the next slot comes free and, after that, the
-// service times of all that go before w, spread over the slots w may use.
+// service times of all that go before w, spread over the slots.
 func (c *Controller) expectedWait(w *waiter) time.Duration {
 	if c.slots == 0 {
 		return 0
@@ -107,17 +104,13 @@
 		}
 		ahead += o.class.service
 	}
-	return c.nextFree(c.cfg.Clock.Now()) + ahead/time.Duration(c.servers(w))
+	return c.nextFree(c.cfg.Clock.Now()) + ahead/time.Duration(c.servers())
 }
 
-// servers is how many requests may be at work at once while w waits.
-func (c *Controller) servers(w *waiter) int {
+// servers is how many requests may be at work at once.
+func (c *Controller) servers() int {
 	held := len(c.inUse) - c.working
-	n := min(c.slots-held, c.limit.requests())
-	if !w.urgent() {
-		n -= c.reserve()
-	}
-	return max(n, 1)
+	return max(min(c.slots-held, c.limit.requests()), 1)
 }
 
 // nextFree estimates when the first slot in use comes free.
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -58,6 +58,3 @@
 func (w *waiter) misses(now time.Time) bool {
 	return !w.request.WantedBy.IsZero() && now.Add(answerMargin*w.class.service).After(w.request.WantedBy)
 }
-
-// urgent reports whether the request may take the last slots.
-func (w *waiter) urgent() bool { return w.request.Priority <= UrgentPriority }
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -114,7 +114,6 @@
 		MaxQueue: p.maxQueue,
 		Deadline: deadline,
 		WantedBy: p.wantedBy,
-		Write:    !p.read,
 		Member:   member,
 	}
 	if inTransaction {
