Tell the truth of units that were passed on, and never join two homes' answers

Cause, found by reading a request's way through the relay: - A read that was passed on and whose home was lost was passed on again, also when a part of its answer had gone to the caller, who then got the second home's answer behind the half of the first. Over PostgreSQL large answers go out piece by piece; the line protocol holds answers whole. - Both tries had the same unit ID, by which pieces are told apart, so that a late piece of the first home was taken for the second's. - When both homes were lost, the caller was told the refusal of this instance, 'did not run', of a read that may have run. - The choice between several able homes depended on a map's order, and not on the seed alone.

A read goes on only while nothing of its answer has gone out, under another ID, and what may have run is said so from then on. TestHalfAnAnswerIsNotContinuedByAnotherHome and TestReadThatMayHaveRunElsewhereIsNotCalledRefused failed before.

go test -race ./internal/executor: green.

--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
@@ -51,10 +53,15 @@
 
 // relay passes a unit that did not run here on to a home that says it can serve it.
 // refusal is what this instance had to say, and still says where no home is found.
+//
+// A read goes on to a second home under another ID, and only while nothing of the first
+// one's answer was passed on: pieces are told apart by the unit's ID, and the caller
+// would take what comes from two homes for one answer.
 func (r *Router) relay(ctx context.Context, g *Group, u *execution.Unit, partial func([]byte) error, began time.Time, refusal error) (*execution.Reply, error) {
-	for range maxReadRelays {
+	for attempt := 1; attempt <= maxReadRelays; attempt++ {
 		passed := *u
 		passed.Relayed = true
+		passed.ID = u.ID + relaySeparator + strconv.Itoa(attempt)
 		passed.Timeout = u.Timeout - r.clock.Now().Sub(began)
 		if passed.Timeout < leastRelayTime {
 			return nil, refusal
@@ -63,20 +70,40 @@
 		if !ok {
 			return nil, refusal
 		}
-		reply, err := r.send(ctx, home, &passed, partial)
+		var started atomic.Bool
+		reply, err := r.send(ctx, home, &passed, func(p []byte) error {
+			started.Store(true)
+			return partial(p)
+		})
 		r.metrics.relayed(u.Group, err)
 		if err == nil {
 			return reply, nil
 		}
 		g.scout.failed(home)
 		g.Logger.Info("Unit was passed on and not served.", "request", u.Request, "unit", u.ID, "group", u.Group, "home", home.ID, "error", err)
-		if !u.OnlyReads() && !errors.Is(err, peer.ErrNotSent) {
-			return nil, forwardFailed(err)
+		refusal = relayFailed(refusal, err)
+		if started.Load() || !u.OnlyReads() && !errors.Is(err, peer.ErrNotSent) {
+			return nil, refusal
 		}
 	}
 	return nil, refusal
 }
 
+// relaySeparator stands behind a unit's ID, in front of the number of the relay.
+const relaySeparator = "~"
+
+// relayFailed returns what a caller is told after one more home has failed: what the
+// home said, unless an earlier one may have run the unit, which stays true.
+func relayFailed(before, err error) error {
+	if errors.Is(err, peer.ErrNotSent) {
+		return before
+	}
+	if e, ok := result.As(before); ok && e.Code.Family() != result.FamilyDidNotRun {
+		return before
+	}
+	return forwardFailed(err)
+}
+
 // newGroupScout returns the scout of a group that this instance is home to.
 func (r *Router) newGroupScout(g *Group) *scout {
 	homes := func() []platform.Instance {
--- a/internal/executor/scout.go
+++ b/internal/executor/scout.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -127,7 +128,8 @@
 	if len(able) == 0 {
 		return platform.Instance{}, false
 	}
-	slices.SortFunc(able, func(a, b answer) int { return a.at.Compare(b.at) })
+	// The map's order is another one each time, and chance must depend on the seed alone.
+	slices.SortFunc(able, func(a, b answer) int { return cmp.Compare(a.home.ID, b.home.ID) })
 	return able[s.random.IntN(len(able))].home, true
 }
 
