Pass cancel requests on to where a unit is at work

A unit that was passed on, or whose transaction is open at another instance, is not known to the group here, which took the cancel request and did nothing. The router keeps where units of its callers are at work. TestCancelReachesTheHomeOfARelay failed before.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -108,6 +108,7 @@
 	if !ok {
 		return nil, result.New(result.TransactionLost, "instance %s is gone", owner)
 	}
+	defer r.setAway(u.ID, awayUnit{instance: home.ID, id: u.ID})()
 	reply, err := r.send(ctx, home, u, partial)
 	if errors.Is(err, peer.ErrNotSent) {
 		return nil, result.New(result.TransactionLost, "instance %s does not answer", owner).WithCause(err)
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -71,10 +71,12 @@
 			return nil, refusal
 		}
 		var started atomic.Bool
+		back := r.setAway(u.ID, awayUnit{instance: home.ID, id: passed.ID})
 		reply, err := r.send(ctx, home, &passed, func(p []byte) error {
 			started.Store(true)
 			return partial(p)
 		})
+		back()
 		r.metrics.relayed(u.Group, err)
 		if err == nil {
 			return reply, nil
--- a/internal/executor/relay_test.go
+++ b/internal/executor/relay_test.go
@@ -34,6 +34,8 @@
 	homes  map[string]*relayHome
 	// ids are those of the units that were passed on, in order.
 	ids []string
+	// cancelled takes the cancel requests that reach homes.
+	cancelled chan string
 	// late is called when a unit has arrived at a home; nil does nothing.
 	late func()
 }
@@ -48,13 +50,19 @@
 }
 
 // FindInstance implements Homes.
-func (n *relayNet) FindInstance(string) (platform.Instance, bool) { return platform.Instance{}, false }
+func (n *relayNet) FindInstance(id string) (platform.Instance, bool) {
+	return platform.Instance{ID: id, PeerAddress: id}, n.homes[id] != nil
+}
 
 // Call implements peer.Caller.
 func (n *relayNet) Call(_ context.Context, address, method string, params, reply any) error {
-	if method == methodStanding {
+	switch method {
+	case methodStanding:
 		*reply.(*standing) = standing{Writes: true, Reads: true}
 		return nil
+	case methodCancel:
+		n.cancelled <- address + " " + params.(reference).ID
+		return nil
 	}
 	h, u := n.homes[address], params.(*execution.Unit)
 	h.taken++
@@ -206,3 +214,21 @@
 		}
 	})
 }
+
+// A caller cancels its statement while it is at work at another home, which knows it by
+// another ID. The home is told to stop it; without that it would run on to its timeout.
+func TestCancelReachesTheHomeOfARelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &relayNet{order: []string{"h1"}, homes: map[string]*relayHome{"h1": {answer: "rows"}}, cancelled: make(chan string, 2)}
+		n.late = func() {
+			n.router.Cancel("g", "u")
+			is.Equal(<-n.cancelled, "h1 u"+relaySeparator+"1")
+		}
+		_, _, err := n.run(relayRead())
+		is.NoErr(err)
+		n.router.Cancel("g", "u")
+		synctest.Wait()
+		is.Equal(len(n.cancelled), 0)
+	})
+}
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -44,6 +44,8 @@
 	inFlight int
 	// idle is closed when draining and no unit of a peer is at work.
 	idle chan struct{}
+	// away holds where units of this instance's callers are at work elsewhere.
+	away map[string]awayUnit
 	// partials takes the pieces of large answers that peers send, by unit.
 	partials map[string]func([]byte) error
 }
@@ -60,6 +62,7 @@
 		groups:   make(map[string]*Group),
 		retiring: make(map[string]*Group),
 		idle:     make(chan struct{}),
+		away:     make(map[string]awayUnit),
 		partials: make(map[string]func([]byte) error),
 	}
 }
@@ -180,6 +183,10 @@
 
 // Cancel implements execution.Executor.
 func (r *Router) Cancel(group, unitID string) {
+	if at, ok := r.awayAt(unitID); ok {
+		r.notify(at.instance, methodCancel, reference{Group: group, ID: at.id})
+		return
+	}
 	if g := r.Local(group); g != nil {
 		g.Cancel(group, unitID)
 		return
