Do not take the own entry for removed before all have heard of it

Cause: an instance of a large failure domain that starts reads the list of instances from a peer, which may not have heard of its entry yet. It logged that the entry was removed and wrote it again, two calls for nothing at each start. It now waits for three seconds and looks again. TestOwnEntryThatIsToldLateIsNoLoss failed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -33,6 +33,10 @@
 	// settle is the pause before the watch goes on after a change: all instances
 	// start together, and their entries are told in one call.
 	settle = time.Second
+	// lossSettle is how long the own entry must be missing to be taken for removed. An
+	// instance that starts may be told a list by a peer that has not heard of it, which
+	// takes that peer up to two pauses between watches.
+	lossSettle = 3 * settle
 )
 
 // List takes the instances that are known.
@@ -107,6 +111,12 @@
 			return
 		case <-r.lost:
 		}
+		if clock.Sleep(ctx, r.Clock, lossSettle) != nil {
+			return
+		}
+		if r.isListed() {
+			continue
+		}
 		r.Log.Warn("The instance's entry was removed.")
 		for !r.reachesAny(ctx, ring(r.listed(), r.Self.ID)) {
 			if clock.Sleep(ctx, r.Clock, sweepInterval) != nil {
@@ -159,9 +169,8 @@
 	for _, o := range objects {
 		r.take(o)
 	}
-	_, listed := r.entries[r.Self.ID]
 	r.mu.Unlock()
-	if !listed {
+	if !r.isListed() {
 		select {
 		case r.lost <- struct{}{}:
 		default:
@@ -170,6 +179,14 @@
 	r.List.Adopt(r.listed())
 }
 
+// isListed reports whether the own entry is among those that are known.
+func (r *Registry) isListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, listed := r.entries[r.Self.ID]
+	return listed
+}
+
 // take takes in one object. The caller holds r.mu.
 func (r *Registry) take(o platform.Object) {
 	var i platform.Instance
--- a/internal/registry/sweeper_test.go
+++ b/internal/registry/sweeper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,3 +142,52 @@
 		is.Equal(len(lists[0].last()), 8)
 	})
 }
+
+// putsCounted counts the entries written through it.
+type putsCounted struct {
+	platform.API
+	puts atomic.Int64
+}
+
+// Put implements platform.API.
+func (p *putsCounted) Put(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
+	p.puts.Add(1)
+	return p.API.Put(ctx, kind, name, value, ifVersion)
+}
+
+// An instance starts and reads the list of instances from a peer that has not heard of it
+// yet; its own entry is told a second later. It must not take the entry for removed:
+// operators would look for a fault, and each start would cost two calls more.
+func TestOwnEntryThatIsToldLateIsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := &fakeNet{at: make(map[string]peer.Handler), cut: make(map[string]bool)}
+		other := New(Config{Self: platform.Instance{ID: "i2", PeerAddress: "peer-2"}, Log: hclog.NewNullLogger()})
+		other.Register(endpoint{net, "peer-2"})
+		api := &putsCounted{API: standin.NewStore()}
+		r := New(Config{API: api, Self: platform.Instance{ID: "i1", PeerAddress: "peer-1"}, List: &adopted{},
+			Clock: clock.System{}, Log: hclog.NewNullLogger(), Peers: endpoint{net, "peer-1"}})
+		r.Register(endpoint{net, "peer-1"})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			r.keep(ctx)
+		}()
+		entry := func(id, address string) platform.Object {
+			value, err := json.Marshal(platform.Instance{ID: id, PeerAddress: address})
+			is.NoErr(err)
+			return platform.Object{Name: id, Value: value}
+		}
+		r.Listed([]platform.Object{entry("i2", "peer-2")})
+		time.Sleep(time.Second)
+		r.Changed([]platform.Object{entry("i1", "peer-1")})
+		time.Sleep(time.Minute)
+		is.Equal(api.puts.Load(), int64(0))
+		r.Changed([]platform.Object{{Name: "i1", Removed: true}})
+		time.Sleep(time.Minute)
+		is.Equal(api.puts.Load(), int64(1))
+		cancel()
+		<-ended
+	})
+}
