One rule each for a majority that answers, for duties in a domain, and for waiting for a mark

The same lines stood in the executor and the instance (a majority whose last probes went well), in the directory and the shared watches (who of a failure domain has a duty, with an interface each), in barrier and floor (what a wait's end means), and in the two questions of the shared watches.

--- a/internal/directory/peercheck.go
+++ b/internal/directory/peercheck.go
@@ -7,7 +7,6 @@
 
 	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/peer"
-	"github.com/topazrock/topazrock/internal/platform"
 )
 
 // methodManifest asks a peer which manifest it holds, and how old its last look is.
@@ -21,13 +20,6 @@
 	checkersPerDomain = 2
 )
 
-// Fleet is the view of the other instances; membership.Members implements it.
-type Fleet interface {
-	Self() platform.Instance
-	// Pick returns n instances of each failure domain for a duty.
-	Pick(duty string, n int) []platform.Instance
-}
-
 // held is a peer's answer.
 type held struct {
 	Version int64 `json:"version"`
@@ -40,13 +32,13 @@
 // failure domain list it, and the others ask one of those.
 type peerCheck struct {
 	d      *Directory
-	fleet  Fleet
+	fleet  objectwatch.Fleet
 	caller peer.Caller
 }
 
 // UsePeers lets the directory ask other instances for the manifest's version, and share
 // the watches of members' entries with them; s may be nil. It comes before Run.
-func (d *Directory) UsePeers(f Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing) {
+func (d *Directory) UsePeers(f objectwatch.Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing) {
 	d.sharing = s
 	d.peers = &peerCheck{d: d, fleet: f, caller: c}
 	r.Handle(methodManifest, func(context.Context, string, json.RawMessage) (any, error) {
@@ -79,16 +71,9 @@
 // says that this instance has to look itself: it is one of those that do, no peer
 // answers, the peer's look is old, or its manifest is later.
 func (p *peerCheck) current(ctx context.Context) bool {
-	checkers := p.fleet.Pick(checkDuty, checkersPerDomain)
-	self := p.fleet.Self()
-	var near []platform.Instance
-	for _, i := range checkers {
-		if i.ID == self.ID {
-			return false
-		}
-		if i.FailureDomain == self.FailureDomain {
-			near = append(near, i)
-		}
+	near, self := objectwatch.OnDuty(p.fleet, checkDuty, checkersPerDomain)
+	if self {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCheckTimeout)
 	defer cancel()
--- a/internal/executor/need.go
+++ b/internal/executor/need.go
@@ -103,7 +103,7 @@
 
 // floor asks for a position that covers all that was acknowledged before.
 func (g *Group) floor(ctx context.Context, p plan) (logpos.Mark, error) {
-	if !g.majorityAnswers() {
+	if !g.Tracker.Snapshot().MajorityAnswers() {
 		if err := g.barrierPossible(ctx, p); err != nil {
 			return logpos.Mark{}, err
 		}
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/routing"
 )
 
+// pickReplica returns the member that suits a read best, or false when none may answer it.
 func (g *Group) pickReplica(n need, exclude map[string]bool) (group.MemberView, bool) {
 	now := g.Clock.Now()
 	r := routing.Read{
@@ -115,9 +116,3 @@
 
 // defaultConfirmationAge is ten times the time between two polls of a replica.
 const defaultConfirmationAge = time.Second
-
-// majorityAnswers reports whether as many members answer as prove a position without
-// the primary.
-func (g *Group) majorityAnswers() bool {
-	return g.Tracker.Snapshot().Enough(func(m group.MemberView) bool { return m.Failing.IsZero() })
-}
--- a/internal/executor/retries.go
+++ b/internal/executor/retries.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	e, ok := result.As(err)
-	return ok && primaryFailed[e.Code] && g.majorityAnswers()
+	return ok && primaryFailed[e.Code] && g.Tracker.Snapshot().MajorityAnswers()
 }
 
 // primaryFailed are the codes of a read for which there was no primary, or none that
@@ -75,7 +75,7 @@
 	if !g.Wire.ChecksPosition || len(tried) == 0 || !g.Clock.Now().Before(until) {
 		return false
 	}
-	if _, err := g.findWritable(); err == nil || !g.majorityAnswers() {
+	if _, err := g.findWritable(); err == nil || !g.Tracker.Snapshot().MajorityAnswers() {
 		return false
 	}
 	return g.pause(ctx) == nil
--- a/internal/executor/standing.go
+++ b/internal/executor/standing.go
@@ -26,7 +26,7 @@
 	s, err := g.findWritable()
 	primary, _ := s.Find(s.Primary)
 	writes := err == nil && primary.Failing.IsZero() && !g.Pool.Full(s.Primary)
-	return standing{Writes: writes, Reads: writes || g.majorityAnswers() && g.connects()}
+	return standing{Writes: writes, Reads: writes || g.Tracker.Snapshot().MajorityAnswers() && g.connects()}
 }
 
 // connects reports whether some member of the group that answers can be sent statements.
--- a/internal/group/barrier.go
+++ b/internal/group/barrier.go
@@ -24,13 +24,18 @@
 	if err != nil {
 		return logpos.Mark{}, err
 	}
+	return w.awaitMark(ctx, x)
+}
+
+// awaitMark waits for the mark of a barrier or a floor.
+func (w *Watcher) awaitMark(ctx context.Context, x *waiter) (logpos.Mark, error) {
 	err, ended := w.await(ctx, x)
 	switch {
 	case ended && err == nil:
 		return x.mark, nil
 	case ended:
-		// The mark's term was replaced while the barrier waited. The read has
-		// not been sent, so that the caller may be told that it did not run.
+		// The mark's term was replaced while the read waited, which has not been
+		// sent, so that the caller may be told that it did not run.
 		return logpos.Mark{}, result.New(result.NoPrimary, "the primary was replaced").WithCause(err)
 	default:
 		return logpos.Mark{}, w.lateBarrier(ctx, x)
--- a/internal/group/floor.go
+++ b/internal/group/floor.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/logpos"
-	"github.com/topazrock/topazrock/internal/result"
 )
 
 // floorPoll is the least time between two reports of a member for those who wait for a
@@ -30,24 +29,11 @@
 // Floor implements Tracker. Its errors are of the did-not-run family.
 func (w *Watcher) Floor(ctx context.Context) (logpos.Mark, error) {
 	start := w.clock.Now()
-	mark, err := w.floor(ctx)
+	mark, err := w.awaitMark(ctx, w.joinFloor())
 	w.metrics.floor.WithLabelValues(w.group, outcome(err)).Observe(w.since(start))
 	return mark, err
 }
 
-func (w *Watcher) floor(ctx context.Context) (logpos.Mark, error) {
-	x := w.joinFloor()
-	err, ended := w.await(ctx, x)
-	switch {
-	case ended && err == nil:
-		return x.mark, nil
-	case ended:
-		return logpos.Mark{}, result.New(result.NoPrimary, "the primary was replaced").WithCause(err)
-	default:
-		return logpos.Mark{}, w.lateBarrier(ctx, x)
-	}
-}
-
 func (w *Watcher) joinFloor() *waiter {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/group/quorum.go
+++ b/internal/group/quorum.go
@@ -92,6 +92,11 @@
 	return newQuorum(seats, s.Size).met(set)
 }
 
+// MajorityAnswers reports whether the members whose last probe went well are a quorum.
+func (s *Snapshot) MajorityAnswers() bool {
+	return s.Enough(func(m MemberView) bool { return m.Failing.IsZero() })
+}
+
 // countSeats renews the quorum after members, or what is known of them, changed.
 // Whoever waits for a confirmation may have it by now.
 func (w *Watcher) countSeats() {
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/topazrock/topazrock/internal/config"
-	"github.com/topazrock/topazrock/internal/directory"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/objectwatch"
@@ -29,7 +28,7 @@
 
 // peerUser is a source of documents that asks other instances.
 type peerUser interface {
-	UsePeers(f directory.Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing)
+	UsePeers(f objectwatch.Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing)
 }
 
 // GroupInForce is a group and the version of the document that names it.
--- a/internal/instance/reach.go
+++ b/internal/instance/reach.go
@@ -1,10 +1,6 @@
 package instance
 
-import (
-	"time"
-
-	"github.com/topazrock/topazrock/internal/group"
-)
+import "time"
 
 const (
 	// cutOffAfter is how long an instance must have reached only minorities before it
@@ -68,8 +64,3 @@
 	}
 	return reachSame
 }
-
-// majorityReached reports whether a majority of a group's members answers.
-func majorityReached(s *group.Snapshot) bool {
-	return s.Enough(func(m group.MemberView) bool { return m.Failing.IsZero() })
-}
--- a/internal/instance/reachpeers.go
+++ b/internal/instance/reachpeers.go
@@ -44,7 +44,7 @@
 func (n *Instance) ownReach() reached {
 	var r reached
 	for _, h := range n.homesCopy() {
-		r.add(majorityReached(h.watcher.Snapshot()))
+		r.add(h.watcher.Snapshot().MajorityAnswers())
 	}
 	return r
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -33,13 +33,6 @@
 	afterGrace = time.Second
 )
 
-// Fleet is the view of the other instances; membership.Members implements it.
-type Fleet interface {
-	Self() platform.Instance
-	// Pick returns n instances of each failure domain for a duty.
-	Pick(duty string, n int) []platform.Instance
-}
-
 // Sharing spares the platform most watches: two instances of each failure domain follow a
 // kind there, and the others follow one of those. With 77 instances each change of a
 // member's entry ended 77 watches, which began anew: half of all calls on a calm day.
@@ -84,24 +77,12 @@
 // readers returns the readers of this instance's failure domain; none if it reads for
 // itself.
 func (s *Sharing) readers() []platform.Instance {
-	self := s.fleet.Self()
-	mine := func(all []platform.Instance) []platform.Instance {
-		var near []platform.Instance
-		for _, i := range all {
-			if i.FailureDomain == self.FailureDomain {
-				near = append(near, i)
-			}
-		}
-		return near
-	}
-	if len(mine(s.fleet.Pick(readDuty, ownReading+1))) <= ownReading {
+	if near, _ := OnDuty(s.fleet, readDuty, ownReading+1); len(near) <= ownReading {
 		return nil
 	}
-	readers := mine(s.fleet.Pick(readDuty, readersPerDomain))
-	for _, i := range readers {
-		if i.ID == self.ID {
-			return nil
-		}
+	readers, self := OnDuty(s.fleet, readDuty, readersPerDomain)
+	if self {
+		return nil
 	}
 	return readers
 }
@@ -122,14 +103,23 @@
 // errNoFeed says that this instance cannot tell.
 var errNoFeed = result.New(result.NotReady, "the platform is not followed here")
 
-func (s *Sharing) serveList(_ context.Context, _ string, params json.RawMessage) (any, error) {
+// asked returns the feed that a question is about, and the question.
+func (s *Sharing) asked(params json.RawMessage) (*feed, question, error) {
 	var q question
 	if err := json.Unmarshal(params, &q); err != nil {
-		return nil, fmt.Errorf("objectwatch: question: %w", err)
+		return nil, q, fmt.Errorf("objectwatch: question: %w", err)
 	}
 	f := s.feed(q.Kind)
 	if f == nil {
-		return nil, errNoFeed
+		return nil, q, errNoFeed
+	}
+	return f, q, nil
+}
+
+func (s *Sharing) serveList(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	f, _, err := s.asked(params)
+	if err != nil {
+		return nil, err
 	}
 	objects, revision, ok := f.list()
 	if !ok {
@@ -139,13 +129,9 @@
 }
 
 func (s *Sharing) serveAfter(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-	var q question
-	if err := json.Unmarshal(params, &q); err != nil {
-		return nil, fmt.Errorf("objectwatch: question: %w", err)
-	}
-	f := s.feed(q.Kind)
-	if f == nil {
-		return nil, errNoFeed
+	f, q, err := s.asked(params)
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, afterWait)
 	defer cancel()
