--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -15,8 +14,8 @@
 	"github.com/matryer/is"
 
 	"github.com/topazrock/topazrock/internal/clock"
-	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/standin/peernet"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 )
 
@@ -25,10 +24,7 @@
 	domain *sharedDomain
 	id     string
 	view   *standin.View
-	// handlers are its methods; down says that it answers nobody.
-	handlers map[string]peer.Handler
-	down     atomic.Bool
-	calls    atomic.Int64
+	calls  atomic.Int64
 
 	mu    sync.Mutex
 	names map[string]bool
@@ -37,6 +33,7 @@
 // sharedDomain is a failure domain with a store; it is the fleet of its instances.
 type sharedDomain struct {
 	store     *standin.Store
+	net       *peernet.Net
 	instances []*sharedInstance
 }
 
@@ -71,36 +68,6 @@
 	return all
 }
 
-// Handle implements peer.Registry.
-func (i *sharedInstance) Handle(method string, h peer.Handler) { i.handlers[method] = h }
-
-// Call implements peer.Caller.
-func (i *sharedInstance) Call(ctx context.Context, address, method string, params, reply any) error {
-	for _, o := range i.domain.instances {
-		if o.id != address {
-			continue
-		}
-		if o.down.Load() || i.down.Load() {
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		raw, err := json.Marshal(params)
-		if err != nil {
-			return err
-		}
-		answer, err := o.handlers[method](ctx, i.id, raw)
-		if err != nil {
-			return err
-		}
-		back, err := json.Marshal(answer)
-		if err != nil {
-			return err
-		}
-		return json.Unmarshal(back, reply)
-	}
-	return peer.ErrNotSent
-}
-
 // Listed implements Sink.
 func (i *sharedInstance) Listed(objects []platform.Object) {
 	i.mu.Lock()
@@ -130,15 +97,15 @@
 // inSharedDomain runs f with a number of instances that follow members' entries.
 func inSharedDomain(t *testing.T, n int, f func(is *is.I, d *sharedDomain)) {
 	synctest.Test(t, func(t *testing.T) {
-		d := &sharedDomain{store: standin.NewStore()}
+		d := &sharedDomain{store: standin.NewStore(), net: peernet.New()}
 		for k := range n {
 			d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store),
-				handlers: make(map[string]peer.Handler), names: make(map[string]bool)})
+				names: make(map[string]bool)})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		for k, i := range d.instances {
-			s := NewSharing(countedAPI{i.view, i}, i, i, i)
+			s := NewSharing(countedAPI{i.view, i}, i, d.net.At(i.id), d.net.At(i.id))
 			follower := New(Config{API: s.API(platform.KindUpstreams), Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{},
 				Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
 			running.Go(func() { follower.Run(ctx) })
@@ -221,9 +188,9 @@
 // and follow the other one.
 func TestDeadReaderIsPassedBy(t *testing.T) {
 	inSharedDomain(t, 8, func(is *is.I, d *sharedDomain) {
-		d.instances[0].down.Store(true)
+		d.net.SetCut("i0", true)
 		time.Sleep(2 * (afterWait + afterGrace))
 		is.True(d.put(is, "m", afterWait+2*afterGrace) >= 7)
-		d.instances[0].down.Store(false)
+		d.net.SetCut("i0", false)
 	})
 }
--- a/internal/registry/sweeper_test.go
+++ b/internal/registry/sweeper_test.go
@@ -14,63 +14,16 @@
 	"github.com/matryer/is"
 
 	"github.com/topazrock/topazrock/internal/clock"
-	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/standin/peernet"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 )
 
-// fakeNet carries calls between registries, but to addresses that are cut off.
-type fakeNet struct {
-	mu  sync.Mutex
-	at  map[string]peer.Handler
-	cut map[string]bool
-}
-
-// endpoint is one registry's side of the net.
-type endpoint struct {
-	net     *fakeNet
-	address string
-}
-
-// Handle implements peer.Registry.
-func (e endpoint) Handle(_ string, h peer.Handler) { e.net.at[e.address] = h }
-
-// Call implements peer.Caller.
-func (e endpoint) Call(ctx context.Context, address, _ string, params, reply any) error {
-	e.net.mu.Lock()
-	h, ok := e.net.at[address]
-	ok = ok && !e.net.cut[address] && !e.net.cut[e.address]
-	e.net.mu.Unlock()
-	if !ok {
-		<-ctx.Done()
-		return peer.ErrNotSent
-	}
-	raw, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-	answer, err := h(ctx, "", raw)
-	if err != nil {
-		return err
-	}
-	back, err := json.Marshal(answer)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(back, reply)
-}
-
-func (n *fakeNet) setCut(address string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[address] = cut
-}
-
 // fleet starts registries of n instances; the result lists what each has adopted.
-func fleet(t *testing.T, n int) (*fakeNet, []*adopted) {
+func fleet(t *testing.T, n int) (*peernet.Net, []*adopted) {
 	t.Helper()
 	store := standin.NewStore()
-	net := &fakeNet{at: make(map[string]peer.Handler), cut: make(map[string]bool)}
+	net := peernet.New()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -83,9 +36,9 @@
 		address := fmt.Sprint("peer-", k)
 		r := New(Config{
 			API: store, Self: platform.Instance{ID: fmt.Sprint("i", k), FailureDomain: "a", PeerAddress: address}, List: a,
-			Clock: clock.System{}, Seed: uint64(k), Log: hclog.NewNullLogger(), Peers: endpoint{net, address},
+			Clock: clock.System{}, Seed: uint64(k), Log: hclog.NewNullLogger(), Peers: net.At(address),
 		})
-		r.Register(endpoint{net, address})
+		r.Register(net.At(address))
 		running.Go(func() { r.Run(ctx) })
 		lists = append(lists, a)
 	}
@@ -101,7 +54,7 @@
 		is := is.New(t)
 		net, lists := fleet(t, 8)
 		is.Equal(len(lists[0].last()), 8)
-		net.setCut("peer-3", true)
+		net.SetCut("peer-3", true)
 		time.Sleep(goneAfter - sweepInterval)
 		is.Equal(len(lists[0].last()), 8)
 		time.Sleep(3 * sweepInterval)
@@ -116,14 +69,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		net, lists := fleet(t, 8)
-		net.setCut("peer-3", true)
+		net.SetCut("peer-3", true)
 		seen := 8
 		for range 60 {
 			time.Sleep(time.Second)
 			seen = min(seen, len(lists[0].last()))
 		}
 		is.Equal(seen, 7)
-		net.setCut("peer-3", false)
+		net.SetCut("peer-3", false)
 		time.Sleep(3 * sweepInterval)
 		is.Equal(len(lists[0].last()), 8)
 	})
@@ -136,7 +89,7 @@
 		is := is.New(t)
 		net, lists := fleet(t, 12)
 		for k := range 4 {
-			net.setCut(fmt.Sprint("peer-", 4+k), true)
+			net.SetCut(fmt.Sprint("peer-", 4+k), true)
 		}
 		time.Sleep(4 * goneAfter)
 		is.Equal(len(lists[0].last()), 8)
@@ -161,13 +114,13 @@
 func TestOwnEntryThatIsToldLateIsNoLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		net := &fakeNet{at: make(map[string]peer.Handler), cut: make(map[string]bool)}
+		net := peernet.New()
 		other := New(Config{Self: platform.Instance{ID: "i2", PeerAddress: "peer-2"}, Log: hclog.NewNullLogger()})
-		other.Register(endpoint{net, "peer-2"})
+		other.Register(net.At("peer-2"))
 		api := &putsCounted{API: standin.NewStore()}
 		r := New(Config{API: api, Self: platform.Instance{ID: "i1", PeerAddress: "peer-1"}, List: &adopted{},
-			Clock: clock.System{}, Log: hclog.NewNullLogger(), Peers: endpoint{net, "peer-1"}})
-		r.Register(endpoint{net, "peer-1"})
+			Clock: clock.System{}, Log: hclog.NewNullLogger(), Peers: net.At("peer-1")})
+		r.Register(net.At("peer-1"))
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
