Test that a dead home is passed by, and that a call to a dead machine is told soon

TestDeadHomeIsPassedBy fails when a home that was not reached is not remembered, TestCallToADeadMachineIsToldSoon when a call waits for the dial's bound.

--- /dev/null
+++ b/internal/executor/forward_test.go
@@ -0,0 +1,67 @@
+package executor
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// deadFirst is a group with two homes elsewhere, the nearer of which is gone: a call to it
+// is told after a while that it was not sent.
+type deadFirst struct{ dead int }
+
+// deadWait is how long such a call takes.
+const deadWait = 250 * time.Millisecond
+
+// Homes implements Homes.
+func (*deadFirst) Homes(string) []platform.Instance {
+	return []platform.Instance{{ID: "dead", PeerAddress: "dead"}, {ID: "well", PeerAddress: "well"}}
+}
+
+// FindInstance implements Homes.
+func (*deadFirst) FindInstance(string) (platform.Instance, bool) { return platform.Instance{}, false }
+
+// Call implements peer.Caller.
+func (d *deadFirst) Call(ctx context.Context, address, _ string, _, reply any) error {
+	if address == "dead" {
+		d.dead++
+		_ = clock.Sleep(ctx, clock.System{}, deadWait)
+		return peer.ErrNotSent
+	}
+	reply.(*execution.Reply).Messages = []byte("rows")
+	return nil
+}
+
+// A machine is removed for good and still listed as the nearest home of a group. Callers
+// of an instance that is no home see one request in two seconds wait for it, and not
+// every one.
+func TestDeadHomeIsPassedBy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &deadFirst{}
+		r := NewRouter("self", "self:1", d, d, clock.System{}, NewMetrics(prometheus.NewRegistry()))
+		slow := 0
+		for range 100 {
+			began := time.Now()
+			reply, err := r.Execute(t.Context(), &execution.Unit{ID: "u", Group: "g", Timeout: time.Second}, nil)
+			is.NoErr(err)
+			is.Equal(string(reply.Messages), "rows")
+			if time.Since(began) >= deadWait {
+				slow++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(slow > 0)
+		is.True(slow <= 4)
+		is.Equal(d.dead, slow)
+	})
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -86,6 +86,18 @@
 	})
 }
 
+// A peer's machine is gone and answers nothing, not even a refusal. A call is told in a
+// quarter of a second that it was not sent, and its caller has time left for another
+// peer; waiting for the dial's own bound would use it up.
+func TestCallToADeadMachineIsToldSoon(t *testing.T) {
+	inPair(t, func(is *is.I, n *memnet.Network, c *Client) {
+		n.Cut(nearHost, farHost)
+		start := time.Now()
+		is.True(errors.Is(call(c, 10*time.Second, 0), ErrNotSent))
+		is.Equal(time.Since(start), connectWait)
+	})
+}
+
 // A result code keeps its number and its retry-after on the way between
 // instances: the caller's entry must not turn a refusal into something else.
 func TestResultCodeTravels(t *testing.T) {
