--- a/internal/executor/relay_test.go
+++ b/internal/executor/relay_test.go
@@ -36,6 +36,9 @@
 	ids []string
 	// cancelled takes the cancel requests that reach homes.
 	cancelled chan string
+	// unmarked says that a unit came without the mark that keeps it from being passed on
+	// again.
+	unmarked bool
 	// late is called when a unit has arrived at a home; nil does nothing.
 	late func()
 }
@@ -66,6 +69,7 @@
 	}
 	h, u := n.homes[address], params.(*execution.Unit)
 	h.taken++
+	n.unmarked = n.unmarked || !u.Relayed
 	n.ids = append(n.ids, u.ID)
 	if n.late != nil {
 		n.late()
@@ -232,3 +236,23 @@
 		is.Equal(len(n.cancelled), 0)
 	})
 }
+
+// Two instances each think that the other one serves. A unit that was passed on carries a
+// mark, and who gets one with the mark and cannot serve it refuses it: it would else go
+// to and fro until its time is over.
+func TestUnitThatWasPassedOnIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &relayNet{order: []string{"h1"}, homes: map[string]*relayHome{"h1": {answer: "rows"}}}
+		_, _, err := n.run(relayRead())
+		is.NoErr(err)
+		is.True(!n.unmarked)
+		again := relayRead()
+		again.Relayed = true
+		_, _, err = n.run(again)
+		e, ok := result.As(err)
+		is.True(ok)
+		is.Equal(e.Code.Family(), result.FamilyDidNotRun)
+		is.Equal(n.homes["h1"].taken, 1)
+	})
+}
