See the answer that comes while a unit looks who serves

Cause: a unit looked which homes serve, and then whether enough were asked. An answer between the two counted as asked and was not seen, and the unit was refused though a home had just said that it serves.

TestAnswerThatComesWhileLookingIsSeen makes the moment and failed before.

--- a/internal/executor/scout.go
+++ b/internal/executor/scout.go
@@ -77,11 +77,14 @@
 	began := s.clock.Now()
 	for {
 		round := s.want()
+		// Whether enough were asked is looked at before what they told: an answer that
+		// comes in between would else count as asked and not be seen.
+		told := s.told()
 		if home, ok := s.pick(u); ok {
 			return home, true
 		}
 		left := scoutPatience - s.clock.Now().Sub(began)
-		if left <= 0 || s.told() || !s.await(ctx, round, left) {
+		if left <= 0 || told || !s.await(ctx, round, left) {
 			return platform.Instance{}, false
 		}
 	}
--- a/internal/executor/scout_test.go
+++ b/internal/executor/scout_test.go
@@ -136,3 +136,26 @@
 		is.True(!ok)
 	})
 }
+
+// The last answer of a round comes just while a caller looks what is known: it has seen
+// that nobody serves, and sees then that everybody was asked. It must see the answer
+// too; refused at that moment, it would come back for nothing.
+func TestAnswerThatComesWhileLookingIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		homes := &scouted{standing: map[string]standing{"h0": {Writes: true}}}
+		list := []platform.Instance{{ID: "h0"}}
+		var s *scout
+		arrived := false
+		s = newScout(clock.System{}, rand.New(rand.NewPCG(1, 2)), func() []platform.Instance {
+			if !arrived {
+				arrived = true
+				s.askOne(context.Background(), list[0])
+			}
+			return list
+		}, homes.ask)
+		home, ok := s.find(context.Background(), writing)
+		is.True(ok)
+		is.Equal(home.ID, "h0")
+	})
+}
