--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/document"
@@ -233,99 +230,6 @@
 	}
 }
 
-var (
-	// errNoPrimary says that an instance knows no primary to write to.
-	errNoPrimary = errors.New("no primary known")
-	// errReplaced says that the member did not lead in the write's term any more.
-	errReplaced = errors.New("primary replaced")
-)
-
-// write runs one write through an instance as execution does: at the primary
-// that the instance knows, with the member's status behind it, then confirmed.
-// No error means that it was acknowledged.
-func (x *cluster) write(i *instance, key string) error {
-	s := i.w.Snapshot()
-	if s.Primary == "" {
-		return errNoPrimary
-	}
-	return x.writeAt(i, s.Term, s.Primary, key)
-}
-
-// writeAt writes at a member that led in the term when the write was sent.
-func (x *cluster) writeAt(i *instance, term logpos.Term, address, key string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	status, err := x.commit(ctx, i, address, key)
-	if err != nil {
-		return err
-	}
-	// The report comes behind the commit, and the member may have been fenced,
-	// attached to another log, or even promoted again in between. Only a report
-	// of the term in which the write was sent tells where the write is.
-	if status.Role != member.RolePrimary || status.Entered != term {
-		return errReplaced
-	}
-	mark := logpos.Mark{Term: term, Position: status.Last.Position}
-	if err := i.w.Confirm(ctx, mark); err != nil {
-		return err
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.acked = append(x.acked, key)
-	return nil
-}
-
-// commit writes a row at a member and returns the report that comes behind it.
-func (x *cluster) commit(ctx context.Context, i *instance, address, key string) (member.Status, error) {
-	cfg, err := pgconn.ParseConfig("host=h port=1 user=u password=p dbname=d sslmode=disable")
-	if err != nil {
-		return member.Status{}, err
-	}
-	cfg.LookupFunc = func(_ context.Context, h string) ([]string, error) { return []string{h}, nil }
-	var raw net.Conn
-	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
-		if raw != nil {
-			return nil, errors.New("one dial is enough")
-		}
-		var err error
-		raw, err = i.network.Dial(ctx, address)
-		return raw, err
-	}
-	c, err := pgconn.ConnectConfig(ctx, cfg)
-	if err != nil {
-		return member.Status{}, err
-	}
-	defer raw.Close()
-	if _, err := c.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('"+key+"', 'v')").ReadAll(); err != nil {
-		return member.Status{}, err
-	}
-	results, err := c.Exec(ctx, pgcontrol.StatusStatement).ReadAll()
-	if err != nil {
-		return member.Status{}, err
-	}
-	return pgcontrol.ParseStatus(results[0].Rows[0])
-}
-
-// writer writes through an instance until the returned function is called.
-func (x *cluster) writer(i *instance) func() {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for k := 0; ctx.Err() == nil; k++ {
-			if x.write(i, fmt.Sprintf("%s-%d", i.ID, k)) != nil {
-				_ = clock.Sleep(ctx, clock.System{}, 5*time.Millisecond)
-			}
-		}
-	}()
-	stop := func() {
-		cancel()
-		<-done
-	}
-	x.stopWriters = append(x.stopWriters, stop)
-	return stop
-}
-
 // primaries returns the members that lead in the highest term any has entered.
 func (x *cluster) primaries() (logpos.Term, []int) {
 	var highest logpos.Term
@@ -366,31 +270,3 @@
 		x.t.Fatalf("seed %d: member %d is %+v; want a replica attached in term %d", x.seed, k, s, term)
 	}
 }
-
-// checkAcked fails the test if the primary lacks an acknowledged write.
-func (x *cluster) checkAcked() {
-	x.t.Helper()
-	_, leading := x.primaries()
-	if len(leading) != 1 {
-		x.t.Errorf("seed %d: primaries at the end: %v", x.seed, leading)
-		return
-	}
-	rows := x.nodes[leading[0]].Rows("kv")
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var lost []string
-	for _, key := range x.acked {
-		if _, ok := rows[key]; !ok {
-			lost = append(lost, key)
-		}
-	}
-	if len(lost) > 0 {
-		x.t.Errorf("seed %d: %d of %d acknowledged writes are lost, the first %s", x.seed, len(lost), len(x.acked), lost[0])
-	}
-}
-
-func (x *cluster) ackedCount() int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return len(x.acked)
-}
