Decide whom to ask and whose entry goes apart from the asking

The scout held its map of answers and its questions in one type, and the sweeper counted silence between two calls. What is decided is now in knownHomes, silences and mayRelayAgain, which ask nobody; scout and sweeper lock, ask and act.

--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -84,13 +84,23 @@
 		g.scout.failed(home)
 		g.Logger.Info("Unit was passed on and not served.", "request", u.Request, "unit", u.ID, "group", u.Group, "home", home.ID, "error", err)
 		refusal = relayFailed(refusal, err)
-		if started.Load() || !u.OnlyReads() && !errors.Is(err, peer.ErrNotSent) {
+		if !mayRelayAgain(u, started.Load(), err) {
 			return nil, refusal
 		}
 	}
 	return nil, refusal
 }
 
+// mayRelayAgain reports whether a unit that a home did not serve may go on to another
+// one: not behind a part of the first one's answer, and what writes only if it did not
+// leave this instance.
+func mayRelayAgain(u *execution.Unit, started bool, err error) bool {
+	if started {
+		return false
+	}
+	return u.OnlyReads() || errors.Is(err, peer.ErrNotSent)
+}
+
 // relaySeparator stands behind a unit's ID, in front of the number of the relay.
 const relaySeparator = "~"
 
--- a/internal/executor/scout.go
+++ b/internal/executor/scout.go
@@ -1,10 +1,8 @@
 package executor
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,15 +12,11 @@
 )
 
 const (
-	// scoutInterval is the time between two rounds of questions, scoutWidth how many
-	// homes are asked in each, and scoutTimeout bounds their answers: many times a
-	// slow one. Seven homes so are all asked in 300 ms.
+	// scoutInterval is the time between two rounds of questions: three rounds, which
+	// ask seven homes, end within half of what an answer counts. scoutTimeout bounds the
+	// answers, many times a slow one.
 	scoutInterval = 150 * time.Millisecond
-	scoutWidth    = 3
 	scoutTimeout  = 100 * time.Millisecond
-	// scoutMemory is how long an answer counts: a home whose own view of the group
-	// changed since is asked again within it.
-	scoutMemory = 600 * time.Millisecond
 	// scoutLinger is how long homes are asked on behind the last unit that could not
 	// be served here.
 	scoutLinger = 500 * time.Millisecond
@@ -45,29 +39,16 @@
 	// wake takes a token when somebody wants to know.
 	wake chan struct{}
 
-	mu     sync.Mutex
-	random *rand.Rand
+	mu    sync.Mutex
+	known *knownHomes
 	// wantedAt is when a unit last could not be served here, and round is closed at the
 	// end of the present round of questions.
 	wantedAt time.Time
 	round    chan struct{}
-	// next is where the next round goes on in the list of homes.
-	next  int
-	known map[string]answer
-	// askedAt is when each home was asked last, whether it answered or not.
-	askedAt map[string]time.Time
-}
-
-// answer is what a home told, and when it was asked.
-type answer struct {
-	home     platform.Instance
-	standing standing
-	at       time.Time
 }
 
 func newScout(k clock.Clock, r *rand.Rand, homes func() []platform.Instance, ask func(context.Context, platform.Instance) (standing, error)) *scout {
-	return &scout{clock: k, random: r, homes: homes, ask: ask, wake: make(chan struct{}, 1), round: make(chan struct{}), known: make(map[string]answer),
-		askedAt: make(map[string]time.Time)}
+	return &scout{clock: k, homes: homes, ask: ask, wake: make(chan struct{}, 1), round: make(chan struct{}), known: newKnownHomes(r)}
 }
 
 // find returns a home that can serve the unit, and false when none is known to. It waits
@@ -116,46 +97,26 @@
 	return s.round
 }
 
-// pick returns one of the homes that are known to serve the unit. Chance decides
-// between them, so that their callers share the load.
+// pick returns a home that is known to serve the unit.
 func (s *scout) pick(u *execution.Unit) (platform.Instance, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	oldest := s.clock.Now().Add(-scoutMemory)
-	var able []answer
-	for _, a := range s.known {
-		if !a.at.Before(oldest) && a.standing.serves(u) {
-			able = append(able, a)
-		}
-	}
-	if len(able) == 0 {
-		return platform.Instance{}, false
-	}
-	// The map's order is another one each time, and chance must depend on the seed alone.
-	slices.SortFunc(able, func(a, b answer) int { return cmp.Compare(a.home.ID, b.home.ID) })
-	return able[s.random.IntN(len(able))].home, true
+	return s.known.pick(u, s.clock.Now())
 }
 
-// told reports whether as many homes were asked of late as two rounds ask.
+// told reports whether enough homes were asked of late.
 func (s *scout) told() bool {
 	homes := s.homes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	oldest := s.clock.Now().Add(-scoutMemory)
-	asked := 0
-	for _, home := range homes {
-		if !s.askedAt[home.ID].Before(oldest) {
-			asked++
-		}
-	}
-	return asked >= min(len(homes), 2*scoutWidth)
+	return s.known.enoughAsked(homes, s.clock.Now())
 }
 
-// failed forgets what a home told: it did not serve what it said it could.
+// failed says that a home did not serve what it said it could.
 func (s *scout) failed(home platform.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.known, home.ID)
+	s.known.failed(home)
 }
 
 // run asks homes round by round as long as somebody wants to know, until ctx ends.
@@ -188,20 +149,15 @@
 	return s.clock.Now().Sub(s.wantedAt) < scoutLinger
 }
 
-// nextHomes returns the homes that the next round asks, in turn.
+// nextHomes returns the homes that the next round asks.
 func (s *scout) nextHomes() []platform.Instance {
 	homes := s.homes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var chosen []platform.Instance
-	for range min(scoutWidth, len(homes)) {
-		chosen = append(chosen, homes[s.next%len(homes)])
-		s.next++
-	}
-	return chosen
+	return s.known.choose(homes)
 }
 
-// askOne keeps what a home tells. One that does not answer is not known to serve.
+// askOne asks one home.
 func (s *scout) askOne(ctx context.Context, home platform.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
@@ -209,10 +165,9 @@
 	told, err := s.ask(ctx, home)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.askedAt[home.ID] = at
 	if err != nil {
-		delete(s.known, home.ID)
+		s.known.silent(home, at)
 		return
 	}
-	s.known[home.ID] = answer{home: home, standing: told, at: at}
+	s.known.answered(home, told, at)
 }
--- a/internal/registry/sweeper.go
+++ b/internal/registry/sweeper.go
@@ -21,11 +21,6 @@
 	// aliveTimeout bounds its answer, many times a slow one.
 	sweepInterval = 2 * time.Second
 	aliveTimeout  = 500 * time.Millisecond
-	// goneAfter is how long an instance must have been silent to lose its entry:
-	// longer than a process or machine takes to restart and than most cuts last.
-	// One that was removed too early writes its entry again, and costs two changes
-	// of the homes for nothing.
-	goneAfter = 10 * time.Second
 )
 
 // alive is the question and the answer: who is meant, and who is there.
@@ -46,12 +41,11 @@
 // failure domain's requests went to a home that was not there.
 type sweeper struct {
 	*Registry
-	// silentSince is when a watched instance began to be silent.
-	silentSince map[platform.Instance]time.Time
+	silent silences
 }
 
 func newSweeper(r *Registry) *sweeper {
-	return &sweeper{Registry: r, silentSince: make(map[platform.Instance]time.Time)}
+	return &sweeper{Registry: r}
 }
 
 func (s *sweeper) run(ctx context.Context) {
@@ -64,21 +58,17 @@
 func (s *sweeper) sweep(ctx context.Context) {
 	others := ring(s.listed(), s.Self.ID)
 	mine := others[:min(watched, len(others))]
-	silent := make(map[platform.Instance]time.Time)
+	unanswered := make(map[platform.Instance]time.Time)
 	for _, i := range mine {
 		asked := s.Clock.Now()
-		if s.answers(ctx, i) {
-			continue
-		}
-		silent[i] = asked
-		if since, before := s.silentSince[i]; before {
-			silent[i] = since
+		if !s.answers(ctx, i) {
+			unanswered[i] = asked
 		}
 	}
-	s.silentSince = silent
-	for i, since := range silent {
-		if s.Clock.Now().Sub(since) >= goneAfter && s.reachesAny(ctx, others[len(mine):]) {
-			s.remove(ctx, i, since)
+	s.silent = s.silent.after(unanswered)
+	for _, i := range s.silent.gone(s.Clock.Now()) {
+		if s.reachesAny(ctx, others[len(mine):]) {
+			s.remove(ctx, i)
 		}
 	}
 }
@@ -104,13 +94,13 @@
 }
 
 // remove takes the entry of an instance away, unless it was written anew.
-func (s *sweeper) remove(ctx context.Context, i platform.Instance, since time.Time) {
+func (s *sweeper) remove(ctx context.Context, i platform.Instance) {
 	err := s.removeEntry(ctx, i)
 	if err != nil {
 		s.Log.Info("Entry of a silent instance was not removed.", "instance", i.ID, "error", err)
 		return
 	}
-	s.Log.Warn("Entry of a silent instance was removed.", "instance", i.ID, "address", i.PeerAddress, "silent", s.Clock.Now().Sub(since).String())
+	s.Log.Warn("Entry of a silent instance was removed.", "instance", i.ID, "address", i.PeerAddress, "silent", s.Clock.Now().Sub(s.silent[i]).String())
 }
 
 func (s *sweeper) removeEntry(ctx context.Context, i platform.Instance) error {
