Choose the number of a group's homes by its members' slots

Cause: the number followed from connections alone, the same for all groups. A group of a large fleet had 30 homes (6 in each of 5 failure domains) before members of 5 slots, and 11 x 4 before members of 6 slots. All instances of a failure domain send to its first home, which had the connections of one of 30: three to a member. Transactions hold them through their pauses, so that callers were refused while the member had room; and each home keeps a queue of its own and follows the members.

Now each group has as many homes as its members have slots, and two in each failure domain at least where the connections allow it. Small fleets stay as they are: every instance is a home.

--- a/internal/instance/homecount.go
+++ b/internal/instance/homecount.go
@@ -12,35 +12,43 @@
 	leastShare = 3
 	// usualShare is the part that a home gets where not every instance can be one.
 	usualShare = 4
+	// redundantHomes is how many homes a failure domain has at least where its part of the
+	// connections allows it: the loss of one leaves its callers another one near.
+	redundantHomes = 2
 	// everyInstance makes every instance of a failure domain a home.
 	everyInstance = 1 << 20
 )
 
-// homesPerDomain returns how many instances of each failure domain are homes, where
-// members limit their connections themselves. While every instance can have the
-// least share, every one is a home: no statement then takes a hop, and the loss of
-// an instance is felt by its own callers alone. Past that, as many are homes as can
-// have the usual share, and the others send their statements to them.
-func homesPerDomain(groups []document.Group, instances []platform.Instance) int {
-	least := 0
-	for _, g := range groups {
-		if n := g.MemberConnections; n > 0 && (least == 0 || n < least) {
-			least = n
-		}
-	}
+// homesPerDomain returns how many instances of each failure domain are homes to a group
+// whose members limit their connections themselves; zero where they do not. While every
+// instance can have the least share, every one is a home: no statement then takes a hop,
+// and the loss of an instance is felt by its own callers alone.
+//
+// Past that, all homes of a group together have about as many requests at work at a member
+// as it has slots, at one a home. Each home has a queue of its own and sends at least one
+// request, so that more homes put a queue before the member that nobody orders. Their
+// connections are divided among them as well: with thirty homes before five slots, the one
+// that its whole failure domain sends to had three connections, and refused what the member
+// had room for.
+func homesPerDomain(g document.Group, instances []platform.Instance) int {
 	domains := make(map[string]bool)
 	for _, i := range instances {
 		domains[i.FailureDomain] = true
 	}
-	if least == 0 || len(domains) == 0 {
+	if g.MemberConnections <= 0 || len(domains) == 0 {
 		return 0
 	}
-	if least >= leastShare*len(instances) {
+	if g.MemberConnections >= leastShare*len(instances) {
 		return everyInstance
 	}
-	return max(least/usualShare/len(domains), 1)
+	byConnections := max(g.MemberConnections/usualShare/len(domains), 1)
+	bySlots := max(memberSlots(g)/len(domains), redundantHomes)
+	return min(byConnections, bySlots)
 }
 
+// memberSlots is how many statements one member of a group runs at once.
+func memberSlots(g document.Group) int { return g.Slots / max(len(g.Members), 1) }
+
 // evenPart is the part of a member's connections that one home may use. Half of them
 // are divided evenly among the homes, and half among the failure domains first:
 // callers come to the instances of their own domain, so that where a domain has fewer
--- a/internal/instance/homecount_test.go
+++ b/internal/instance/homecount_test.go
@@ -11,26 +11,34 @@
 )
 
 // Fleets of several sizes share what members take. The connections of all homes
-// together stay within that, and small fleets have no hop.
-func TestHomesFitTheMembersConnections(t *testing.T) {
-	for _, c := range []struct{ connections, instances, domains, want int }{
-		{34, 8, 3, everyInstance},
-		{34, 9, 3, everyInstance}, // one that was replaced is still listed
-		{55, 7, 3, everyInstance},
-		{48, 59, 3, 4},
-		{176, 74, 4, 11},
-		{10, 40, 4, 1},
+// together stay within that, small fleets have no hop, and past them no more homes stand
+// before a member than it has slots, but for the two that each failure domain keeps.
+func TestHomesFitTheMembersConnectionsAndSlots(t *testing.T) {
+	for _, c := range []struct{ connections, slots, instances, domains, want int }{
+		{34, 5, 8, 3, everyInstance},
+		{34, 5, 9, 3, everyInstance}, // one that was replaced is still listed
+		{55, 5, 7, 3, everyInstance},
+		{36, 3, 77, 4, 2},
+		{48, 6, 59, 3, 2},
+		{176, 6, 74, 4, 2},
+		{125, 5, 295, 5, 2},
+		{1500, 50, 7000, 7, 7},
+		{500, 50, 295, 5, 10},
+		{100, 50, 295, 5, 5},
+		{10, 2, 40, 4, 1},
 	} {
-		t.Run(fmt.Sprintf("%d connections %d instances", c.connections, c.instances), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d connections %d slots %d instances", c.connections, c.slots, c.instances), func(t *testing.T) {
 			is := is.New(t)
 			var instances []platform.Instance
 			for i := range c.instances {
 				instances = append(instances, platform.Instance{ID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % c.domains)})
 			}
-			got := homesPerDomain([]document.Group{{MemberConnections: 900}, {MemberConnections: c.connections}}, instances)
+			members := make([]document.Member, 3)
+			got := homesPerDomain(document.Group{MemberConnections: c.connections, Members: members, Slots: c.slots * len(members)}, instances)
 			is.Equal(got, c.want)
 			if got != everyInstance && got > 1 {
 				is.True(got*c.domains*usualShare <= c.connections)
+				is.True(got*c.domains <= max(c.slots, redundantHomes*c.domains))
 			}
 		})
 	}
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -59,19 +59,20 @@
 	}
 }
 
-// countHomes sets how many instances are homes, where that follows from the members'
-// connections.
+// countHomes sets how many instances are homes to each group, where that follows from the
+// members' connections and slots.
 func (n *Instance) countHomes() {
 	if !n.protocol.MemberShares {
 		return
 	}
-	var groups []document.Group
+	live := n.members.Live()
+	counts := make(map[string]int)
 	for _, g := range n.documents.Groups() {
-		groups = append(groups, g.Group)
-	}
-	if count := homesPerDomain(groups, n.members.Live()); count > 0 {
-		n.members.SetPerFailureDomain(count)
+		if count := homesPerDomain(g.Group, live); count > 0 {
+			counts[g.Name] = count
+		}
 	}
+	n.members.SetHomeCounts(counts)
 }
 
 // partOf is this instance's part of a number of connections to a member of a group.
--- a/internal/membership/adopt.go
+++ b/internal/membership/adopt.go
@@ -10,11 +10,13 @@
 	}
 }
 
-// SetPerFailureDomain changes the number of homes of a group in each failure domain.
-func (m *Members) SetPerFailureDomain(n int) {
+// SetHomeCounts sets the number of homes in each failure domain for single groups; the
+// others have that of the options. The map must not be changed afterwards.
+func (m *Members) SetHomeCounts(byGroup map[string]int) {
 	m.mu.Lock()
-	changed := m.options.PerFailureDomain != n
-	m.options.PerFailureDomain = n
+	next := homeCounts{usual: m.options.PerFailureDomain, byGroup: byGroup}
+	changed := !next.same(m.counts)
+	m.counts = next
 	m.mu.Unlock()
 	if changed {
 		m.rebuild()
--- a/internal/membership/adopt_test.go
+++ b/internal/membership/adopt_test.go
@@ -19,10 +19,10 @@
 	is.True(before < len(all))
 	changed := 0
 	m.Subscribe(func() { changed++ })
-	m.SetPerFailureDomain(1 << 20)
+	m.SetHomeCounts(map[string]int{"g": 1 << 20})
 	is.Equal(len(m.Homes("g")), len(all))
 	is.True(m.IsHome("g"))
 	is.Equal(changed, 1)
-	m.SetPerFailureDomain(1)
+	m.SetHomeCounts(map[string]int{"g": 1})
 	is.Equal(len(m.Homes("g")), before)
 }
--- a/internal/membership/carry.go
+++ b/internal/membership/carry.go
@@ -11,7 +11,7 @@
 // instances and groups that is about a second of processor time, and an
 // instance joins or leaves every minute.
 func (s *snapshot) carry(old *snapshot) {
-	if old == nil || old.self != s.self || old.perFailureDomain != s.perFailureDomain {
+	if old == nil || old.self != s.self || !old.counts.same(s.counts) {
 		return
 	}
 	joined, left := difference(old.live, s.live)
@@ -21,7 +21,7 @@
 	old.mu.Lock()
 	defer old.mu.Unlock()
 	for group, h := range old.homes {
-		if !touched(group, h, joined, left, s.perFailureDomain) {
+		if !touched(group, h, joined, left, s.counts.of(group)) {
 			s.homes[group] = h
 		}
 	}
--- a/internal/membership/homeset.go
+++ b/internal/membership/homeset.go
@@ -15,7 +15,7 @@
 }
 
 func (s *snapshot) newHomeSet(group string) *homeSet {
-	h := &homeSet{scored: pick(group, s.domains, s.perFailureDomain)}
+	h := &homeSet{scored: pick(group, s.domains, s.counts.of(group))}
 	h.ranked = instancesOf(h.scored)
 	h.nearest = slices.Clone(h.ranked)
 	slices.SortStableFunc(h.nearest, func(a, b platform.Instance) int { return s.distance(a) - s.distance(b) })
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -22,6 +22,7 @@
 	// mu orders changes of the snapshot and guards the fields below.
 	mu          sync.Mutex
 	held        list
+	counts      homeCounts
 	draining    bool
 	subscribers []func()
 }
@@ -38,7 +39,8 @@
 		o.Metrics = NewMetrics(nil)
 	}
 	m := &Members{options: o, log: o.Log.Named("membership"), metrics: o.Metrics,
-		wake: make(chan struct{}, 1), held: newList(nil, nil, time.Time{})}
+		wake: make(chan struct{}, 1), held: newList(nil, nil, time.Time{}),
+		counts: homeCounts{usual: o.PerFailureDomain}}
 	m.rebuild()
 	m.register()
 	return m
@@ -115,7 +117,7 @@
 	m.mu.Lock()
 	self := m.options.Self
 	self.Leaving = m.draining
-	next := newSnapshot(self, m.held, m.options.PerFailureDomain)
+	next := newSnapshot(self, m.held, m.counts)
 	old := m.current.Load()
 	if old != nil && old.same(next) {
 		m.mu.Unlock()
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -145,8 +145,8 @@
 func TestDepartureMovesOnlyItsOwnGroups(t *testing.T) {
 	is := is.New(t)
 	all := fleet(30)
-	before := newSnapshot(all[0], newList(all, nil, time.Time{}), 2)
-	after := newSnapshot(all[0], newList(all[:29], nil, time.Time{}), 2)
+	before := newSnapshot(all[0], newList(all, nil, time.Time{}), homeCounts{usual: 2})
+	after := newSnapshot(all[0], newList(all[:29], nil, time.Time{}), homeCounts{usual: 2})
 	for g := range 500 {
 		group := fmt.Sprintf("group-%d", g)
 		old := before.homesOf(group).ranked
@@ -192,7 +192,7 @@
 		}
 		api.set(platform.Inventory{Instances: listed}, nil)
 		is.NoErr(m.Refresh(t.Context()))
-		fresh := newSnapshot(all[0], newList(listed, nil, time.Time{}), 2)
+		fresh := newSnapshot(all[0], newList(listed, nil, time.Time{}), homeCounts{usual: 2})
 		for g := range 30 {
 			group := fmt.Sprintf("group-%d", g)
 			is.Equal(m.HomesRanked(group), fresh.homesOf(group).ranked)
@@ -219,7 +219,7 @@
 	for _, n := range []int{100, 1000, 7400} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			all := fleet(n)
-			s := newSnapshot(all[0], newList(all, nil, time.Time{}), 1)
+			s := newSnapshot(all[0], newList(all, nil, time.Time{}), homeCounts{usual: 1})
 			for b.Loop() {
 				s.newHomeSet("orders-1")
 			}
@@ -235,12 +235,12 @@
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			all := fleet(n + 1)
 			lists := []list{newList(all[:n], nil, time.Time{}), newList(all[1:], nil, time.Time{})}
-			s := newSnapshot(all[1], lists[0], 1)
+			s := newSnapshot(all[1], lists[0], homeCounts{usual: 1})
 			for g := range groups {
 				s.homesOf(fmt.Sprintf("group-%d", g))
 			}
 			for i := 0; b.Loop(); i++ {
-				next := newSnapshot(all[1], lists[(i+1)%2], 1)
+				next := newSnapshot(all[1], lists[(i+1)%2], homeCounts{usual: 1})
 				next.carry(s)
 				for g := range groups {
 					next.homesOf(fmt.Sprintf("group-%d", g))
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -12,12 +12,12 @@
 // snapshot is the view at one moment. Apart from the cache of homes it is
 // never changed after it was published.
 type snapshot struct {
-	self             platform.Instance
-	live             []platform.Instance
-	domains          [][]platform.Instance
-	peers            []platform.Instance
-	leaving          map[string]bool
-	perFailureDomain int
+	self    platform.Instance
+	live    []platform.Instance
+	domains [][]platform.Instance
+	peers   []platform.Instance
+	leaving map[string]bool
+	counts  homeCounts
 
 	mu sync.Mutex
 	// homes caches the homes of the groups asked for: ranking hashes every
@@ -27,8 +27,8 @@
 
 // newSnapshot builds a view. self says who this instance is; what the list
 // says of its addresses is not used, and its word that it leaves is.
-func newSnapshot(self platform.Instance, l list, perFailureDomain int) *snapshot {
-	s := &snapshot{perFailureDomain: perFailureDomain, leaving: make(map[string]bool), homes: make(map[string]*homeSet)}
+func newSnapshot(self platform.Instance, l list, counts homeCounts) *snapshot {
+	s := &snapshot{counts: counts, leaving: make(map[string]bool), homes: make(map[string]*homeSet)}
 	byID := make(map[string]platform.Instance)
 	for _, i := range l.instances {
 		byID[i.ID] = i
@@ -55,5 +55,5 @@
 }
 
 func (s *snapshot) same(o *snapshot) bool {
-	return s.self == o.self && s.perFailureDomain == o.perFailureDomain && slices.Equal(s.live, o.live) && maps.Equal(s.leaving, o.leaving)
+	return s.self == o.self && s.counts.same(o.counts) && slices.Equal(s.live, o.live) && maps.Equal(s.leaving, o.leaving)
 }
