Share every call for the platform's objects in large failure domains

Only watches of two kinds were shared, and a follower whose readers had lost the platform asked it once a second itself.

Now two readers in each failure domain list and watch each kind, and the others ask those for lists, changes and proofs of age alike, at the start too: an instance first takes a list of the instances that may be some seconds old (a tenth of a call), which names the readers. A reader's list that shows what its watch missed is told as changes, so that followers need not list again. A follower whose readers cannot tell asks three rounds, then the platform once in some four seconds while that does not answer either. An instance that the platform refuses asks readers of all failure domains. The proof of a manifest's age goes the same way, in place of its own call.

Ruled out: sharing the contents by the platform's own single reads (one call an instance and change).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -42,11 +42,7 @@
 	mu       sync.Mutex
 	manifest Manifest
 	known    bool
-	// seenAt is when the platform last showed the manifest in force.
-	seenAt time.Time
-	// peers spares the platform most looks at the manifest; nil without.
-	peers *peerCheck
-	// sharing spares the platform most watches of members' entries; nil without.
+	// sharing spares the platform most calls; nil without.
 	sharing     *objectwatch.Sharing
 	roster      *roster
 	subscribers []func()
@@ -73,9 +69,16 @@
 	manifestCheck = 2 * time.Second
 	// upstreamCheck does so for members' entries; one that leaves serves on for
 	// several seconds.
-	upstreamCheck = 4 * time.Second
+	upstreamCheck = 3 * time.Second
+	// checkGrace is what a reader's list may be older than the time between two checks,
+	// for the calls themselves.
+	checkGrace = 300 * time.Millisecond
 )
 
+// UseSharing lets other instances read for this one, and this one for them. It comes
+// before Run.
+func (d *Directory) UseSharing(s *objectwatch.Sharing) { d.sharing = s }
+
 // upstreamSettle gathers the entries of members that start or change together into
 // one answer of the watch.
 const upstreamSettle = 200 * time.Millisecond
@@ -98,23 +101,25 @@
 		API: d.config.API, Kind: platform.KindManifest, Sink: manifestSink{d}, Clock: d.config.Clock, Log: d.config.Log,
 		Rand: rand.New(rand.NewPCG(d.config.Seed, 1)), Check: manifestCheck,
 	}
-	if d.peers != nil {
-		c.Current = d.peers.current
-	}
-	return objectwatch.New(c)
+	return d.shared(c)
 }
 
 func (d *Directory) upstreamFollower() *objectwatch.Follower {
-	api := d.config.API
-	if d.sharing != nil {
-		api = d.sharing.API(platform.KindUpstreams)
-	}
-	return objectwatch.New(objectwatch.Config{
-		API: api, Kind: platform.KindUpstreams, Sink: upstreamSink{d}, Clock: d.config.Clock, Log: d.config.Log,
+	return d.shared(objectwatch.Config{
+		API: d.config.API, Kind: platform.KindUpstreams, Sink: upstreamSink{d}, Clock: d.config.Clock, Log: d.config.Log,
 		Rand: rand.New(rand.NewPCG(d.config.Seed, 2)), Check: upstreamCheck, Stale: true, Settle: upstreamSettle,
 	})
 }
 
+// shared returns a follower that shares its calls where that can be done.
+func (d *Directory) shared(c objectwatch.Config) *objectwatch.Follower {
+	if d.sharing != nil {
+		api := d.sharing.API(c.Kind, c.Check+checkGrace)
+		c.API, c.Current = api, api.Current
+	}
+	return objectwatch.New(c)
+}
+
 // watchLapses publishes anew when a missing entry's grace is over.
 func (d *Directory) watchLapses(ctx context.Context) {
 	waiting := false
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -6,14 +6,7 @@
 type manifestSink struct{ d *Directory }
 
 // Listed implements objectwatch.Sink.
-func (s manifestSink) Listed(objects []platform.Object) {
-	s.Changed(objects)
-	for _, o := range objects {
-		if o.Name == platform.ManifestName {
-			s.d.sawManifest(s.d.config.Clock.Now())
-		}
-	}
-}
+func (s manifestSink) Listed(objects []platform.Object) { s.Changed(objects) }
 
 // Changed implements objectwatch.Sink.
 func (s manifestSink) Changed(objects []platform.Object) {
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -7,7 +7,6 @@
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/objectwatch"
-	"github.com/topazrock/topazrock/internal/peer"
 )
 
 // Documents are the services in force.
@@ -26,9 +25,10 @@
 	Run(ctx context.Context) error
 }
 
-// peerUser is a source of documents that asks other instances.
-type peerUser interface {
-	UsePeers(f objectwatch.Fleet, c peer.Caller, r peer.Registry, s *objectwatch.Sharing)
+// sharer is a source of documents that shares its calls to the platform with other
+// instances.
+type sharer interface {
+	UseSharing(s *objectwatch.Sharing)
 }
 
 // GroupInForce is a group and the version of the document that names it.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -111,10 +111,12 @@
 		Log:      o.Logger,
 		Metrics:  n.metrics.config,
 	})
-	sharing := objectwatch.NewSharing(o.Platform, n.members, n.client, n.peers)
+	sharing := objectwatch.NewSharing(objectwatch.SharingConfig{
+		API: o.Platform, Fleet: n.members, Caller: n.client, Clock: o.Clock, Rand: n.random("objectwatch"),
+	}, n.peers)
 	if o.SelfRegister {
 		n.registry = registry.New(registry.Config{
-			API: sharing.API(platform.KindInstances), Self: n.self(), List: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
+			API: o.Platform, Entries: sharing.API(platform.KindInstances, 0), Self: n.self(), List: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
 			Peers: n.client,
 		})
 		n.registry.Register(n.peers)
@@ -123,8 +125,8 @@
 	if n.documents == nil {
 		n.documents = storedDocuments{n.store, n.members}
 	}
-	if d, ok := n.documents.(peerUser); ok {
-		d.UsePeers(n.members, n.client, n.peers, sharing)
+	if d, ok := n.documents.(sharer); ok {
+		d.UseSharing(sharing)
 	}
 	n.protocol = n.postgres()
 	if o.Protocol != nil {
--- /dev/null
+++ b/internal/objectwatch/current_test.go
@@ -0,0 +1,82 @@
+package objectwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// fakeFleet is one instance among readers; far ones have too few instances to need any.
+type fakeFleet struct {
+	self    platform.Instance
+	readers []platform.Instance
+}
+
+// Self implements Fleet.
+func (f fakeFleet) Self() platform.Instance { return f.self }
+
+// Known implements Fleet.
+func (fakeFleet) Known() bool { return true }
+
+// Pick implements Fleet.
+func (f fakeFleet) Pick(_ string, n int) []platform.Instance {
+	if n <= readersPerDomain {
+		return f.readers
+	}
+	// The failure domain of the readers is a large one.
+	all := f.readers
+	for len(f.readers) > 0 && len(all) < n+1 {
+		all = append(all, platform.Instance{ID: "more", FailureDomain: f.readers[0].FailureDomain})
+	}
+	return all
+}
+
+// answering is a peer with one answer.
+type answering struct {
+	told answer
+	err  error
+}
+
+// Call implements peer.Caller.
+func (a *answering) Call(_ context.Context, _, _ string, _, reply any) error {
+	*reply.(*answer) = a.told
+	return a.err
+}
+
+// Handle implements peer.Registry.
+func (*answering) Handle(string, peer.Handler) {}
+
+// An instance asks a peer in place of the platform. It looks itself whenever the peer's
+// word does not prove that what it holds is in force.
+func TestPeersSpareThePlatform(t *testing.T) {
+	near, far := platform.Instance{ID: "n", FailureDomain: "a"}, platform.Instance{ID: "f", FailureDomain: "b"}
+	self := platform.Instance{ID: "s", FailureDomain: "a"}
+	const maxAge = 2300 * time.Millisecond
+	for name, c := range map[string]struct {
+		self    platform.Instance
+		readers []platform.Instance
+		peer    answering
+		want    bool
+	}{
+		"same revision, fresh":   {self, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 900}}, true},
+		"later revision":         {self, []platform.Instance{near}, answering{told: answer{Revision: 6, AgeMS: 900}}, false},
+		"old look":               {self, []platform.Instance{near}, answering{told: answer{Revision: 5, AgeMS: 9000}}, false},
+		"cannot tell":            {self, []platform.Instance{near}, answering{err: errNoFeed}, false},
+		"no answer":              {self, []platform.Instance{near}, answering{err: peer.ErrNotSent}, false},
+		"reader itself":          {near, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
+		"none in the own domain": {self, []platform.Instance{far}, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
+		"no readers are known":   {self, nil, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
+		"peer has an older one":  {self, []platform.Instance{near}, answering{told: answer{Revision: 4, AgeMS: 1}}, true},
+	} {
+		s := NewSharing(SharingConfig{Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1))}, &c.peer)
+		if got := s.API(platform.KindManifest, maxAge).Current(context.Background(), 5); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+
+}
--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/platform"
 )
@@ -24,7 +25,11 @@
 	// known says that the objects were listed, inTouch that the last call was answered.
 	known, inTouch bool
 	objects        map[string]platform.Object
-	revision       int64
+	// revision is that of the last change that is known.
+	revision int64
+	// provenAt is when the last list was asked for that the platform answered. A watch
+	// proves nothing: it may hear of no change for seconds.
+	provenAt time.Time
 	// changes are the last ones, oldest first, all after the revision since.
 	changes []change
 	since   int64
@@ -36,14 +41,25 @@
 	return &feed{objects: make(map[string]platform.Object), changed: make(chan struct{})}
 }
 
-// listed takes in a list of all objects.
-func (f *feed) listed(objects []platform.Object, revision int64) {
+// listed takes in a list of all objects that was asked for at a time.
+func (f *feed) listed(objects []platform.Object, revision int64, asked time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.inTouch = true
-	if f.known && revision <= f.revision {
+	if asked.After(f.provenAt) {
+		f.provenAt = asked
+	}
+	if !f.known {
+		f.begin(objects, revision)
 		return
 	}
+	if revision > f.revision {
+		f.catchUp(objects, revision)
+	}
+}
+
+// begin starts the feed with a list. The caller holds f.mu.
+func (f *feed) begin(objects []platform.Object, revision int64) {
 	f.known = true
 	clear(f.objects)
 	for _, o := range objects {
@@ -53,16 +69,45 @@
 	f.rise(revision)
 }
 
+// catchUp takes in what a list shows and no watch has told. A list that shows nothing new
+// changes nothing, so that followers are not woken by it. The caller holds f.mu.
+func (f *feed) catchUp(objects []platform.Object, revision int64) {
+	listed := make(map[string]bool, len(objects))
+	var news []platform.Object
+	for _, o := range objects {
+		listed[o.Name] = true
+		if held, ok := f.objects[o.Name]; !ok || held.Revision != o.Revision {
+			news = append(news, o)
+		}
+	}
+	for name, held := range f.objects {
+		if !listed[name] {
+			news = append(news, platform.Object{Kind: held.Kind, Name: name, Revision: revision, Removed: true})
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	for _, o := range news {
+		f.take(o, revision)
+	}
+	f.rise(revision)
+}
+
 // watched takes in the answer of a watch from a revision on.
 func (f *feed) watched(objects []platform.Object, after, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.inTouch = true
-	if !f.known || after != f.revision {
+	if after > f.revision {
 		// It does not follow what is known; the next list will.
-		f.known = f.known && after < f.revision
+		f.known = false
+	}
+	if !f.known || revision < f.revision {
 		return
 	}
+	// Changes that a list has shown before are told once more, in their order, and
+	// end at the same objects.
 	for _, o := range objects {
 		f.take(o, revision)
 	}
@@ -105,6 +150,14 @@
 	f.inTouch = false
 }
 
+// proof returns the revision of the last known change and how long ago the platform showed
+// that there was no later one; false while it does not answer.
+func (f *feed) proof(now time.Time) (revision int64, age time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, now.Sub(f.provenAt), f.known && f.inTouch
+}
+
 // list returns all objects and their revision; false while they are not known or the
 // platform does not answer.
 func (f *feed) list() ([]platform.Object, int64, bool) {
--- a/internal/objectwatch/fleet.go
+++ b/internal/objectwatch/fleet.go
@@ -5,6 +5,8 @@
 // Fleet is the view of the other instances; membership.Members implements it.
 type Fleet interface {
 	Self() platform.Instance
+	// Known reports whether the others have been learned once.
+	Known() bool
 	// Pick returns n instances of each failure domain for a duty.
 	Pick(duty string, n int) []platform.Instance
 }
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -54,8 +54,9 @@
 	// Stale says that such a list may be some seconds old, which the platform charges
 	// less for.
 	Stale bool
-	// Current, if set, is asked before each such list; true spares it.
-	Current func(ctx context.Context) bool
+	// Current, if set, is asked before each such list whether nothing came after a
+	// revision; true spares the list.
+	Current func(ctx context.Context, revision int64) bool
 }
 
 // Follower follows one kind.
@@ -67,6 +68,8 @@
 	// mu serialises the calls of Sink and guards the fields below.
 	mu      sync.Mutex
 	inTouch bool
+	// revision is the last one up to which the sink was told.
+	revision int64
 	// failingSince is when the first of the present failures was met.
 	failingSince time.Time
 }
@@ -91,16 +94,16 @@
 // which finds out as well.
 func (f *Follower) check(ctx context.Context) {
 	for clock.Sleep(ctx, f.Clock, f.Check) == nil {
-		if f.Current != nil && f.Current(ctx) {
+		if f.Current != nil && f.Current(ctx, f.toldUpTo()) {
 			continue
 		}
-		objects, _, err := f.list(ctx)
+		objects, revision, err := f.list(ctx)
 		if err != nil {
 			f.Log.Debug("The objects were not listed.", "error", err)
 			continue
 		}
 		f.answered()
-		f.tell(func() { f.Sink.Listed(objects) })
+		f.tell(revision, func() { f.Sink.Listed(objects) })
 	}
 }
 
@@ -112,13 +115,21 @@
 	return f.API.List(ctx, f.Kind)
 }
 
-// tell calls the sink.
-func (f *Follower) tell(call func()) {
+// tell calls the sink with what is known up to a revision.
+func (f *Follower) tell(revision int64, call func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.revision = max(f.revision, revision)
 	call()
 }
 
+// toldUpTo returns the revision up to which the sink was told.
+func (f *Follower) toldUpTo() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
 func (f *Follower) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		objects, revision, err := f.API.List(ctx, f.Kind)
@@ -128,7 +139,7 @@
 		}
 		f.backoff = 0
 		f.answered()
-		f.tell(func() { f.Sink.Listed(objects) })
+		f.tell(revision, func() { f.Sink.Listed(objects) })
 		f.watch(ctx, revision)
 	}
 }
@@ -149,7 +160,7 @@
 		f.answered()
 		revision = next
 		if len(objects) > 0 {
-			f.tell(func() { f.Sink.Changed(objects) })
+			f.tell(revision, func() { f.Sink.Changed(objects) })
 			_ = clock.Sleep(ctx, f.Clock, f.Settle)
 		}
 	}
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -2,60 +2,183 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-// sharedAPI is the platform as one Follower of a kind sees it.
-type sharedAPI struct {
+const (
+	// listTimeout bounds a reader's list, and proofTimeout its proof: both many times a
+	// slow answer, the list's at a machine with a narrow link.
+	listTimeout  = time.Second
+	proofTimeout = 300 * time.Millisecond
+	// afterGrace is what the answer to a question that was held may take beside.
+	afterGrace = 500 * time.Millisecond
+	// readerRounds is how often a follower asks its readers before it asks the platform
+	// itself, and readerPause the longest pause between two rounds. Readers that start
+	// with their followers have the platform's answer within it.
+	readerRounds = 3
+	readerPause  = 400 * time.Millisecond
+	// rescueWidth is how many readers of any failure domain an instance asks that the
+	// platform does not answer.
+	rescueWidth = 3
+)
+
+// SharedAPI is the platform as one Follower of a kind sees it.
+type SharedAPI struct {
 	platform.API
 	sharing *Sharing
 	kind    platform.Kind
 	feed    *feed
+	maxAge  time.Duration
+	own     ownTries
 }
 
+// listing asks the platform for a list in one of its ways.
+type listing func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
+
 // List implements platform.API.
-func (a *sharedAPI) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
-	for _, reader := range a.sharing.readers() {
-		if got, ok := a.ask(ctx, reader, methodList, question{Kind: kind}, listTimeout); ok {
-			return got.Objects, got.Revision, nil
-		}
+func (a *SharedAPI) List(ctx context.Context, _ platform.Kind) ([]platform.Object, int64, error) {
+	return a.list(ctx, a.API.List)
+}
+
+// ListStale implements platform.API.
+func (a *SharedAPI) ListStale(ctx context.Context, _ platform.Kind) ([]platform.Object, int64, error) {
+	return a.list(ctx, a.API.ListStale)
+}
+
+func (a *SharedAPI) list(ctx context.Context, ask listing) ([]platform.Object, int64, error) {
+	a.sharing.awaitFleet(ctx, a.kind)
+	got, err := a.follow(ctx, a.listFrom)
+	if err == nil {
+		return got.Objects, got.Revision, nil
 	}
-	objects, revision, err := a.API.List(ctx, kind)
-	if err != nil {
-		a.feed.lost()
+	if !errors.Is(err, errReadsItself) {
 		return nil, 0, err
 	}
-	a.feed.listed(objects, revision)
-	return objects, revision, nil
+	asked := a.sharing.Clock.Now()
+	objects, revision, err := ask(ctx, a.kind)
+	if err == nil {
+		a.feed.listed(objects, revision, asked)
+		return objects, revision, nil
+	}
+	a.failed()
+	if got, ok := a.rescue(ctx, a.listFrom); ok {
+		return got.Objects, got.Revision, nil
+	}
+	return nil, 0, err
 }
 
 // Watch implements platform.API.
-func (a *sharedAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
-	for _, reader := range a.sharing.readers() {
-		got, ok := a.ask(ctx, reader, methodAfter, question{Kind: kind, After: after}, afterWait+afterGrace)
-		switch {
-		case ok && got.Compacted:
-			return nil, after, platform.ErrCompacted
-		case ok:
-			return got.Objects, max(after, got.Revision), nil
-		}
+func (a *SharedAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
+	watch := func(ctx context.Context, reader platform.Instance) (answer, bool) {
+		return a.ask(ctx, reader, methodAfter, question{Kind: a.kind, After: after}, afterWait+afterGrace)
+	}
+	got, err := a.follow(ctx, watch)
+	if err == nil {
+		return told(got, after)
+	}
+	if !errors.Is(err, errReadsItself) {
+		return nil, after, err
+	}
+	objects, next, err := a.API.Watch(ctx, a.kind, after)
+	if err == nil {
+		a.feed.watched(objects, after, next)
+		return objects, next, nil
 	}
-	objects, next, err := a.API.Watch(ctx, kind, after)
-	if err != nil {
-		a.feed.lost()
+	if errors.Is(err, platform.ErrCompacted) {
 		return nil, after, err
 	}
-	a.feed.watched(objects, after, next)
-	return objects, next, nil
+	a.failed()
+	a.feed.lost()
+	if got, ok := a.rescue(ctx, watch); ok {
+		return told(got, after)
+	}
+	return nil, after, err
+}
+
+// told turns an answer into that of a watch.
+func told(got answer, after int64) ([]platform.Object, int64, error) {
+	if got.Compacted {
+		return nil, after, platform.ErrCompacted
+	}
+	return got.Objects, max(after, got.Revision), nil
+}
+
+// Current reports whether a reader has proved lately that nothing came after a revision.
+// False says that the objects have to be listed: this instance reads for itself, no reader
+// answers, its proof is old, or it knows of a later change.
+func (a *SharedAPI) Current(ctx context.Context, revision int64) bool {
+	for _, reader := range a.sharing.answering(a.sharing.readers()) {
+		got, ok := a.ask(ctx, reader, methodProof, question{Kind: a.kind}, proofTimeout)
+		if ok {
+			return a.young(got) && got.Revision <= revision
+		}
+	}
+	return false
+}
+
+// young reports whether the platform has shown an answer lately enough.
+func (a *SharedAPI) young(got answer) bool { return a.maxAge == 0 || got.age() <= a.maxAge }
+
+// errReadsItself says that this instance asks the platform itself now.
+var errReadsItself = errors.New("objectwatch: no reader serves this instance")
+
+// follow asks the readers, some rounds if need be. Its errors are errReadsItself, and
+// ErrUnavailable where the platform is not to be asked yet.
+func (a *SharedAPI) follow(ctx context.Context, ask func(context.Context, platform.Instance) (answer, bool)) (answer, error) {
+	for range readerRounds {
+		readers := a.sharing.readers()
+		if len(readers) == 0 {
+			return answer{}, errReadsItself
+		}
+		for _, reader := range a.sharing.answering(readers) {
+			if got, ok := ask(ctx, reader); ok {
+				// Nobody keeps this instance's own feed up to date any more.
+				a.feed.lost()
+				return got, nil
+			}
+		}
+		if clock.Sleep(ctx, a.sharing.Clock, a.sharing.jitter(readerPause)) != nil {
+			return answer{}, ctx.Err()
+		}
+	}
+	if !a.own.allowed(a.sharing.Clock.Now()) {
+		return answer{}, platform.ErrUnavailable
+	}
+	return answer{}, errReadsItself
+}
+
+// rescue asks readers of any failure domain: the platform may refuse this instance and
+// serve others.
+func (a *SharedAPI) rescue(ctx context.Context, ask func(context.Context, platform.Instance) (answer, bool)) (answer, bool) {
+	for _, reader := range a.sharing.rescuers(rescueWidth) {
+		if got, ok := ask(ctx, reader); ok {
+			return got, true
+		}
+	}
+	return answer{}, false
+}
+
+// failed notes that the platform did not answer this instance.
+func (a *SharedAPI) failed() {
+	a.own.failed(a.sharing.Clock.Now(), a.sharing.jitter(ownPause))
+}
+
+// listFrom asks a reader for its list.
+func (a *SharedAPI) listFrom(ctx context.Context, reader platform.Instance) (answer, bool) {
+	got, ok := a.ask(ctx, reader, methodList, question{Kind: a.kind}, listTimeout)
+	return got, ok && a.young(got)
 }
 
 // ask asks a reader.
-func (a *sharedAPI) ask(ctx context.Context, reader platform.Instance, method string, q question, timeout time.Duration) (answer, bool) {
+func (a *SharedAPI) ask(ctx context.Context, reader platform.Instance, method string, q question, timeout time.Duration) (answer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var got answer
-	err := a.sharing.caller.Call(ctx, reader.PeerAddress, method, q, &got)
+	err := a.sharing.Caller.Call(ctx, reader.PeerAddress, method, q, &got)
+	a.sharing.noteAnswer(reader, err)
 	return got, err == nil
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -5,19 +5,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
 const (
-	// methodList and methodAfter ask an instance for what its feed of a kind holds, and
-	// for what came after a revision.
-	methodList  = "objectwatch.list"
-	methodAfter = "objectwatch.after"
 	// readDuty is the key by which readers are picked, and readersPerDomain how many of
 	// each failure domain there are: two, because one of them may be dead and listed.
 	readDuty         = "objectwatch.read"
@@ -25,47 +24,69 @@
 	// ownReading is up to how many instances of a failure domain all read for
 	// themselves: with so few there is nothing to save.
 	ownReading = 4
-	// listTimeout bounds a reader's list, many times a slow answer.
-	listTimeout = 300 * time.Millisecond
-	// afterWait is how long a reader holds a question while nothing changes, and
-	// afterGrace what its answer may take beside.
-	afterWait  = 10 * time.Second
-	afterGrace = time.Second
+	// fleetPatience is how long a kind waits at the start for the list of instances, which
+	// names the readers, and fleetPoll the time between two looks. A whole fleet that starts
+	// for the first time takes most of it to be listed.
+	fleetPatience = 3 * time.Second
+	fleetPoll     = 20 * time.Millisecond
+	// afterWait is how long a reader holds a question while nothing changes. A reader that
+	// has gone silent is found out by its end.
+	afterWait = 5 * time.Second
+	// silentFor is how long a reader that did not answer is not asked.
+	silentFor = 5 * time.Second
 )
 
-// Sharing spares the platform most watches: two instances of each failure domain follow a
-// kind there, and the others follow one of those. With 77 instances each change of a
-// member's entry ended 77 watches, which began anew: half of all calls on a calm day.
+// Sharing spares the platform most calls: two instances of each failure domain list and
+// watch a kind there, and the others ask one of those, for lists, changes and proofs that
+// nothing has changed alike. What is asked of the platform so grows with failure domains
+// and changes, and not with instances.
 //
 // What readers pass on are the platform's own revisions, so that a follower may change
-// from one reader to another or to the platform at any moment. A reader that has lost the
-// platform says so, and its followers ask the platform themselves. A reader that hears
-// nothing and does not know it is found out as a watch of the platform is: by the
-// followers' own lists at an interval (Config.Check), which are not shared.
+// from one reader to another or to the platform at any moment. The states of a reader:
+//
+//   - It has lost the platform: it says so, and its followers ask the other reader, and after
+//     a while the platform themselves, seldom (ownTries).
+//   - Dead, frozen or cut off: it does not answer, and the same follows.
+//   - It hears of no change and does not know it: each answer carries the age of the last
+//     list, which bounds how old a follower's knowledge may be.
+//   - Refused by a platform that serves others: it asks readers of all failure domains.
 type Sharing struct {
-	api    platform.API
-	fleet  Fleet
-	caller peer.Caller
+	SharingConfig
 
 	mu    sync.Mutex
 	feeds map[platform.Kind]*feed
+	// silent is until when readers that did not answer are not asked, by instance.
+	silent map[string]time.Time
+}
+
+// SharingConfig is what a Sharing is made of.
+type SharingConfig struct {
+	API    platform.API
+	Fleet  Fleet
+	Caller peer.Caller
+	Clock  clock.Clock
+	// Rand spreads the calls of instances that have lost their readers. It is used under
+	// the lock of the Sharing only, and must not be shared.
+	Rand *rand.Rand
 }
 
 // NewSharing returns a Sharing and registers its methods.
-func NewSharing(api platform.API, f Fleet, c peer.Caller, r peer.Registry) *Sharing {
-	s := &Sharing{api: api, fleet: f, caller: c, feeds: make(map[platform.Kind]*feed)}
+func NewSharing(c SharingConfig, r peer.Registry) *Sharing {
+	s := &Sharing{SharingConfig: c, feeds: make(map[platform.Kind]*feed), silent: make(map[string]time.Time)}
 	r.Handle(methodList, s.serveList)
 	r.Handle(methodAfter, s.serveAfter)
+	r.Handle(methodProof, s.serveProof)
 	return s
 }
 
-// API returns the platform with the lists and watches of one kind shared.
-func (s *Sharing) API(kind platform.Kind) platform.API {
+// API returns the platform with the calls for one kind shared. What a reader says counts
+// only if the platform has shown it within maxAge; zero sets no bound.
+func (s *Sharing) API(kind platform.Kind, maxAge time.Duration) *SharedAPI {
 	f := newFeed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.feeds[kind] = f
-	return &sharedAPI{API: s.api, sharing: s, kind: kind, feed: f}
+	return &SharedAPI{API: s.SharingConfig.API, sharing: s, kind: kind, feed: f, maxAge: maxAge}
 }
 
 func (s *Sharing) feed(kind platform.Kind) *feed {
@@ -74,34 +95,74 @@
 	return s.feeds[kind]
 }
 
+// jitter returns a time between half of d and d.
+func (s *Sharing) jitter(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d/2 + time.Duration(s.Rand.Int64N(int64(d)/2+1))
+}
+
+// awaitFleet waits until the instances are known, or for its patience. Without the list
+// every instance would take itself for a reader, and all that start together would ask the
+// platform for everything.
+func (s *Sharing) awaitFleet(ctx context.Context, kind platform.Kind) {
+	if kind == platform.KindInstances {
+		// This is what names the readers.
+		return
+	}
+	for deadline := s.Clock.Now().Add(fleetPatience); !s.Fleet.Known() && s.Clock.Now().Before(deadline); {
+		if clock.Sleep(ctx, s.Clock, fleetPoll) != nil {
+			return
+		}
+	}
+}
+
 // readers returns the readers of this instance's failure domain; none if it reads for
 // itself.
 func (s *Sharing) readers() []platform.Instance {
-	if near, _ := OnDuty(s.fleet, readDuty, ownReading+1); len(near) <= ownReading {
+	if near, _ := OnDuty(s.Fleet, readDuty, ownReading+1); len(near) <= ownReading {
 		return nil
 	}
-	readers, self := OnDuty(s.fleet, readDuty, readersPerDomain)
+	readers, self := OnDuty(s.Fleet, readDuty, readersPerDomain)
 	if self {
 		return nil
 	}
 	return readers
 }
 
-// question asks for a kind, from a revision on.
-type question struct {
-	Kind  platform.Kind `json:"kind"`
-	After int64         `json:"after,omitempty"`
+// answering returns those readers that have not been silent of late.
+func (s *Sharing) answering(readers []platform.Instance) []platform.Instance {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(readers), func(i platform.Instance) bool { return now.Before(s.silent[i.ID]) })
 }
 
-// answer is what a feed holds. Compacted says that it does not reach back so far.
-type answer struct {
-	Objects   []platform.Object `json:"objects"`
-	Revision  int64             `json:"revision"`
-	Compacted bool              `json:"compacted,omitempty"`
+// noteAnswer keeps in mind whether a reader answers. One that says that it cannot tell does.
+func (s *Sharing) noteAnswer(reader platform.Instance, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, answered := result.As(err); err == nil || answered {
+		delete(s.silent, reader.ID)
+		return
+	}
+	s.silent[reader.ID] = s.Clock.Now().Add(silentFor)
 }
 
-// errNoFeed says that this instance cannot tell.
-var errNoFeed = result.New(result.NotReady, "the platform is not followed here")
+// rescuers returns some readers of any failure domain other than this instance.
+func (s *Sharing) rescuers(n int) []platform.Instance {
+	self := s.Fleet.Self().ID
+	var all []platform.Instance
+	for _, i := range s.Fleet.Pick(readDuty, readersPerDomain) {
+		if i.ID != self {
+			all = append(all, i)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Rand.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	return all[:min(n, len(all))]
+}
 
 // asked returns the feed that a question is about, and the question.
 func (s *Sharing) asked(params json.RawMessage) (*feed, question, error) {
@@ -121,11 +182,25 @@
 	if err != nil {
 		return nil, err
 	}
+	// The proof is read first: what is listed behind it is no older.
+	_, age, _ := f.proof(s.Clock.Now())
 	objects, revision, ok := f.list()
 	if !ok {
 		return nil, errNoFeed
 	}
-	return answer{Objects: objects, Revision: revision}, nil
+	return answer{Objects: objects, Revision: revision, AgeMS: age.Milliseconds()}, nil
+}
+
+func (s *Sharing) serveProof(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	f, _, err := s.asked(params)
+	if err != nil {
+		return nil, err
+	}
+	revision, age, ok := f.proof(s.Clock.Now())
+	if !ok {
+		return nil, errNoFeed
+	}
+	return answer{Revision: revision, AgeMS: age.Milliseconds()}, nil
 }
 
 func (s *Sharing) serveAfter(ctx context.Context, _ string, params json.RawMessage) (any, error) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -46,10 +46,12 @@
 
 // Config is what a Registry is made of.
 type Config struct {
-	API   platform.API
-	Self  platform.Instance
-	List  List
-	Clock clock.Clock
+	API platform.API
+	// Entries is how the entries of all instances are followed; API if it is not set.
+	Entries platform.API
+	Self    platform.Instance
+	List    List
+	Clock   clock.Clock
 	// Seed starts the random source that spreads the calls.
 	Seed uint64
 	Log  hclog.Logger
@@ -70,6 +72,9 @@
 
 // New returns a Registry; Run makes it work.
 func New(c Config) *Registry {
+	if c.Entries == nil {
+		c.Entries = c.API
+	}
 	c.Log = c.Log.Named("registry")
 	return &Registry{Config: c, lost: make(chan struct{}, 1), entries: make(map[string]platform.Instance)}
 }
@@ -77,28 +82,67 @@
 // Run writes the own entry, follows the others, and watches two of them, until ctx
 // ends.
 func (r *Registry) Run(ctx context.Context) {
-	r.write(ctx)
 	var parts sync.WaitGroup
 	defer parts.Wait()
+	spread := rand.New(rand.NewPCG(r.Seed, 3))
+	r.meet(ctx)
+	if err := r.announce(ctx); err != nil {
+		r.Log.Warn("The instance's entry was not written yet.", "error", err)
+		parts.Go(func() { r.write(ctx) })
+	}
+	if !r.knowsOthers() {
+		// A fleet that starts for the first time starts together.
+		_ = clock.Sleep(ctx, r.Clock, settle+time.Duration(spread.Int64N(int64(settle/2))))
+		r.meet(ctx)
+	}
 	if r.Peers != nil {
 		parts.Go(func() { r.keep(ctx) })
 		parts.Go(func() { newSweeper(r).run(ctx) })
 	}
 	objectwatch.New(objectwatch.Config{
-		API: r.API, Kind: platform.KindInstances, Sink: r, Clock: r.Clock, Log: r.Log,
-		Rand: rand.New(rand.NewPCG(r.Seed, 3)), Settle: settle,
+		API: r.Entries, Kind: platform.KindInstances, Sink: r, Clock: r.Clock, Log: r.Log,
+		Rand: spread, Settle: settle,
 	}).Run(ctx)
 }
 
+// meet learns the other instances from a list that may be some seconds old. It costs the
+// platform little, and names those that can tell the present one.
+func (r *Registry) meet(ctx context.Context) {
+	objects, _, err := r.API.ListStale(ctx, platform.KindInstances)
+	if err != nil {
+		r.Log.Info("The instances were not listed yet.", "error", err)
+		return
+	}
+	r.mu.Lock()
+	for _, o := range objects {
+		r.take(o)
+	}
+	r.mu.Unlock()
+	if r.knowsOthers() {
+		r.List.Adopt(r.listed())
+	}
+}
+
+// knowsOthers reports whether any other instance is known.
+func (r *Registry) knowsOthers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.entries {
+		if id != r.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // write writes the own entry, as often as it takes.
 func (r *Registry) write(ctx context.Context) {
-	for ctx.Err() == nil {
+	for clock.Sleep(ctx, r.Clock, retryPause) == nil {
 		err := r.announce(ctx)
 		if err == nil {
 			return
 		}
 		r.Log.Warn("The instance's entry was not written yet.", "error", err)
-		_ = clock.Sleep(ctx, r.Clock, retryPause)
 	}
 }
 
@@ -123,7 +167,10 @@
 				return
 			}
 		}
-		r.write(ctx)
+		if err := r.announce(ctx); err != nil {
+			r.Log.Warn("The instance's entry was not written yet.", "error", err)
+			r.write(ctx)
+		}
 	}
 }
 
@@ -138,6 +185,9 @@
 	if !errors.Is(err, platform.ErrConflict) {
 		return err
 	}
+	if r.isListed() {
+		return nil
+	}
 	held, err := r.API.Get(ctx, platform.KindInstances, r.Self.ID)
 	if err != nil || string(held.Value) == string(value) {
 		return err
@@ -179,12 +229,11 @@
 	r.List.Adopt(r.listed())
 }
 
-// isListed reports whether the own entry is among those that are known.
+// isListed reports whether the own entry, as it should be, is among those that are known.
 func (r *Registry) isListed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, listed := r.entries[r.Self.ID]
-	return listed
+	return r.entries[r.Self.ID] == r.Self
 }
 
 // take takes in one object. The caller holds r.mu.
