Say at once that a failure domain is cut off, and never that it is back unheard

Now two instances of each failure domain ask one instance of each other domain every 80 ms. When all domains are silent for 200 ms, all instances of the own one are told to look: homes ask their members at once, the others ask homes behind them. The verdict stays what each instance reaches itself, so that an instance cut off alone takes nobody along and a false alarm costs some questions. An instance that nobody tells anything any more keeps its verdict.

Ruled out: the silence itself as the verdict (a failure domain whose neighbours lost all their instances still reaches members); asking calm members more often, which is priced for each.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/adminapi"
 	"github.com/topazrock/topazrock/internal/clock"
@@ -42,6 +43,10 @@
 	firstView firstView
 	// cutOff says that the instance reaches only minorities of most groups.
 	cutOff atomic.Bool
+	// lookedAt is when this instance last looked at once what it reaches; lookReach and
+	// lookPeers wake those who do.
+	lookedAt             atomic.Pointer[time.Time]
+	lookReach, lookPeers chan struct{}
 	// leaving says that the graceful shutdown has begun.
 	leaving atomic.Bool
 	peers   *peer.Server
@@ -77,8 +82,12 @@
 		metrics: newMetrics(o.Registry),
 		changed: make(chan struct{}, 1),
 		stop:    make(chan struct{}),
-		homeOf:  make(map[string]*home),
-		ending:  make(map[string]bool),
+
+		lookReach: make(chan struct{}, 1),
+		lookPeers: make(chan struct{}, 1),
+
+		homeOf: make(map[string]*home),
+		ending: make(map[string]bool),
 	}
 	n.stopOnce = sync.OnceFunc(func() { close(n.stop) })
 	n.build()
@@ -145,6 +154,7 @@
 	})
 	n.serveTestimony()
 	n.serveReach()
+	n.serveFar()
 	n.holder = n.newHolder()
 	n.seats = shares.NewDirectory(n.holder.Incarnation)
 	n.seats.Register(n.peers)
@@ -192,6 +202,7 @@
 	n.running.Go(func() { n.serveReady(parts) })
 	n.running.Go(func() { n.serveMetrics(parts) })
 	n.running.Go(func() { n.watchReach(parts) })
+	n.running.Go(func() { n.farWatch(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.callers.Serve(callers) })
 	select {
--- /dev/null
+++ b/internal/instance/isolation_test.go
@@ -0,0 +1,44 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Three other failure domains are asked ten times a second. One is lost for good, and the
+// others miss a question each, at different times. That is no cut. Then all fall silent: it
+// is reported once, and again only behind an answer.
+func TestSilenceOfAllOtherDomainsIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	i := newIsolation()
+	start := time.Unix(100, 0)
+	var reports []time.Duration
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		cut := at >= 5*time.Second && at < 7*time.Second || at >= 8*time.Second && at < 9*time.Second
+		for domain, missed := range map[string]bool{
+			"lost":  at > time.Second,
+			"first": cut || at%(700*time.Millisecond) == 0,
+			"other": cut || at%(900*time.Millisecond) == 0,
+		} {
+			if !missed {
+				i.note(domain, now)
+			}
+		}
+		if i.begins(now) {
+			reports = append(reports, at)
+		}
+	}
+	is.Equal(len(reports), 2)
+	is.True(reports[0] <= 5*time.Second+isolatedAfter+100*time.Millisecond)
+	is.True(reports[1] >= 8*time.Second)
+}
+
+// An instance that has heard of no other failure domain yet does not take itself for cut off.
+func TestNothingHeardIsNoCut(t *testing.T) {
+	is := is.New(t)
+	i := newIsolation()
+	is.True(!i.begins(time.Unix(100, 0)))
+}
--- a/internal/instance/reach.go
+++ b/internal/instance/reach.go
@@ -14,6 +14,9 @@
 	// instance is not ready: the balancer needs two probes a second apart, and one
 	// that reconnects before would come back here.
 	dismissAfter = 2200 * time.Millisecond
+	// hintCounts is how long a hint that all links fell silent at once spares cutOffAfter:
+	// the time in which members that are asked at once have answered or are silent.
+	hintCounts = 500 * time.Millisecond
 )
 
 // reach decides whether an instance is cut off from the groups: it reaches less than a
@@ -30,8 +33,16 @@
 	cutOff    bool
 	since     time.Time
 	dismissed bool
+	// hintedAt is when all links were last found to have fallen silent at once.
+	hintedAt time.Time
 }
 
+// hint notes that all links fell silent at once.
+func (r *reach) hint(now time.Time) { r.hintedAt = now }
+
+// hinted reports whether a hint counts.
+func (r *reach) hinted(now time.Time) bool { return now.Sub(r.hintedAt) < hintCounts }
+
 // reachEvent is what follows from a look at the groups.
 type reachEvent int
 
@@ -47,12 +58,18 @@
 // note takes in how many of the groups are reached by a majority.
 func (r *reach) note(now time.Time, groups, reached int) reachEvent {
 	minority := groups > 0 && 2*reached < groups
+	if groups == 0 && r.cutOff {
+		// Nobody can tell any more, which is no sign that the cut is over. A single instance
+		// that took callers again would bring its whole failure domain back into the
+		// balancer, which uses all instances where few are ready.
+		minority = true
+	}
 	if minority != r.minority {
 		r.minority, r.changed = minority, now
 	}
 	held := now.Sub(r.changed)
 	switch {
-	case minority && !r.cutOff && held >= cutOffAfter:
+	case minority && !r.cutOff && (held >= cutOffAfter || r.hinted(now)):
 		r.cutOff, r.since, r.dismissed = true, now, false
 		return reachLost
 	case !minority && r.cutOff && held >= backAfter:
--- a/internal/instance/reach_test.go
+++ b/internal/instance/reach_test.go
@@ -38,3 +38,19 @@
 	}
 	is.Equal(r.note(time.Unix(30, 0), 0, 0), reachSame)
 }
+
+// A cut-off instance is home to no group any more and nobody tells it what is reached. That
+// is no sign that the cut is over: it takes callers again only when a majority is reached.
+func TestCutOffInstanceThatHearsNothingStaysCutOff(t *testing.T) {
+	is := is.New(t)
+	var r reach
+	start := time.Now()
+	at := func(d time.Duration, groups, reached int) reachEvent { return r.note(start.Add(d), groups, reached) }
+	is.Equal(at(0, 3, 0), reachSame)
+	is.Equal(at(time.Second, 3, 0), reachLost)
+	is.Equal(at(2*time.Second, 0, 0), reachSame)
+	is.Equal(at(3*time.Second, 0, 0), reachSame)
+	is.Equal(at(4*time.Second, 0, 0), reachDismiss)
+	is.Equal(at(5*time.Second, 1, 1), reachSame)
+	is.Equal(at(6*time.Second, 1, 1), reachBack)
+}
--- a/internal/instance/reachpeers.go
+++ b/internal/instance/reachpeers.go
@@ -19,6 +19,9 @@
 	reachAskTimeout  = 200 * time.Millisecond
 	// reachAsked is how many homes are asked: two, because one may be down.
 	reachAsked = 2
+	// lookTime is what homes need to find out which members are silent, when they look at
+	// once.
+	lookTime = 110 * time.Millisecond
 )
 
 // reached is how many groups there are, and how many are reached by a majority.
@@ -80,7 +83,11 @@
 // askReach asks homes near this instance what they reach, as long as it is home to less
 // than half of the groups, until ctx ends.
 func (n *Instance) askReach(ctx context.Context, p *peersReach) {
-	for clock.Sleep(ctx, n.options.Clock, reachAskInterval) == nil {
+	for {
+		woken, err := n.sleepOr(ctx, reachAskInterval, n.lookPeers)
+		if err != nil || woken && clock.Sleep(ctx, n.options.Clock, lookTime) != nil {
+			return
+		}
 		var sum reached
 		if 2*len(n.homesCopy()) < len(n.documents.Groups()) {
 			sum = n.askHomes(ctx, n.homesToAsk())
--- a/internal/instance/reachwatch.go
+++ b/internal/instance/reachwatch.go
@@ -3,24 +3,53 @@
 import (
 	"context"
 	"time"
-
-	"github.com/topazrock/topazrock/internal/clock"
 )
 
-// reachInterval is how often the instance looks at what it reaches.
-const reachInterval = 100 * time.Millisecond
+const (
+	// reachInterval is how often the instance looks at what it reaches, and hintedInterval
+	// how often as long as a hint counts.
+	reachInterval  = 100 * time.Millisecond
+	hintedInterval = 20 * time.Millisecond
+)
 
 // dismisser is a side of callers that can send idle ones elsewhere.
 type dismisser interface{ Dismiss() }
 
+// sleepOr waits for a time or until it is woken, and says which; ctx ends it with an error.
+func (n *Instance) sleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) (woken bool, err error) {
+	t := n.options.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-wake:
+		return true, nil
+	case <-t.C:
+		return false, nil
+	}
+}
+
 // watchReach keeps the instance's verdict on whether it is cut off, until ctx ends.
 func (n *Instance) watchReach(ctx context.Context) {
 	var r reach
 	var peers peersReach
 	n.running.Go(func() { n.askReach(ctx, &peers) })
-	for clock.Sleep(ctx, n.options.Clock, reachInterval) == nil {
+	interval := reachInterval
+	for {
+		hinted, err := n.sleepOr(ctx, interval, n.lookReach)
+		if err != nil {
+			return
+		}
+		now := n.options.Clock.Now()
+		if hinted {
+			r.hint(now)
+		}
+		interval = reachInterval
+		if r.hinted(now) {
+			interval = hintedInterval
+		}
 		sum := n.ownReach().plus(peers.get())
-		switch r.note(n.options.Clock.Now(), sum.Groups, sum.Reached) {
+		switch r.note(now, sum.Groups, sum.Reached) {
 		case reachLost:
 			n.cutOff.Store(true)
 			n.options.Logger.Warn("Instance is cut off from most groups.", "groups", sum.Groups, "reached", sum.Reached)
