Judge late waiters by what may be at work, not by all slots

Late ones so stayed until their deadlines and were told then, a second after their arrival, what was known all the time; their callers came back too late to be in time anywhere.

--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -35,10 +35,12 @@
 }
 
 // hopeless returns the late waiters that would not end by their deadline even if the
-// slots went to late ones alone from now on. Only late ones are judged again while
+// turns went to late ones alone from now on, as many at once as may be at work now: slots
+// that the limit keeps unused bring nobody's turn nearer, and counting them left waiters to
+// be told at their deadline what was known before. Only late ones are judged again while
 // they wait: others keep going before them, which their arrival could not know. A
-// stricter judgement, by the share of the slots that late ones get just now, refused
-// many whose turn came when the burst was over.
+// stricter judgement, by the share of the turns that late ones get just now, refuses
+// many whose turn comes when a burst is over.
 func (c *Controller) hopeless(now time.Time) []*waiter {
 	var all []*waiter
 	var ahead time.Duration
@@ -46,7 +48,7 @@
 		if !w.late {
 			continue
 		}
-		turn := now.Add(ahead / time.Duration(max(c.slots, 1)))
+		turn := now.Add(ahead / time.Duration(c.servers()))
 		if turn.Add(w.class.service).After(w.request.Deadline) {
 			all = append(all, w)
 			continue
--- /dev/null
+++ b/internal/admission/late_test.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// A member is slow, and one request may be at work there at a time of a home's seven
+// connections. Twenty requests become late while they wait; their callers give them a second,
+// in which ten can be served. Those whose turn cannot come are told so long before their
+// deadline, and have the time to try elsewhere.
+func TestLateWaiterIsToldWhenItsTurnCannotCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const work, objective, deadline = 100 * time.Millisecond, 250 * time.Millisecond, time.Second
+		c := New(Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Slots: 7, Adaptive: true})
+		c.limit.limit = 1
+		c.limit.stretch = stretchWanted
+		began := time.Now()
+		refusedAfter := make(chan time.Duration, 30)
+		request := func() {
+			r := Request{Class: "read", Priority: 2, MaxQueue: 500, WantedBy: began.Add(objective), Deadline: began.Add(deadline)}
+			slot, err := c.Enter(context.Background(), r)
+			if e, refused := result.As(err); refused {
+				is.Equal(e.Code.Family(), result.FamilyDidNotRun)
+				refusedAfter <- time.Since(began)
+				return
+			}
+			time.Sleep(work)
+			slot.Release()
+		}
+		// They are let in while the member seems quick.
+		c.class("read").service = time.Millisecond
+		for range 21 {
+			go request()
+		}
+		synctest.Wait()
+		c.mu.Lock()
+		c.class("read").service = work
+		c.mu.Unlock()
+		time.Sleep(2 * deadline)
+		close(refusedAfter)
+		told := 0
+		for after := range refusedAfter {
+			told++
+			is.True(after <= deadline/2)
+		}
+		is.True(told >= 10)
+	})
+}
