--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -24,6 +24,7 @@
 	Request  string        `long:"request" description:"only refusals of this request" value-name:"ID"`
 	From     time.Duration `long:"from" description:"only from this time of the logs on" value-name:"TIME"`
 	To       time.Duration `long:"to" description:"only up to this time" value-name:"TIME"`
+	Detail   bool          `long:"detail" description:"each second's refusals and beliefs in place of the first page"`
 	Args     logFiles      `positional-args:"yes"`
 }
 
@@ -49,5 +50,8 @@
 	if c.root.options.Output == "json" {
 		return c.root.print(report, nil)
 	}
-	return report.WriteText(c.root.env.Stdout)
+	if c.Detail {
+		return report.WriteText(c.root.env.Stdout)
+	}
+	return report.WriteSummary(c.root.env.Stdout)
 }
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -23,6 +23,8 @@
 	Request   string `json:"request"`
 	Member    string `json:"member"`
 	Cause     string `json:"cause"`
+	// FailureDomain is told by the line of an instance's start.
+	FailureDomain string `json:"failure_domain"`
 
 	// at is when the line was written, from the first line on.
 	at time.Duration
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -79,6 +79,8 @@
 	ByCode   map[string]int `json:"by_code"`
 	Refusals []Refusals     `json:"refusals"`
 	Beliefs  []Belief       `json:"beliefs"`
+	// Domains are the failure domains of the instances that told theirs.
+	Domains map[string]string `json:"failure_domains"`
 }
 
 // maxLineBytes bounds one log line.
@@ -94,7 +96,7 @@
 
 // Read reads the log lines of one or more instances, one stream after the other.
 func Read(filter Filter, streams ...io.Reader) (Report, error) {
-	c := &collector{filter: filter, report: Report{ByCode: make(map[string]int)},
+	c := &collector{filter: filter, report: Report{ByCode: make(map[string]int), Domains: make(map[string]string)},
 		refusals: make(map[Refusals]*Refusals), beliefs: make(map[Belief]*Belief)}
 	p := &parser{}
 	for _, s := range streams {
@@ -115,6 +117,9 @@
 			continue
 		}
 		c.report.Lines++
+		if l.FailureDomain != "" {
+			c.report.Domains[l.source] = l.FailureDomain
+		}
 		if c.filter.takes(l) {
 			c.take(l)
 		}
