Look at members over new connections when all links fall silent at once

Now a hint gives the kept connections up at once, counts for 1.5 s, and instances without a home ask every 50 ms as long as it does.

--- a/internal/instance/farwatch.go
+++ b/internal/instance/farwatch.go
@@ -129,7 +129,8 @@
 	}
 	for _, h := range n.homesCopy() {
 		for _, m := range h.watcher.Snapshot().Members {
-			h.watcher.Recheck(m.Address)
+			// An open connection that is silent proves nothing; a new one that is does.
+			h.watcher.ReportFailure(m.Address)
 		}
 	}
 	for _, wake := range []chan struct{}{n.lookReach, n.lookPeers} {
--- a/internal/instance/reach.go
+++ b/internal/instance/reach.go
@@ -15,8 +15,9 @@
 	// that reconnects before would come back here.
 	dismissAfter = 2200 * time.Millisecond
 	// hintCounts is how long a hint that all links fell silent at once spares cutOffAfter:
-	// the time in which members that are asked at once have answered or are silent.
-	hintCounts = 500 * time.Millisecond
+	// the time in which members that are asked at once have answered or are silent, by slow
+	// answers of late.
+	hintCounts = 1500 * time.Millisecond
 )
 
 // reach decides whether an instance is cut off from the groups: it reaches less than a
--- a/internal/instance/reachpeers.go
+++ b/internal/instance/reachpeers.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -19,9 +18,8 @@
 	reachAskTimeout  = 200 * time.Millisecond
 	// reachAsked is how many homes are asked: two, because one may be down.
 	reachAsked = 2
-	// lookTime is what homes need to find out which members are silent, when they look at
-	// once.
-	lookTime = 110 * time.Millisecond
+	// hintedAskInterval is the time between two questions as long as a hint counts.
+	hintedAskInterval = 50 * time.Millisecond
 )
 
 // reached is how many groups there are, and how many are reached by a majority.
@@ -83,11 +81,20 @@
 // askReach asks homes near this instance what they reach, as long as it is home to less
 // than half of the groups, until ctx ends.
 func (n *Instance) askReach(ctx context.Context, p *peersReach) {
+	var hinted time.Time
 	for {
-		woken, err := n.sleepOr(ctx, reachAskInterval, n.lookPeers)
-		if err != nil || woken && clock.Sleep(ctx, n.options.Clock, lookTime) != nil {
+		interval := reachAskInterval
+		if n.options.Clock.Now().Sub(hinted) < hintCounts {
+			interval = hintedAskInterval
+		}
+		woken, err := n.sleepOr(ctx, interval, n.lookPeers)
+		if err != nil {
 			return
 		}
+		if woken {
+			hinted = n.options.Clock.Now()
+			continue
+		}
 		var sum reached
 		if 2*len(n.homesCopy()) < len(n.documents.Groups()) {
 			sum = n.askHomes(ctx, n.homesToAsk())
