Pass a member by at which reads fail one after the other

Now three failed reads in a row have a member passed by for 250 ms, and twice as long with each read that fails behind that, up to 4 s; one that is served ends it.

Ruled out: a larger budget for such retries, which sends the failing member as much.

--- a/internal/executor/conclude.go
+++ b/internal/executor/conclude.go
@@ -64,10 +64,11 @@
 
 // refusedByMember returns the error of a read that another member may answer.
 func (g *Group) refusedByMember(x *exchange) error {
+	address := x.conn.Address()
 	if x.Failure == nil {
+		g.failing.served(address)
 		return nil
 	}
-	address := x.conn.Address()
 	switch x.Failure.Kind {
 	case wire.FailureBehind:
 		g.behind.add(address, g.Clock.Now())
@@ -75,6 +76,7 @@
 	case wire.FailureBusy:
 		return result.New(result.MemberBusy, "member %s", address).WithRetryAfter(retryAfterBusy)
 	case wire.FailureRan:
+		g.failing.failed(address, g.Clock.Now())
 		return result.New(result.ReadFailed, "member %s: %s %s", address, x.Failure.Code, x.Failure.Message)
 	default:
 		return nil
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -68,6 +68,7 @@
 	running      *running
 	standby      *standby
 	behind       *behind
+	failing      *failing
 	// scout finds homes that can serve what this one cannot; nil outside a Router.
 	scout *scout
 	// abandoning counts the rollbacks of abandoned transactions under way.
@@ -87,6 +88,7 @@
 		running:      newRunning(),
 		standby:      newStandby(),
 		behind:       newBehind(),
+		failing:      newFailing(),
 	}
 }
 
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -43,13 +43,14 @@
 	return 0
 }
 
-// fullLoad is the load of a member that takes no connection: any other goes before it.
+// fullLoad is the load of a member that takes no connection or fails what it is asked: any
+// other goes before it.
 const fullLoad = 1000
 
 // loadAt is how many statements of this instance run at a member or wait for it.
 func (g *Group) loadAt(address string) int {
 	load := g.running.at(address)
-	if g.Pool.Full(address) {
+	if g.Pool.Full(address) || g.failing.at(address, g.Clock.Now()) {
 		load += fullLoad
 	}
 	if q, ok := g.Gate.(memberQueues); ok {
