Log readers and instances that do not answer what they are asked

Errors of these calls were dropped: they are an answer in themselves where they happen, and nothing in the logs said afterwards whom an instance had asked in vain. At the level debug.

--- a/internal/instance/farwatch.go
+++ b/internal/instance/farwatch.go
@@ -114,7 +114,9 @@
 		n.running.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, lookTimeout)
 			defer cancel()
-			_ = n.client.Call(bounded, i.PeerAddress, methodLook, struct{}{}, nil)
+			if err := n.client.Call(bounded, i.PeerAddress, methodLook, struct{}{}, nil); err != nil {
+				n.options.Logger.Debug("Instance was not told to look what it reaches.", "instance", i.ID, "error", err)
+			}
 		})
 	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -123,7 +123,7 @@
 		Metrics:  n.metrics.config,
 	})
 	sharing := objectwatch.NewSharing(objectwatch.SharingConfig{
-		API: o.Platform, Fleet: n.members, Caller: n.client, Clock: o.Clock, Rand: n.random("objectwatch"),
+		API: o.Platform, Fleet: n.members, Caller: n.client, Clock: o.Clock, Rand: n.random("objectwatch"), Log: o.Logger,
 	}, n.peers)
 	if o.SelfRegister {
 		n.registry = registry.New(registry.Config{
--- a/internal/objectwatch/current_test.go
+++ b/internal/objectwatch/current_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -73,7 +75,7 @@
 		"no readers are known":   {self, nil, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
 		"peer has an older one":  {self, []platform.Instance{near}, answering{told: answer{Revision: 4, AgeMS: 1}}, true},
 	} {
-		s := NewSharing(SharingConfig{Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1))}, &c.peer)
+		s := NewSharing(SharingConfig{Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
 		if got := s.API(platform.KindManifest, maxAge).Current(context.Background(), 5); got != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -68,10 +70,12 @@
 	// Rand spreads the calls of instances that have lost their readers. It is used under
 	// the lock of the Sharing only, and must not be shared.
 	Rand *rand.Rand
+	Log  hclog.Logger
 }
 
 // NewSharing returns a Sharing and registers its methods.
 func NewSharing(c SharingConfig, r peer.Registry) *Sharing {
+	c.Log = c.Log.Named("objectwatch")
 	s := &Sharing{SharingConfig: c, feeds: make(map[platform.Kind]*feed), silent: make(map[string]time.Time)}
 	r.Handle(methodList, s.serveList)
 	r.Handle(methodAfter, s.serveAfter)
@@ -142,6 +146,9 @@
 func (s *Sharing) noteAnswer(reader platform.Instance, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.Log.Debug("Reader did not serve a question.", "reader", reader.ID, "error", err)
+	}
 	if _, answered := result.As(err); err == nil || answered {
 		delete(s.silent, reader.ID)
 		return
--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -109,7 +109,7 @@
 		var running sync.WaitGroup
 		for k, i := range d.instances {
 			s := NewSharing(SharingConfig{API: countedAPI{i.view, i}, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
-				Rand: rand.New(rand.NewPCG(uint64(k), 2))}, d.net.At(i.id))
+				Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
 			follower := New(Config{API: s.API(platform.KindUpstreams, 0), Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{},
 				Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
 			running.Go(func() { follower.Run(ctx) })
@@ -228,7 +228,7 @@
 		}
 		for k, i := range d.instances {
 			s := NewSharing(SharingConfig{API: countedLists{countedAPI{i.view, i}, &lists}, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
-				Rand: rand.New(rand.NewPCG(uint64(k), 2))}, d.net.At(i.id))
+				Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
 			const check = 2 * time.Second
 			api := s.API(platform.KindUpstreams, check+300*time.Millisecond)
 			follower := New(Config{API: api, Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{}, Check: check, Current: api.Current,
