--- a/internal/admission/burst_test.go
+++ b/internal/admission/burst_test.go
@@ -78,20 +78,37 @@
 		}
 		b.homes = append(b.homes, p)
 	}
-	random := rand.New(rand.NewPCG(seed, 8))
 	var all sync.WaitGroup
-	for k, p := range phases {
-		for end := time.Now().Add(p.length); time.Now().Before(end); {
-			gap := time.Duration(random.ExpFloat64() / (burstCapacity * p.load) * float64(time.Second))
-			mine := visits(random, p.slow)
-			_ = clock.Sleep(context.Background(), clock.System{}, gap)
-			all.Go(func() { b.caller(k, mine, objectives) })
-		}
+	began := time.Now()
+	for _, a := range arrivals(seed, phases) {
+		_ = clock.Sleep(context.Background(), clock.System{}, a.at-time.Since(began))
+		all.Go(func() { b.caller(a.phase, a.visits, objectives) })
 	}
 	all.Wait()
 	return b.tallies
 }
 
+// arrival is a caller that comes at a time from the start on.
+type arrival struct {
+	at     time.Duration
+	phase  int
+	visits []visit
+}
+
+// arrivals draws the callers of all phases, in the order in which they come.
+func arrivals(seed uint64, phases []phase) []arrival {
+	random := rand.New(rand.NewPCG(seed, 8))
+	var all []arrival
+	at := time.Duration(0)
+	for k, p := range phases {
+		for end := at + p.length; at < end; {
+			at += time.Duration(random.ExpFloat64() / (burstCapacity * p.load) * float64(time.Second))
+			all = append(all, arrival{at, k, visits(random, p.slow)})
+		}
+	}
+	return all
+}
+
 // caller asks one home after the other until it is served.
 func (b *burst) caller(k int, mine []visit, objectives bool) {
 	began := time.Now()
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -21,6 +21,7 @@
 	"Member is promoted.": true, "Primary replaced.": true, "Others reach the primary.": true, "Claim failed.": true,
 	"Claimed term was left.": true, "The platform does not answer.": true, "The platform answers.": true,
 	"Instance is cut off from most groups.": true, "Instance reaches most groups again.": true,
+	"No other failure domain answers.": true,
 	"Idle callers are sent elsewhere.": true, "Instance starts.": true, "Drain begins.": true, "Instance has stopped.": true,
 	"Home of a group was started.": true, "Home of a group is retired.": true, "Entry of a silent instance was removed.": true,
 	"The instance's entry was removed.": true, "Opening a connection failed.": true, "Unit was passed on and not served.": true,
