--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -5,9 +5,7 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,42 +14,6 @@
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-// defaultWait is how long a watch waits for a change.
-const defaultWait = 10 * time.Second
-
-// Call names a kind of call that the store counts.
-type Call string
-
-// Kinds of calls. A watch counts once however long it waits.
-const (
-	CallGet       Call = "get"
-	CallList      Call = "list"
-	CallPut       Call = "put"
-	CallDelete    Call = "delete"
-	CallWatch     Call = "watch"
-	CallInventory Call = "inventory"
-)
-
-// Faults are the switches of the store.
-type Faults struct {
-	// Outage makes every call fail, a waiting watch too.
-	Outage bool
-	// Silent makes calls wait until their callers give up.
-	Silent bool
-	// DeafWatches makes watches hear nothing while objects change.
-	DeafWatches bool
-	// LateChanges is how many of the next Puts get no answer and take effect LateBy
-	// later, if their condition still holds then.
-	LateChanges int
-	LateBy      time.Duration
-	// Delay is added to every call.
-	Delay time.Duration
-	// LoseAnswers is how many of the next Puts take effect with no answer.
-	LoseAnswers int
-	// InventoryLag is how late the list of machines shows a change.
-	InventoryLag time.Duration
-}
-
 // shown is a list of machines and when it was set.
 type shown struct {
 	at        time.Time
@@ -93,36 +55,6 @@
 // SetHook calls f at KIND.put.before and KIND.put.after_before_answer.
 func (s *Store) SetHook(f func(point string)) { s.hook.Store(&f) }
 
-// SetFaults replaces the switches.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	s.notify()
-}
-
-// Faults returns the switches.
-func (s *Store) Faults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
-// Calls returns how many calls of each kind have come.
-func (s *Store) Calls() map[Call]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return maps.Clone(s.calls)
-}
-
-// Compact forgets the history of a kind: watches from before now must list.
-func (s *Store) Compact(kind platform.Kind) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.collection(kind)
-	c.floor = c.revision
-}
-
 // SetInventory sets the list of machines. Callers see it after InventoryLag.
 func (s *Store) SetInventory(i platform.Inventory) {
 	s.mu.Lock()
@@ -236,49 +168,6 @@
 	return nil
 }
 
-// Watch implements platform.API. It waits ten seconds at the longest.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
-	return s.watch(ctx, kind, after, defaultWait)
-}
-
-func (s *Store) watch(ctx context.Context, kind platform.Kind, after int64, wait time.Duration) ([]platform.Object, int64, error) {
-	if err := s.begin(ctx, CallWatch); err != nil {
-		return nil, 0, err
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		objects, revision, changed, err := s.peek(kind, after)
-		deaf := s.Faults().DeafWatches
-		if err != nil || len(objects) > 0 && !deaf {
-			return objects, revision, err
-		}
-		if deaf {
-			revision = after
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, revision, nil
-		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		}
-	}
-}
-
-func (s *Store) peek(kind platform.Kind, after int64) ([]platform.Object, int64, <-chan struct{}, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.collection(kind)
-	switch {
-	case s.faults.Outage:
-		return nil, 0, nil, platform.ErrUnavailable
-	case after < c.floor || after > c.revision:
-		return nil, 0, nil, platform.ErrCompacted
-	}
-	return c.after(after), c.revision, s.changed, nil
-}
-
 // Inventory implements platform.API.
 func (s *Store) Inventory(ctx context.Context) (platform.Inventory, error) {
 	if err := s.begin(ctx, CallInventory); err != nil {
@@ -295,31 +184,6 @@
 	return platform.Inventory{}, nil
 }
 
-// begin counts a call and applies the delay and the outage.
-func (s *Store) begin(ctx context.Context, c Call) error {
-	s.mu.Lock()
-	s.calls[c]++
-	delay := s.faults.Delay
-	s.mu.Unlock()
-	if delay > 0 {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	if s.Faults().Silent {
-		<-ctx.Done()
-		return platform.ErrUnavailable
-	}
-	if s.Faults().Outage {
-		return platform.ErrUnavailable
-	}
-	return ctx.Err()
-}
-
 func (s *Store) at(point string) {
 	if f := s.hook.Load(); f != nil && *f != nil {
 		(*f)(point)
@@ -339,15 +203,3 @@
 	}
 	return c
 }
-
-// after returns the objects changed past a revision, in that order.
-func (c *collection) after(revision int64) []platform.Object {
-	objects := []platform.Object{}
-	for _, o := range c.objects {
-		if o.Revision > revision {
-			objects = append(objects, o)
-		}
-	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Revision, b.Revision) })
-	return objects
-}
--- /dev/null
+++ b/internal/standin/platform/watch.go
@@ -0,0 +1,76 @@
+package platform
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// defaultWait is how long a watch waits for a change.
+const defaultWait = 10 * time.Second
+
+// Compact forgets the history of a kind: watches from before now must list.
+func (s *Store) Compact(kind platform.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	c.floor = c.revision
+}
+
+// Watch implements platform.API. It waits ten seconds at the longest.
+func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	return s.watch(ctx, kind, after, defaultWait)
+}
+
+func (s *Store) watch(ctx context.Context, kind platform.Kind, after int64, wait time.Duration) ([]platform.Object, int64, error) {
+	if err := s.begin(ctx, CallWatch); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		objects, revision, changed, err := s.peek(kind, after)
+		deaf := s.Faults().DeafWatches
+		if err != nil || len(objects) > 0 && !deaf {
+			return objects, revision, err
+		}
+		if deaf {
+			revision = after
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) peek(kind platform.Kind, after int64) ([]platform.Object, int64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.collection(kind)
+	switch {
+	case s.faults.Outage:
+		return nil, 0, nil, platform.ErrUnavailable
+	case after < c.floor || after > c.revision:
+		return nil, 0, nil, platform.ErrCompacted
+	}
+	return c.after(after), c.revision, s.changed, nil
+}
+
+// after returns the objects changed past a revision, in that order.
+func (c *collection) after(revision int64) []platform.Object {
+	objects := []platform.Object{}
+	for _, o := range c.objects {
+		if o.Revision > revision {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	return objects
+}
