Let an instance that returns to a fleet know the objects at once

A follower that starts before its readers found none that could tell, waited rounds of 0.2 to 0.4 s, and took a reader that was not up yet for silent for five seconds.

Now the first list of an instance asks each reader once, 80 ms at most, and then the platform; a reader that has just started holds the question until its own list is there. A fleet that starts for the first time, which has no callers yet, waits as before; it is told by how long the list of instances takes.

--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -173,6 +174,23 @@
 	return all, f.revision, true
 }
 
+// awaitKnown waits until the objects are known, for a time at most.
+func (f *feed) awaitKnown(ctx context.Context, k clock.Clock, limit time.Duration) {
+	f.mu.Lock()
+	known, changed := f.known, f.changed
+	f.mu.Unlock()
+	if known {
+		return
+	}
+	timer := k.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-changed:
+	}
+}
+
 // after waits until there are changes after a revision or ctx ends, and returns them.
 // Its errors are ErrUnavailable and ErrCompacted of the platform package.
 func (f *feed) after(ctx context.Context, revision int64) ([]platform.Object, int64, error) {
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
@@ -16,6 +17,13 @@
 	proofTimeout = 300 * time.Millisecond
 	// afterGrace is what the answer to a question that was held may take beside.
 	afterGrace = 500 * time.Millisecond
+	// firstTimeout bounds a reader's first list for an instance that returns to a fleet, and
+	// firstWait, a part of it, is how long a reader waits for the platform's own answer.
+	firstTimeout = 80 * time.Millisecond
+	firstWait    = 60 * time.Millisecond
+	// freshFleetWait is how long the list of instances is awaited at least by a fleet that
+	// starts for the first time.
+	freshFleetWait = 500 * time.Millisecond
 	// readerRounds is how often a follower asks its readers before it asks the platform
 	// itself, and readerPause the longest pause between two rounds. Readers that start
 	// with their followers have the platform's answer within it.
@@ -34,6 +42,8 @@
 	feed    *feed
 	maxAge  time.Duration
 	own     ownTries
+	// informed says that a list was answered once.
+	informed atomic.Bool
 }
 
 // listing asks the platform for a list in one of its ways.
@@ -50,9 +60,9 @@
 }
 
 func (a *SharedAPI) list(ctx context.Context, ask listing) ([]platform.Object, int64, error) {
-	a.sharing.awaitFleet(ctx, a.kind)
-	got, err := a.follow(ctx, a.listFrom)
+	got, err := a.listOfReaders(ctx)
 	if err == nil {
+		a.informed.Store(true)
 		return got.Objects, got.Revision, nil
 	}
 	if !errors.Is(err, errReadsItself) {
@@ -62,6 +72,7 @@
 	objects, revision, err := ask(ctx, a.kind)
 	if err == nil {
 		a.feed.listed(objects, revision, asked)
+		a.informed.Store(true)
 		return objects, revision, nil
 	}
 	a.failed()
@@ -71,6 +82,29 @@
 	return nil, 0, err
 }
 
+// listOfReaders asks the readers for a list. Its errors are those of follow.
+//
+// An instance that returns to a fleet has callers who wait until it knows the objects. Its
+// readers may return later than it does, and all the domain would wait for them: it asks
+// each once, and then the platform. A fleet that starts for the first time has no callers
+// yet, and its instances wait for the readers.
+func (a *SharedAPI) listOfReaders(ctx context.Context) (answer, error) {
+	began := a.sharing.Clock.Now()
+	a.sharing.awaitFleet(ctx, a.kind)
+	// The instances themselves are known from an older list by now.
+	patient := a.informed.Load() || a.kind == platform.KindInstances
+	if patient || a.sharing.Clock.Now().Sub(began) >= freshFleetWait {
+		return a.follow(ctx, a.listFrom)
+	}
+	for _, reader := range a.sharing.readers() {
+		got, err := a.call(ctx, reader, methodList, question{Kind: a.kind}, firstTimeout)
+		if err == nil && a.young(got) {
+			return got, nil
+		}
+	}
+	return answer{}, errReadsItself
+}
+
 // Watch implements platform.API.
 func (a *SharedAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
 	watch := func(ctx context.Context, reader platform.Instance) (answer, bool) {
@@ -173,12 +207,18 @@
 	return got, ok && a.young(got)
 }
 
-// ask asks a reader.
+// ask asks a reader, and keeps in mind whether it answers.
 func (a *SharedAPI) ask(ctx context.Context, reader platform.Instance, method string, q question, timeout time.Duration) (answer, bool) {
+	got, err := a.call(ctx, reader, method, q, timeout)
+	a.sharing.noteAnswer(reader, err)
+	return got, err == nil
+}
+
+// call sends a question to a reader.
+func (a *SharedAPI) call(ctx context.Context, reader platform.Instance, method string, q question, timeout time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var got answer
 	err := a.sharing.Caller.Call(ctx, reader.PeerAddress, method, q, &got)
-	a.sharing.noteAnswer(reader, err)
-	return got, err == nil
+	return got, err
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -184,11 +184,12 @@
 	return f, q, nil
 }
 
-func (s *Sharing) serveList(_ context.Context, _ string, params json.RawMessage) (any, error) {
+func (s *Sharing) serveList(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	f, _, err := s.asked(params)
 	if err != nil {
 		return nil, err
 	}
+	f.awaitKnown(ctx, s.Clock, firstWait)
 	// The proof is read first: what is listed behind it is no older.
 	_, age, _ := f.proof(s.Clock.Now())
 	objects, revision, ok := f.list()
--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -268,3 +268,45 @@
 		running.Wait()
 	})
 }
+
+// A failure domain of sixty instances returns from a power cut, one after the other within
+// half a second and the readers among the last. Callers wait until an instance knows the
+// objects: each knows them within 300 ms of its start, wherever it learns them.
+func TestDomainThatReturnsKnowsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &sharedDomain{store: standin.NewStore(), net: peernet.New()}
+		is.Equal(d.put(is, "m", 0), 0)
+		var lists atomic.Int64
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		const n, spread, within = 60, 500 * time.Millisecond, 300 * time.Millisecond
+		for k := range n {
+			d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store), names: make(map[string]bool)})
+		}
+		var late atomic.Int64
+		for k, i := range d.instances {
+			running.Go(func() {
+				// The readers are the first of the list, and start last.
+				time.Sleep(spread - spread*time.Duration(k)/n)
+				s := NewSharing(SharingConfig{API: countedLists{countedAPI{i.view, i}, &lists}, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
+					Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
+				api := s.API(platform.KindUpstreams, 3*time.Second)
+				follower := New(Config{API: api, Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{}, Check: 2 * time.Second, Current: api.Current,
+					Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
+				running.Go(func() { follower.Run(ctx) })
+				time.Sleep(within)
+				if !i.knows("m") {
+					late.Add(1)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		t.Logf("%d of %d late, %d lists", late.Load(), n, lists.Load())
+		is.Equal(late.Load(), int64(0))
+		// Those that start long before any reader ask for themselves.
+		is.True(lists.Load() <= n)
+		cancel()
+		running.Wait()
+	})
+}
