Do not let a list that is older than what the watch told take a change back

Cause: a check's list that was read before a change and arrives behind the watch's news of it was passed on all the same. The sink then lacked the change until the next check, 2 to 3 s later: a new member's entry is taken for gone (its grace is 2.5 s, the check's interval 3 s, and its lists may be seconds old besides).

TestListThatIsOlderTakesNothingBack is red before, green now.

--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		f.answered()
-		f.tell(revision, func() { f.Sink.Listed(objects) })
+		f.tellList(objects, revision)
 	}
 }
 
@@ -115,12 +115,27 @@
 	return f.API.List(ctx, f.Kind)
 }
 
-// tell calls the sink with what is known up to a revision.
-func (f *Follower) tell(revision int64, call func()) {
+// tellList passes on a list, unless the sink knows of later changes. A list that was
+// answered slowly, or that may be old, shows the objects as they were before a change that
+// the watch has told meanwhile: passed on, it would take that change back until the next
+// list. What is in it has been told.
+func (f *Follower) tellList(objects []platform.Object, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision < f.revision {
+		f.Log.Debug("A list is older than what is known.", "revision", revision, "known", f.revision)
+		return
+	}
+	f.revision = revision
+	f.Sink.Listed(objects)
+}
+
+// tellChanges passes on changes up to a revision.
+func (f *Follower) tellChanges(objects []platform.Object, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = max(f.revision, revision)
-	call()
+	f.Sink.Changed(objects)
 }
 
 // toldUpTo returns the revision up to which the sink was told.
@@ -139,8 +154,9 @@
 		}
 		f.backoff = 0
 		f.answered()
-		f.tell(revision, func() { f.Sink.Listed(objects) })
-		f.watch(ctx, revision)
+		f.tellList(objects, revision)
+		// A list that was not passed on lacks changes that the sink knows.
+		f.watch(ctx, f.toldUpTo())
 	}
 }
 
@@ -160,7 +176,7 @@
 		f.answered()
 		revision = next
 		if len(objects) > 0 {
-			f.tell(revision, func() { f.Sink.Changed(objects) })
+			f.tellChanges(objects, revision)
 			_ = clock.Sleep(ctx, f.Clock, f.Settle)
 		}
 	}
--- a/internal/objectwatch/follower_test.go
+++ b/internal/objectwatch/follower_test.go
@@ -103,6 +103,45 @@
 	}
 }
 
+// slowLists answers lists some time after they were read.
+type slowLists struct {
+	platform.API
+	delay time.Duration
+}
+
+// List implements platform.API.
+func (s slowLists) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	objects, revision, err := s.API.List(ctx, kind)
+	time.Sleep(s.delay)
+	return objects, revision, err
+}
+
+// An object is written while a list that was read before it is still on its way. The watch
+// tells of the object first, and then the list comes, which lacks it. The object stays known.
+func TestListThatIsOlderTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, n := standin.NewStore(), &noted{values: make(map[string]string)}
+		w := New(Config{API: slowLists{store, 500 * time.Millisecond}, Kind: platform.KindGroup, Sink: n, Clock: clock.System{},
+			Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger(), Check: 2 * time.Second})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		// The check reads its list at two seconds and has it half a second later.
+		pass(2100 * time.Millisecond)
+		put(is, store, "a", "1")
+		pass(100 * time.Millisecond)
+		is.Equal(n.values["a"], "1")
+		pass(time.Second)
+		is.Equal(n.values["a"], "1")
+		cancel()
+		<-done
+	})
+}
+
 // The platform is away for a minute. It is asked about once a second, not in a loop.
 func TestCallsArePacedInAnOutage(t *testing.T) {
 	follow(t, 0, func(is *is.I, s *standin.Store, _ *noted) {
