--- a/internal/instance/homecount.go
+++ b/internal/instance/homecount.go
@@ -19,6 +19,19 @@
 	everyInstance = 1 << 20
 )
 
+// fleetSize is how many instances there are, and in how many failure domains.
+type fleetSize struct{ instances, domains int }
+
+// sizeOf counts instances and their failure domains. It is counted once for all groups:
+// counted for each, a comparison of homes would take groups times instances.
+func sizeOf(instances []platform.Instance) fleetSize {
+	domains := make(map[string]bool)
+	for _, i := range instances {
+		domains[i.FailureDomain] = true
+	}
+	return fleetSize{instances: len(instances), domains: len(domains)}
+}
+
 // homesPerDomain returns how many instances of each failure domain are homes to a group
 // whose members limit their connections themselves; zero where they do not. While every
 // instance can have the least share, every one is a home: no statement then takes a hop,
@@ -30,19 +43,15 @@
 // connections are divided among them as well: with thirty homes before five slots, the one
 // that its whole failure domain sends to had three connections, and refused what the member
 // had room for.
-func homesPerDomain(g document.Group, instances []platform.Instance) int {
-	domains := make(map[string]bool)
-	for _, i := range instances {
-		domains[i.FailureDomain] = true
-	}
-	if g.MemberConnections <= 0 || len(domains) == 0 {
+func homesPerDomain(g document.Group, fleet fleetSize) int {
+	if g.MemberConnections <= 0 || fleet.domains == 0 {
 		return 0
 	}
-	if g.MemberConnections >= leastShare*len(instances) {
+	if g.MemberConnections >= leastShare*fleet.instances {
 		return everyInstance
 	}
-	byConnections := max(g.MemberConnections/usualShare/len(domains), 1)
-	bySlots := max(memberSlots(g)/len(domains), redundantHomes)
+	byConnections := max(g.MemberConnections/usualShare/fleet.domains, 1)
+	bySlots := max(memberSlots(g)/fleet.domains, redundantHomes)
 	return min(byConnections, bySlots)
 }
 
--- a/internal/instance/homecount_test.go
+++ b/internal/instance/homecount_test.go
@@ -34,7 +34,7 @@
 				instances = append(instances, platform.Instance{ID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % c.domains)})
 			}
 			members := make([]document.Member, 3)
-			got := homesPerDomain(document.Group{MemberConnections: c.connections, Members: members, Slots: c.slots * len(members)}, instances)
+			got := homesPerDomain(document.Group{MemberConnections: c.connections, Members: members, Slots: c.slots * len(members)}, sizeOf(instances))
 			is.Equal(got, c.want)
 			if got != everyInstance && got > 1 {
 				is.True(got*c.domains*usualShare <= c.connections)
@@ -63,3 +63,16 @@
 		is.True(sum <= total)
 	}
 }
+
+// BenchmarkHomeCounts is what one comparison of homes spends on their number where each of
+// 295 instances knows twice as many groups.
+func BenchmarkHomeCounts(b *testing.B) {
+	live := fleetOf(295, 5)
+	groups := make([]GroupInForce, 2*len(live))
+	for i := range groups {
+		groups[i].Group = document.Group{Name: fmt.Sprint(i), MemberConnections: 125, Members: make([]document.Member, 3), Slots: 15}
+	}
+	for b.Loop() {
+		homeCounts(groups, sizeOf(live))
+	}
+}
--- a/internal/instance/homeload_test.go
+++ b/internal/instance/homeload_test.go
@@ -122,7 +122,7 @@
 		const domains = 5
 		g := document.Group{Name: "g", MemberConnections: 125, Members: make([]document.Member, 3), Slots: 15}
 		perSecond := 0.8 * float64(memberSlots(g)) / homeLoadWork.Seconds()
-		count := homesPerDomain(g, fleetOf(295, domains))
+		count := homesPerDomain(g, sizeOf(fleetOf(295, domains)))
 		byConnections := newHomeLoad(g, domains, g.MemberConnections/usualShare/domains).run(perSecond, 20*time.Second)
 		bySlots := newHomeLoad(g, domains, count).run(perSecond, 20*time.Second)
 		t.Logf("in time: %.3f with homes by connections, %.3f by slots", byConnections, bySlots)
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -65,14 +65,19 @@
 	if !n.protocol.MemberShares {
 		return
 	}
-	live := n.members.Live()
+	n.members.SetHomeCounts(homeCounts(n.documents.Groups(), sizeOf(n.members.Live())))
+}
+
+// homeCounts returns for each group how many homes each failure domain has; groups whose
+// members do not limit their connections are left out.
+func homeCounts(groups []GroupInForce, fleet fleetSize) map[string]int {
 	counts := make(map[string]int)
-	for _, g := range n.documents.Groups() {
-		if count := homesPerDomain(g.Group, live); count > 0 {
+	for _, g := range groups {
+		if count := homesPerDomain(g.Group, fleet); count > 0 {
 			counts[g.Name] = count
 		}
 	}
-	n.members.SetHomeCounts(counts)
+	return counts
 }
 
 // partOf is this instance's part of a number of connections to a member of a group.
