Let a group without open transactions sleep

Cause: every group at home looked for idle transactions once a second, also with none open.

TestIdleGroupWakesNobody: 60 timers a minute before, none now. What ends idle transactions is as it was, and its tests are.

--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -20,16 +20,32 @@
 	parts.Wait()
 }
 
-// endIdle ends transactions that were idle for too long. Their locks and
-// connections are held for callers that may be gone for good.
+// endIdle ends transactions that were idle for too long, until ctx ends. Their locks and
+// connections are held for callers that may be gone for good. While none is open, it
+// sleeps; an idle group then costs no processor time.
 func (g *Group) endIdle(ctx context.Context) {
-	for clock.Sleep(ctx, g.Clock, reapInterval) == nil {
-		limit := g.Service().Limits.TransactionIdleTimeout
-		for _, tx := range g.transactions.idleSince(g.Clock.Now().Add(-limit)) {
-			g.Logger.Info("Idle transaction was rolled back.", "group", g.Group, "transaction", tx.id)
-			g.Metrics.transactionReaped(g.Group)
-			g.Abandon(g.Group, tx.id)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.transactions.opened:
 		}
+		for g.transactions.count() > 0 {
+			if clock.Sleep(ctx, g.Clock, reapInterval) != nil {
+				return
+			}
+			g.rollBackIdle()
+		}
+	}
+}
+
+// rollBackIdle rolls back the transactions that are idle for too long now.
+func (g *Group) rollBackIdle() {
+	limit := g.Service().Limits.TransactionIdleTimeout
+	for _, tx := range g.transactions.idleSince(g.Clock.Now().Add(-limit)) {
+		g.Logger.Info("Idle transaction was rolled back.", "group", g.Group, "transaction", tx.id)
+		g.Metrics.transactionReaped(g.Group)
+		g.Abandon(g.Group, tx.id)
 	}
 }
 
--- a/internal/executor/transactions.go
+++ b/internal/executor/transactions.go
@@ -12,10 +12,12 @@
 	prefix string
 	next   uint64
 	open   map[string]*transaction
+	// opened has room for one signal that a transaction was opened.
+	opened chan struct{}
 }
 
 func newTransactions(prefix string) *transactions {
-	return &transactions{prefix: prefix, open: make(map[string]*transaction)}
+	return &transactions{prefix: prefix, open: make(map[string]*transaction), opened: make(chan struct{}, 1)}
 }
 
 // add gives t an identity that no other transaction of any instance has had.
@@ -25,6 +27,10 @@
 	t.next++
 	tx.id = t.prefix + transactionSeparator + strconv.FormatUint(t.next, 36)
 	t.open[tx.id] = tx
+	select {
+	case t.opened <- struct{}{}:
+	default:
+	}
 }
 
 func (t *transactions) find(id string) *transaction {
