Take neither an instance's own pause nor late answers for a cut failure domain

Cause: the two instances that ask the other failure domains counted their own pauses as silence, and answers that came more than 150 ms late as none.

A cut is still told within 0.5 s (TestCutDomainIsNotReadyAtOnce).

TestOwnPauseIsNoCut is red before, green now.

--- a/internal/instance/farwatch.go
+++ b/internal/instance/farwatch.go
@@ -19,9 +19,9 @@
 	farDuty      = "instance.far"
 	farPerDomain = 2
 	// farInterval is the time between two questions to a failure domain, and farTimeout
-	// bounds an answer, many times a slow one.
+	// bounds an answer: many times that of an instance that is short of processor time.
 	farInterval = 80 * time.Millisecond
-	farTimeout  = 150 * time.Millisecond
+	farTimeout  = time.Second
 	// lookTimeout bounds the call that asks an instance to look.
 	lookTimeout = 200 * time.Millisecond
 	// lookPause is the least time between two such looks. Each costs a question to every
@@ -29,12 +29,6 @@
 	lookPause = time.Second
 )
 
-// farAnswer is a failure domain that answered what it was asked at a time.
-type farAnswer struct {
-	domain string
-	asked  time.Time
-}
-
 // serveFar answers the questions of farWatch.
 func (n *Instance) serveFar() {
 	n.peers.Handle(methodFar, func(context.Context, string, json.RawMessage) (any, error) { return struct{}{}, nil })
@@ -48,15 +42,15 @@
 // the duty, and has all instances of its own look when all others are silent, until ctx ends.
 func (n *Instance) farWatch(ctx context.Context) {
 	silence := newIsolation()
-	answers := make(chan farAnswer)
+	answers := make(chan string)
 	ticker := n.options.Clock.NewTimer(farInterval)
 	defer ticker.Stop()
 	for round := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
-		case a := <-answers:
-			silence.note(a.domain, a.asked)
+		case domain := <-answers:
+			silence.note(domain, n.options.Clock.Now())
 		case <-ticker.C:
 			ticker.Reset(farInterval)
 			round++
@@ -79,8 +73,9 @@
 	return self
 }
 
-// askFar asks one instance of each other failure domain, another one each round.
-func (n *Instance) askFar(ctx context.Context, round int, answers chan<- farAnswer) {
+// askFar asks one instance of each other failure domain, another one each round, and passes
+// on the failure domains that answer.
+func (n *Instance) askFar(ctx context.Context, round int, answers chan<- string) {
 	byDomain := make(map[string][]platform.Instance)
 	for _, i := range n.members.Pick(farDuty, farPerDomain) {
 		if i.FailureDomain != n.self().FailureDomain {
@@ -88,7 +83,6 @@
 		}
 	}
 	for domain, all := range byDomain {
-		asked := n.options.Clock.Now()
 		n.running.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, farTimeout)
 			defer cancel()
@@ -96,7 +90,7 @@
 				return
 			}
 			select {
-			case answers <- farAnswer{domain, asked}:
+			case answers <- domain:
 			case <-ctx.Done():
 			}
 		})
--- a/internal/instance/isolation_test.go
+++ b/internal/instance/isolation_test.go
@@ -42,3 +42,39 @@
 	i := newIsolation()
 	is.True(!i.begins(time.Unix(100, 0)))
 }
+
+// The instance does not get to run for a second, and comes to look before it comes to read
+// the answers that wait for it. Its own pause is no cut, and would cost a new connection to
+// every member. The real cut behind it is found as soon as any other.
+func TestOwnPauseIsNoCut(t *testing.T) {
+	is := is.New(t)
+	i := newIsolation()
+	now := time.Unix(100, 0)
+	for range 10 {
+		i.note("other", now)
+		is.True(!i.begins(now))
+		now = now.Add(farInterval)
+	}
+	now = now.Add(time.Second)
+	is.True(!i.begins(now))
+	i.note("other", now)
+	cut := now
+	for !i.begins(now) {
+		now = now.Add(farInterval)
+	}
+	is.True(now.Sub(cut) <= isolatedAfter+farInterval)
+}
+
+// All instances are short of processor time at once, as behind a return of all: each answer
+// comes half a second behind its question. As long as answers come there is no cut.
+func TestLateAnswersAreNoCut(t *testing.T) {
+	is := is.New(t)
+	i := newIsolation()
+	start := time.Unix(100, 0)
+	for at := time.Duration(0); at < 3*time.Second; at += farInterval {
+		if at >= 500*time.Millisecond {
+			i.note("other", start.Add(at))
+		}
+		is.True(!i.begins(start.Add(at)))
+	}
+}
