--- /dev/null
+++ b/internal/admission/burstload_test.go
@@ -0,0 +1,169 @@
+package admission
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/result"
+)
+
+// The member of these loads runs five statements at once and queues the rest in the
+// order in which they come. Seven homes have seven connections each to it.
+const (
+	burstHomes     = 7
+	burstSlots     = 5
+	burstWork      = 33 * time.Millisecond
+	burstObjective = 400 * time.Millisecond
+	burstTimeout   = time.Second
+	// burstCapacity is how many statements a second the member runs at most.
+	burstCapacity = float64(burstSlots) / 0.033
+	// burstRetries is how often a caller comes back after a refusal.
+	burstRetries = 2
+)
+
+// phase is a time of constant load, as a part of the member's capacity; slow is how many
+// times their usual time statements take meanwhile.
+type phase struct {
+	length time.Duration
+	load   float64
+	slow   float64
+}
+
+// The loads that are replayed: what comes before, the trouble, and what comes behind it.
+var (
+	burstPhases       = []phase{{5 * time.Second, 0.5, 1}, {3 * time.Second, 1.5, 1}, {time.Second, 0.5, 1}, {3 * time.Second, 0.5, 1}}
+	lostReplicaPhases = []phase{{5 * time.Second, 0.6, 1}, {10 * time.Second, 1.25, 1}, {3 * time.Second, 0.6, 1}}
+	slowPhases        = []phase{{5 * time.Second, 0.5, 1}, {5 * time.Second, 0.5, 3}, {time.Second, 0.5, 1}, {4 * time.Second, 0.5, 1}}
+)
+
+// tally counts what became of the requests that began in one phase.
+type tally struct{ asked, inTime, late, refused int }
+
+// burst replays phases against homes that share a member.
+type burst struct {
+	homes  []*PerMember
+	member chan struct{}
+
+	mu      sync.Mutex
+	tallies []tally
+}
+
+// visit is one try of a caller: at which home, and how long the statement takes.
+type visit struct {
+	home int
+	work time.Duration
+}
+
+// visits draws all that a caller may need when it comes, so that what it meets does not
+// change what others are given.
+func visits(random *rand.Rand, slow float64) []visit {
+	all := make([]visit, 1+burstRetries)
+	for i := range all {
+		// Lognormal with the mean of burstWork.
+		work := math.Exp(0.7*random.NormFloat64()-0.245) * slow * float64(burstWork)
+		all[i] = visit{home: random.IntN(burstHomes), work: time.Duration(work)}
+	}
+	return all
+}
+
+// replay runs phases. Without objectives, and with all connections at work, the homes
+// decide as if they knew no more than deadlines.
+func replay(seed uint64, objectives bool, phases []phase) []tally {
+	b := &burst{member: make(chan struct{}, burstSlots), tallies: make([]tally, len(phases))}
+	for k := range burstHomes {
+		p := NewPerMember(Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(seed, uint64(k))), Slots: burstHomes})
+		if !objectives {
+			p.gate("m").limit.adaptive = false
+		}
+		b.homes = append(b.homes, p)
+	}
+	var all sync.WaitGroup
+	began := time.Now()
+	for _, a := range arrivals(seed, phases) {
+		_ = clock.Sleep(context.Background(), clock.System{}, a.at-time.Since(began))
+		all.Go(func() { b.caller(a.phase, a.visits, objectives) })
+	}
+	all.Wait()
+	return b.tallies
+}
+
+// arrival is a caller that comes at a time from the start on.
+type arrival struct {
+	at     time.Duration
+	phase  int
+	visits []visit
+}
+
+// arrivals draws the callers of all phases, in the order in which they come.
+func arrivals(seed uint64, phases []phase) []arrival {
+	random := rand.New(rand.NewPCG(seed, 8))
+	var all []arrival
+	at := time.Duration(0)
+	for k, p := range phases {
+		for end := at + p.length; at < end; {
+			at += time.Duration(random.ExpFloat64() / (burstCapacity * p.load) * float64(time.Second))
+			all = append(all, arrival{at, k, visits(random, p.slow)})
+		}
+	}
+	return all
+}
+
+// caller asks one home after the other until it is served.
+func (b *burst) caller(k int, mine []visit, objectives bool) {
+	began := time.Now()
+	served := false
+	for _, v := range mine {
+		after, ok := b.try(v, objectives)
+		if ok {
+			served = true
+			break
+		}
+		_ = clock.Sleep(context.Background(), clock.System{}, after)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := &b.tallies[k]
+	t.asked++
+	switch {
+	case !served:
+		t.refused++
+	case time.Since(began) <= burstObjective:
+		t.inTime++
+	default:
+		t.late++
+	}
+}
+
+// try asks a home once. A refusal tells when to come back.
+func (b *burst) try(v visit, objectives bool) (time.Duration, bool) {
+	r := Request{Class: "read", Priority: 2, MaxQueue: 500, Member: "m", Deadline: time.Now().Add(burstTimeout)}
+	if objectives {
+		r.WantedBy = time.Now().Add(burstObjective)
+	}
+	slot, err := b.homes[v.home].Enter(context.Background(), r)
+	if err != nil {
+		e, _ := result.As(err)
+		return e.RetryAfter, false
+	}
+	defer slot.Release()
+	b.member <- struct{}{}
+	_ = clock.Sleep(context.Background(), clock.System{}, v.work)
+	<-b.member
+	return 0, true
+}
+
+// part is n of the tally's requests.
+func (t tally) part(n int) float64 { return float64(n) / float64(max(t.asked, 1)) }
+
+// report logs a replay.
+func report(t *testing.T, name string, tallies []tally) {
+	t.Helper()
+	for k, y := range tallies {
+		t.Logf("%s, phase %d: %d asked, in time %.2f, late %.2f, refused %.2f", name, k, y.asked, y.part(y.inTime), y.part(y.late), y.part(y.refused))
+	}
+}
--- a/internal/admission/clairvoyant_test.go
+++ b/internal/admission/clairvoyant_test.go
@@ -48,10 +48,10 @@
 // miss is theirs.
 func TestClairvoyantScheduleMeetsTheBounds(t *testing.T) {
 	is := is.New(t)
-	burst := clairvoyant(7, []phase{{5 * time.Second, 0.5, 1}, {3 * time.Second, 1.5, 1}, {time.Second, 0.5, 1}, {3 * time.Second, 0.5, 1}})
+	burst := clairvoyant(7, burstPhases)
 	report(t, "clairvoyant, burst", burst)
 	is.True(burst[3].part(burst[3].inTime) >= 0.95)
-	slow := clairvoyant(7, []phase{{5 * time.Second, 0.5, 1}, {5 * time.Second, 0.5, 3}, {time.Second, 0.5, 1}, {4 * time.Second, 0.5, 1}})
+	slow := clairvoyant(7, slowPhases)
 	report(t, "clairvoyant, slow member", slow)
 	is.True(slow[3].part(slow[3].inTime) >= 0.98)
 }
