--- /dev/null
+++ b/internal/objectwatch/shareddomain_test.go
@@ -0,0 +1,163 @@
+package objectwatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/standin/peernet"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// sharedInstance is one of the instances of a failure domain that follow a kind.
+type sharedInstance struct {
+	domain *sharedDomain
+	id     string
+	view   *standin.View
+	calls  atomic.Int64
+
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// sharedDomain is a failure domain with a store; it is the fleet of its instances.
+type sharedDomain struct {
+	store     *standin.Store
+	net       *peernet.Net
+	instances []*sharedInstance
+}
+
+// Watch counts the watches that reach the platform.
+func (i *sharedInstance) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	i.calls.Add(1)
+	return i.view.Watch(ctx, kind, after)
+}
+
+// countedAPI is an instance's view of the platform with its watches counted.
+type countedAPI struct {
+	platform.API
+	*sharedInstance
+}
+
+// Watch implements platform.API.
+func (c countedAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	return c.sharedInstance.Watch(ctx, kind, after)
+}
+
+// Self implements Fleet.
+func (i *sharedInstance) Self() platform.Instance {
+	return platform.Instance{ID: i.id, FailureDomain: "a", PeerAddress: i.id}
+}
+
+// Pick implements Fleet: the first ones have every duty.
+func (i *sharedInstance) Pick(_ string, n int) []platform.Instance {
+	var all []platform.Instance
+	for _, o := range i.domain.instances[:min(n, len(i.domain.instances))] {
+		all = append(all, o.Self())
+	}
+	return all
+}
+
+// Known implements Fleet.
+func (*sharedInstance) Known() bool { return true }
+
+// Listed implements Sink.
+func (i *sharedInstance) Listed(objects []platform.Object) {
+	i.mu.Lock()
+	i.names = make(map[string]bool)
+	i.mu.Unlock()
+	i.Changed(objects)
+}
+
+// Changed implements Sink.
+func (i *sharedInstance) Changed(objects []platform.Object) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, o := range objects {
+		i.names[o.Name] = !o.Removed
+	}
+}
+
+// Touch implements Sink.
+func (i *sharedInstance) Touch(bool) {}
+
+func (i *sharedInstance) knows(name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.names[name]
+}
+
+// newSharedDomain returns a failure domain of instances that do not follow anything yet.
+func newSharedDomain(n int) *sharedDomain {
+	d := &sharedDomain{store: standin.NewStore(), net: peernet.New()}
+	for k := range n {
+		d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store),
+			names: make(map[string]bool)})
+	}
+	return d
+}
+
+// follower makes an instance's follower of members' entries, which shares its calls to api. It
+// lists them each check, if that is not zero, unless a reader's proof is no older than maxAge.
+func (d *sharedDomain) follower(k int, api platform.API, check, maxAge time.Duration) *Follower {
+	i := d.instances[k]
+	s := NewSharing(SharingConfig{API: api, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
+		Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
+	shared := s.API(platform.KindUpstreams, maxAge)
+	c := Config{API: shared, Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{}, Check: check,
+		Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()}
+	if check > 0 {
+		c.Current = shared.Current
+	}
+	return New(c)
+}
+
+// inSharedDomain runs f with a number of instances that follow members' entries.
+func inSharedDomain(t *testing.T, n int, f func(is *is.I, d *sharedDomain)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSharedDomain(n)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for k, i := range d.instances {
+			follower := d.follower(k, countedAPI{i.view, i}, 0, 0)
+			running.Go(func() { follower.Run(ctx) })
+		}
+		time.Sleep(time.Second)
+		f(is.New(t), d)
+		cancel()
+		running.Wait()
+	})
+}
+
+// put writes an object, and returns how many instances know of it some time later.
+func (d *sharedDomain) put(is *is.I, name string, later time.Duration) int {
+	_, err := d.store.Put(context.Background(), platform.KindUpstreams, name, []byte(`{}`), 0)
+	is.NoErr(err)
+	time.Sleep(later)
+	known := 0
+	for _, i := range d.instances {
+		if i.knows(name) {
+			known++
+		}
+	}
+	return known
+}
+
+// watches returns how many watches reached the platform.
+func (d *sharedDomain) watches() int64 {
+	var sum int64
+	for _, i := range d.instances {
+		sum += i.calls.Load()
+	}
+	return sum
+}
--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -3,147 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
-	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
-	"github.com/topazrock/topazrock/internal/standin/peernet"
 	standin "github.com/topazrock/topazrock/internal/standin/platform"
 )
 
-// sharedInstance is one of the instances of a failure domain that follow a kind.
-type sharedInstance struct {
-	domain *sharedDomain
-	id     string
-	view   *standin.View
-	calls  atomic.Int64
-
-	mu    sync.Mutex
-	names map[string]bool
-}
-
-// sharedDomain is a failure domain with a store; it is the fleet of its instances.
-type sharedDomain struct {
-	store     *standin.Store
-	net       *peernet.Net
-	instances []*sharedInstance
-}
-
-// Watch counts the watches that reach the platform.
-func (i *sharedInstance) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
-	i.calls.Add(1)
-	return i.view.Watch(ctx, kind, after)
-}
-
-// countedAPI is an instance's view of the platform with its watches counted.
-type countedAPI struct {
-	platform.API
-	*sharedInstance
-}
-
-// Watch implements platform.API.
-func (c countedAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
-	return c.sharedInstance.Watch(ctx, kind, after)
-}
-
-// Self implements Fleet.
-func (i *sharedInstance) Self() platform.Instance {
-	return platform.Instance{ID: i.id, FailureDomain: "a", PeerAddress: i.id}
-}
-
-// Pick implements Fleet: the first ones have every duty.
-func (i *sharedInstance) Pick(_ string, n int) []platform.Instance {
-	var all []platform.Instance
-	for _, o := range i.domain.instances[:min(n, len(i.domain.instances))] {
-		all = append(all, o.Self())
-	}
-	return all
-}
-
-// Known implements Fleet.
-func (*sharedInstance) Known() bool { return true }
-
-// Listed implements Sink.
-func (i *sharedInstance) Listed(objects []platform.Object) {
-	i.mu.Lock()
-	i.names = make(map[string]bool)
-	i.mu.Unlock()
-	i.Changed(objects)
-}
-
-// Changed implements Sink.
-func (i *sharedInstance) Changed(objects []platform.Object) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, o := range objects {
-		i.names[o.Name] = !o.Removed
-	}
-}
-
-// Touch implements Sink.
-func (i *sharedInstance) Touch(bool) {}
-
-func (i *sharedInstance) knows(name string) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.names[name]
-}
-
-// inSharedDomain runs f with a number of instances that follow members' entries.
-func inSharedDomain(t *testing.T, n int, f func(is *is.I, d *sharedDomain)) {
-	synctest.Test(t, func(t *testing.T) {
-		d := &sharedDomain{store: standin.NewStore(), net: peernet.New()}
-		for k := range n {
-			d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store),
-				names: make(map[string]bool)})
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		for k, i := range d.instances {
-			s := NewSharing(SharingConfig{API: countedAPI{i.view, i}, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
-				Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
-			follower := New(Config{API: s.API(platform.KindUpstreams, 0), Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{},
-				Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
-			running.Go(func() { follower.Run(ctx) })
-		}
-		time.Sleep(time.Second)
-		f(is.New(t), d)
-		cancel()
-		running.Wait()
-	})
-}
-
-// put writes an object, and returns how many instances know of it some time later.
-func (d *sharedDomain) put(is *is.I, name string, later time.Duration) int {
-	_, err := d.store.Put(context.Background(), platform.KindUpstreams, name, []byte(`{}`), 0)
-	is.NoErr(err)
-	time.Sleep(later)
-	known := 0
-	for _, i := range d.instances {
-		if i.knows(name) {
-			known++
-		}
-	}
-	return known
-}
-
-// watches returns how many watches reached the platform.
-func (d *sharedDomain) watches() int64 {
-	var sum int64
-	for _, i := range d.instances {
-		sum += i.calls.Load()
-	}
-	return sum
-}
-
 // Twenty entries change one after the other in a failure domain of eight instances. All
 // learn each at once, and only two of them watch the platform.
 func TestTwoOfADomainWatchForAll(t *testing.T) {
@@ -234,20 +105,13 @@
 func TestDomainAsksForTwoThroughAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		d := &sharedDomain{store: standin.NewStore(), net: peernet.New()}
+		d := newSharedDomain(40)
 		var lists atomic.Int64
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
-		for k := range 40 {
-			d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store), names: make(map[string]bool)})
-		}
 		for k, i := range d.instances {
-			s := NewSharing(SharingConfig{API: countedLists{countedAPI{i.view, i}, &lists}, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
-				Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
 			const check = 2 * time.Second
-			api := s.API(platform.KindUpstreams, check+300*time.Millisecond)
-			follower := New(Config{API: api, Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{}, Check: check, Current: api.Current,
-				Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
+			follower := d.follower(k, countedLists{countedAPI{i.view, i}, &lists}, check, check+300*time.Millisecond)
 			running.Go(func() { follower.Run(ctx) })
 		}
 		time.Sleep(10 * time.Second)
@@ -275,25 +139,18 @@
 func TestDomainThatReturnsKnowsSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		d := &sharedDomain{store: standin.NewStore(), net: peernet.New()}
+		const n, spread, within = 60, 500 * time.Millisecond, 300 * time.Millisecond
+		d := newSharedDomain(n)
 		is.Equal(d.put(is, "m", 0), 0)
 		var lists atomic.Int64
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
-		const n, spread, within = 60, 500 * time.Millisecond, 300 * time.Millisecond
-		for k := range n {
-			d.instances = append(d.instances, &sharedInstance{domain: d, id: fmt.Sprint("i", k), view: standin.NewView(d.store), names: make(map[string]bool)})
-		}
 		var late atomic.Int64
 		for k, i := range d.instances {
 			running.Go(func() {
 				// The readers are the first of the list, and start last.
 				time.Sleep(spread - spread*time.Duration(k)/n)
-				s := NewSharing(SharingConfig{API: countedLists{countedAPI{i.view, i}, &lists}, Fleet: i, Caller: d.net.At(i.id), Clock: clock.System{},
-					Rand: rand.New(rand.NewPCG(uint64(k), 2)), Log: hclog.NewNullLogger()}, d.net.At(i.id))
-				api := s.API(platform.KindUpstreams, 3*time.Second)
-				follower := New(Config{API: api, Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{}, Check: 2 * time.Second, Current: api.Current,
-					Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()})
+				follower := d.follower(k, countedLists{countedAPI{i.view, i}, &lists}, 2*time.Second, 3*time.Second)
 				running.Go(func() { follower.Run(ctx) })
 				time.Sleep(within)
 				if !i.knows("m") {
