Answer the statements under way before sessions are cut off

Cause: an instance that is stopped closes the connections that are left when it may wait no longer (5 s), also those of callers whose statement waits for its turn or for a member: a whole request gets neither an answer nor a refusal.

Now the units under way are ended first: those that wait by the context that sessions run them in, those at a member by their connections, as for a member that is lost. Sessions have 250 ms to tell their callers, and are closed then.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -10,10 +10,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -34,15 +36,27 @@
 	Open func(net.Conn) Session
 	// Refuse tells a caller why it is not taken.
 	Refuse func(net.Conn, *result.Error)
+	// EndUnits ends what members work on, when sessions are cut off. What waits for anything
+	// else ends by the context of the Server.
+	EndUnits func()
+	Clock    clock.Clock
 	// Connected counts the callers.
 	Connected prometheus.Gauge
 	Logger    hclog.Logger
 }
 
+// answerWait is how long sessions that are cut off have to tell their callers what became of the
+// statement under way: several times what an answer takes, and a part of what the platform
+// leaves between the end of a drain and that of the process.
+const answerWait = 250 * time.Millisecond
+
 // Server accepts callers and runs their sessions.
 type Server struct {
 	config Config
 
+	// units ends when sessions are cut off, and endUnits ends it.
+	units    context.Context
+	endUnits context.CancelFunc
 	// dismissals counts the calls of Dismiss.
 	dismissals atomic.Uint64
 
@@ -55,7 +69,9 @@
 
 // New returns a Server that accepts nothing yet.
 func New(c Config) *Server {
-	return &Server{config: c, sessions: make(map[Session]net.Conn), ended: make(chan struct{})}
+	s := &Server{config: c, sessions: make(map[Session]net.Conn), ended: make(chan struct{})}
+	s.units, s.endUnits = context.WithCancel(context.Background())
+	return s
 }
 
 // Serve accepts callers until the listener is closed.
@@ -148,9 +164,13 @@
 	return all
 }
 
+// Units is the context that sessions run their units in. It ends when they are cut off.
+func (s *Server) Units() context.Context { return s.units }
+
 // Drain refuses new callers, wakes idle sessions so that they end, and lets
 // units and transactions in flight finish. It returns when every session has
-// ended; when ctx ends first, the sessions that are left are cut off.
+// ended; when ctx ends first, the units under way are ended and answered, and the
+// sessions that are left are cut off.
 func (s *Server) Drain(ctx context.Context) error {
 	for _, n := range s.beginDrain() {
 		n.Wake()
@@ -177,7 +197,19 @@
 	return s.list()
 }
 
+// cutOff ends the units under way, gives their sessions the time to answer them, and closes
+// the connections that are left. Closed at once, a caller whose statement waits for its turn
+// or for a member would not learn whether it was taken.
 func (s *Server) cutOff() {
+	s.endUnits()
+	s.config.EndUnits()
+	timer := s.config.Clock.NewTimer(answerWait)
+	defer timer.Stop()
+	select {
+	case <-s.ended:
+		return
+	case <-timer.C:
+	}
 	s.mu.Lock()
 	left := make([]net.Conn, 0, len(s.sessions))
 	for _, conn := range s.sessions {
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -59,6 +61,8 @@
 	server  *Server
 	listen  accepted
 	refused []result.Code
+	// unitsEnded says that what members work on was ended.
+	unitsEnded bool
 }
 
 func newBed(most int) *bed {
@@ -67,6 +71,8 @@
 		Max:       most,
 		Open:      func(c net.Conn) Session { return &waiting{conn: c, woken: make(chan struct{})} },
 		Refuse:    func(_ net.Conn, e *result.Error) { b.refused = append(b.refused, e.Code) },
+		EndUnits:  func() { b.unitsEnded = true },
+		Clock:     clock.System{},
 		Connected: prometheus.NewGauge(prometheus.GaugeOpts{Name: "callers"}),
 		Logger:    hclog.NewNullLogger(),
 	})
@@ -136,3 +142,40 @@
 		b.listen.Close()
 	})
 }
+
+// atWork is a session with a statement under way, which ends by the context of units.
+type atWork struct {
+	server *Server
+	conn   net.Conn
+}
+
+// Run implements Session: it answers when its statement was ended.
+func (a *atWork) Run() {
+	<-a.server.Units().Done()
+	_, _ = a.conn.Write([]byte("answer"))
+}
+
+// Wake implements Session. The session is not idle.
+func (*atWork) Wake() {}
+
+// The instance may wait no longer, and a caller's statement is under way. The statement is
+// ended, and the caller has its answer before the connection is closed.
+func TestCutOffEndsUnitsAndLetsThemBeAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(9)
+		b.server.config.Open = func(c net.Conn) Session { return &atWork{server: b.server, conn: c} }
+		caller := b.call()
+		answer := make(chan string, 1)
+		go func() {
+			got, _ := io.ReadAll(caller)
+			answer <- string(got)
+		}()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		is.True(b.server.Drain(ctx) != nil)
+		is.True(b.unitsEnded)
+		is.Equal(<-answer, "answer")
+		b.listen.Close()
+	})
+}
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -23,8 +23,8 @@
 // disagreement between instances about who is home costs a hop or a refusal
 // before sending, and no promise: whichever home runs the unit confirms it.
 //
-// Lock order: Router.mu or avoided.mu, never both; neither is held while a unit
-// runs.
+// Lock order: Router.mu or avoided.mu, never both; then a Group's running. None is held
+// while a unit runs.
 type Router struct {
 	self    string
 	address string
@@ -213,6 +213,18 @@
 	}
 }
 
+// EndUnits ends the units that members work on. They are answered as those that were sent and
+// whose outcome is not known.
+func (r *Router) EndUnits() {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, groups := range []map[string]*Group{r.groups, r.retiring} {
+		for _, g := range groups {
+			g.running.interruptAll(func(*runningUnit) bool { return true })
+		}
+	}
+}
+
 // begin counts a unit of a peer, or reports that it is not to be taken.
 func (r *Router) begin(u *execution.Unit) bool {
 	r.mu.Lock()
--- a/internal/executor/running.go
+++ b/internal/executor/running.go
@@ -82,13 +82,18 @@
 	return u.conn
 }
 
-// interrupt ends the reads and writes of every unit at a member. The units
-// spoil their connections, and the lock keeps one from being handed on before.
+// interrupt ends the reads and writes of every unit at a member.
 func (r *running) interrupt(address string) {
+	r.interruptAll(func(u *runningUnit) bool { return u.conn.Address() == address })
+}
+
+// interruptAll ends the reads and writes of the units that match. The units spoil their
+// connections, and the lock keeps one from being handed on before.
+func (r *running) interruptAll(matches func(*runningUnit) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range r.units {
-		if u.conn.Address() == address {
+		if matches(u) {
 			u.cancelled = true
 			_ = u.conn.SetDeadline(pastDeadline)
 		}
--- a/internal/frontend/config.go
+++ b/internal/frontend/config.go
@@ -31,9 +31,11 @@
 	Instance  string
 	Directory Directory
 	Executor  execution.Executor
-	Clock     clock.Clock
-	Logger    hclog.Logger
-	Metrics   *Metrics
+	// EndUnits ends the units that members work on, when sessions are cut off. It may be nil.
+	EndUnits func()
+	Clock    clock.Clock
+	Logger   hclog.Logger
+	Metrics  *Metrics
 	// MaxCallers bounds the connections of callers.
 	MaxCallers int
 	// StartupTimeout bounds the time from accept to authenticated.
@@ -75,4 +77,7 @@
 	if c.MaxUnit == 0 {
 		c.MaxUnit = DefaultMaxUnit
 	}
+	if c.EndUnits == nil {
+		c.EndUnits = func() {}
+	}
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -25,6 +25,8 @@
 		Max:       c.MaxCallers,
 		Open:      s.open,
 		Refuse:    s.refuse,
+		EndUnits:  c.EndUnits,
+		Clock:     c.Clock,
 		Connected: c.Metrics.callers,
 		Logger:    c.Logger,
 	})
--- a/internal/frontend/units.go
+++ b/internal/frontend/units.go
@@ -63,7 +63,7 @@
 	if err := n.announceValues(r); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(n.server.Units())
 	defer cancel()
 	n.setRunning(u.ID)
 	reply, err := n.server.config.Executor.Execute(ctx, u, n.write)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -147,6 +147,7 @@
 	n.router.Register(n.peers)
 	n.callers = n.protocol.Callers(CallerParts{
 		Executor:   n.router,
+		EndUnits:   n.router.EndUnits,
 		Clock:      o.Clock,
 		Logger:     o.Logger,
 		Registry:   o.Registry,
--- a/internal/instance/postgres.go
+++ b/internal/instance/postgres.go
@@ -39,6 +39,7 @@
 		Instance:       n.options.Settings.Instance.ID,
 		Directory:      n.documents,
 		Executor:       p.Executor,
+		EndUnits:       p.EndUnits,
 		Clock:          p.Clock,
 		Logger:         p.Logger,
 		Metrics:        frontend.NewMetrics(p.Registry),
--- a/internal/instance/protocol.go
+++ b/internal/instance/protocol.go
@@ -48,7 +48,9 @@
 
 // CallerParts is what the side that serves callers gets from the instance.
 type CallerParts struct {
-	Executor   execution.Executor
+	Executor execution.Executor
+	// EndUnits ends the units that members work on; their outcome is then unknown.
+	EndUnits   func()
 	Clock      clock.Clock
 	Logger     hclog.Logger
 	Registry   prometheus.Registerer
