Hold connections to members and callers' keys by workspace

The pool keeps connections by workspace; where a member's part is full, the one idle longest is closed for another workspace, never while its own has a waiter. Trims leave each workspace a connection.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/objectwatch"
@@ -31,12 +32,16 @@
 	// Seed starts the random sources that spread the calls.
 	Seed uint64
 	Log  hclog.Logger
+	// Registry takes the directory's metrics; it may be nil.
+	Registry prometheus.Registerer
 }
 
 // Directory follows manifest and members.
 type Directory struct {
-	config  Config
-	log     hclog.Logger
+	config Config
+	log    hclog.Logger
+	// faults counts what of manifests names no workspace.
+	faults  prometheus.Counter
 	current atomic.Pointer[view]
 
 	mu       sync.Mutex
@@ -51,6 +56,13 @@
 // New returns a Directory that knows nothing yet; Run makes it learn.
 func New(c Config) *Directory {
 	d := &Directory{config: c, log: c.Log.Named("directory"), roster: newRoster()}
+	d.faults = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "topazrock_workspace_faults_total",
+		Help: "Workspaces and keys of manifests that could not be used as they were written.",
+	})
+	if c.Registry != nil {
+		c.Registry.MustRegister(d.faults)
+	}
 	d.current.Store(emptyView())
 	return d
 }
@@ -169,12 +181,21 @@
 	d.mu.Unlock()
 	switch {
 	case later:
-		d.log.Info("Manifest is in force.", "version", m.Version, "before", held, "databases", len(m.Databases))
+		d.log.Info("Manifest is in force.", "version", m.Version, "before", held, "databases", len(m.Databases), "workspaces", len(m.Workspaces.All()))
+		d.reportFaults(m)
 	case m.Version < held:
 		d.log.Info("Manifest is older than the one in force.", "version", m.Version, "in_force", held)
 	}
 }
 
+// reportFaults logs and counts what of a manifest names no workspace.
+func (d *Directory) reportFaults(m Manifest) {
+	for _, f := range m.Faults {
+		d.faults.Inc()
+		d.log.Warn("Workspace cannot be used as it is written.", "version", m.Version, "workspace", f.Workspace, "reason", f.Reason)
+	}
+}
+
 // adoptEntry takes a change of a member's entry.
 func (d *Directory) adoptEntry(o platform.Object, now time.Time) {
 	d.mu.Lock()
--- a/internal/directory/manifest.go
+++ b/internal/directory/manifest.go
@@ -5,6 +5,7 @@
 
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/workspace"
 )
 
 // Manifest is what the platform's operator says of all services at once.
@@ -15,6 +16,10 @@
 	Databases []Database
 	// TransactionIdle is how long a transaction may be idle.
 	TransactionIdle time.Duration
+	// Workspaces are those that callers' keys name; nil where callers need no key.
+	Workspaces *workspace.Table
+	// Faults are the workspaces and keys that name nothing as they are written.
+	Faults []workspace.Fault
 }
 
 // Group is a database group as the operator names it; its members name themselves.
@@ -28,6 +33,8 @@
 type Database struct {
 	Name, Group string
 	Class       document.ReadClass
+	// Public says that callers need no key.
+	Public bool
 }
 
 // Decoder reads what the platform's operator and the members write. An error means
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/workspace"
 )
 
 // Limits that the manifest leaves to the product.
@@ -27,7 +28,9 @@
 	known     bool
 	services  map[string]*document.Service
 	databases map[string]document.Database
-	upstreams map[string]platform.Upstream
+	// workspaces is shared by the views of one manifest.
+	workspaces *workspace.Table
+	upstreams  map[string]platform.Upstream
 	// leaving holds the addresses of members that leave.
 	leaving map[string]bool
 }
@@ -37,12 +40,13 @@
 // build makes a view of the present state. It runs under the lock.
 func (d *Directory) build(now time.Time) *view {
 	v := &view{
-		version:   d.manifest.Version,
-		known:     d.known,
-		services:  make(map[string]*document.Service),
-		databases: make(map[string]document.Database),
-		upstreams: make(map[string]platform.Upstream),
-		leaving:   make(map[string]bool),
+		version:    d.manifest.Version,
+		known:      d.known,
+		services:   make(map[string]*document.Service),
+		databases:  make(map[string]document.Database),
+		workspaces: d.manifest.Workspaces,
+		upstreams:  make(map[string]platform.Upstream),
+		leaving:    make(map[string]bool),
 	}
 	present := make(map[string][]platform.Upstream)
 	for _, u := range d.roster.present(now) {
@@ -57,7 +61,7 @@
 		if s := v.services[b.Group]; s != nil {
 			s.Reads = append(s.Reads, b.Class)
 		}
-		v.databases[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name}
+		v.databases[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name, Public: b.Public}
 	}
 	for _, s := range v.services {
 		s.Index()
@@ -119,6 +123,9 @@
 	return b, ok
 }
 
+// Workspaces returns the workspaces in force; nil where callers need no key.
+func (d *Directory) Workspaces() *workspace.Table { return d.current.Load().workspaces }
+
 // FindMember returns who is expected at an address of a group.
 func (d *Directory) FindMember(group, address string) (string, bool) {
 	u, ok := d.current.Load().upstreams[address]
--- a/internal/document/database.go
+++ b/internal/document/database.go
@@ -7,4 +7,6 @@
 	Group string
 	// Class names a read class of the group's service.
 	Class string
+	// Public says that callers need no key of a workspace.
+	Public bool
 }
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -59,6 +59,8 @@
 	// passed on once, so that it does not travel in circles.
 	Relayed bool   `json:"relayed,omitempty"`
 	Group   string `json:"group"`
+	// Workspace is who the unit is run for; empty where callers belong to none.
+	Workspace string `json:"workspace,omitempty"`
 	// Class and Key come from the request's tag; empty when untagged.
 	Class string `json:"class,omitempty"`
 	Key   string `json:"key,omitempty"`
--- a/internal/executor/bench_test.go
+++ b/internal/executor/bench_test.go
@@ -95,7 +95,7 @@
 type onePool struct{ conn wire.Conn }
 
 // Acquire implements pool.Pool.
-func (p onePool) Acquire(context.Context, string) (wire.Conn, error) { return p.conn, nil }
+func (p onePool) Acquire(context.Context, string, string) (wire.Conn, error) { return p.conn, nil }
 
 // Release implements pool.Pool.
 func (onePool) Release(wire.Conn) {}
@@ -109,5 +109,8 @@
 // Full implements pool.Pool.
 func (onePool) Full(string) bool { return false }
 
+// FullFor implements pool.Pool.
+func (onePool) FullFor(string, string) bool { return false }
+
 // Ask implements group.Tracker.
 func (s *shown) Ask() group.Ticket { return group.Ticket{} }
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -105,7 +105,7 @@
 }
 
 // Acquire implements pool.Pool.
-func (s *scriptedMembers) Acquire(_ context.Context, address string) (wire.Conn, error) {
+func (s *scriptedMembers) Acquire(_ context.Context, address, _ string) (wire.Conn, error) {
 	if s.full[address] {
 		s.metFull++
 		return nil, result.New(result.TooManyConnections, "member %s", address)
@@ -125,6 +125,9 @@
 // Full implements pool.Pool.
 func (s *scriptedMembers) Full(address string) bool { return s.full[address] }
 
+// FullFor implements pool.Pool.
+func (s *scriptedMembers) FullFor(address, _ string) bool { return s.full[address] }
+
 // Snapshot implements group.Tracker.
 func (s *scriptedMembers) Snapshot() *group.Snapshot { return &s.snapshot }
 
--- a/internal/executor/key.go
+++ b/internal/executor/key.go
@@ -20,7 +20,7 @@
 	if x.KeyFailure.Kind != wire.FailureKeyExists {
 		return keyNotStored(x.KeyFailure)
 	}
-	return g.lookUpKey(ctx, u.Key)
+	return g.lookUpKey(ctx, requestKey{u.Key, u.Workspace})
 }
 
 // keyRefusedIn is keyRefused inside of the caller's transaction, which is
@@ -30,7 +30,7 @@
 	if x.KeyFailure.Kind != wire.FailureKeyExists {
 		return keyNotStored(x.KeyFailure)
 	}
-	return g.lookUpKey(ctx, u.Key)
+	return g.lookUpKey(ctx, requestKey{u.Key, u.Workspace})
 }
 
 func keyNotStored(e *wire.Failure) error {
@@ -39,24 +39,24 @@
 
 // lookUpKey tells what an existing key row says, once that row is confirmed: a
 // row that only a replaced primary holds proves nothing.
-func (g *Group) lookUpKey(ctx context.Context, key string) error {
+func (g *Group) lookUpKey(ctx context.Context, key requestKey) error {
 	outcome, err := g.readKey(ctx, key)
 	if err != nil {
 		return result.New(result.TombstoneFailed, "the key's row could not be read").WithCause(err)
 	}
 	switch outcome {
 	case wire.KeyRan:
-		return result.New(result.AlreadyRan, "key %q", key)
+		return result.New(result.AlreadyRan, "key %q", key.name)
 	case wire.KeyBlocked:
-		return result.New(result.TombstoneWritten, "key %q", key)
+		return result.New(result.TombstoneWritten, "key %q", key.name)
 	default:
-		return result.New(result.TombstoneFailed, "key %q has no known outcome", key)
+		return result.New(result.TombstoneFailed, "key %q has no known outcome", key.name)
 	}
 }
 
 // settle tries to turn an unknown outcome into a known one. It blocks the key:
 // if that commits, the request can never run; if the key is there, it ran.
-func (g *Group) settle(ctx context.Context, key string, err error) error {
+func (g *Group) settle(ctx context.Context, key requestKey, err error) error {
 	e, ok := result.As(err)
 	if !ok || e.Code.Family() != result.FamilyOutcomeUnknown || e.Code == result.TombstoneFailed {
 		return err
@@ -75,8 +75,8 @@
 
 // block makes one attempt to insert the tombstone. The second value is false
 // when the attempt showed nothing and may be made again.
-func (g *Group) block(ctx context.Context, key string) (error, bool) {
-	x, err := g.control(ctx, wire.Step{Kind: wire.StepStoreKey, Key: key, Outcome: wire.KeyBlocked})
+func (g *Group) block(ctx context.Context, key requestKey) (error, bool) {
+	x, err := g.control(ctx, key.workspace, wire.Step{Kind: wire.StepStoreKey, Key: key.name, Outcome: wire.KeyBlocked})
 	if err != nil {
 		return nil, false
 	}
@@ -96,11 +96,11 @@
 	if _, err := g.confirmStatus(ctx, x); err != nil {
 		return nil, false
 	}
-	return result.New(result.TombstoneWritten, "key %q", key), true
+	return result.New(result.TombstoneWritten, "key %q", key.name), true
 }
 
-func (g *Group) readKey(ctx context.Context, key string) (wire.KeyOutcome, error) {
-	x, err := g.control(ctx, wire.Step{Kind: wire.StepFindKey, Key: key})
+func (g *Group) readKey(ctx context.Context, key requestKey) (wire.KeyOutcome, error) {
+	x, err := g.control(ctx, key.workspace, wire.Step{Kind: wire.StepFindKey, Key: key.name})
 	if err != nil {
 		return "", err
 	}
@@ -114,8 +114,8 @@
 }
 
 // control runs one step about keys at the present primary.
-func (g *Group) control(ctx context.Context, step wire.Step) (*exchange, error) {
-	x, err := g.keyExchange(ctx)
+func (g *Group) control(ctx context.Context, workspace string, step wire.Step) (*exchange, error) {
+	x, err := g.keyExchange(ctx, workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -125,12 +125,12 @@
 }
 
 // keyExchange begins an exchange at the present primary.
-func (g *Group) keyExchange(ctx context.Context) (*exchange, error) {
+func (g *Group) keyExchange(ctx context.Context, workspace string) (*exchange, error) {
 	s, err := g.writablePrimary()
 	if err != nil {
 		return nil, err
 	}
-	c, err := g.Pool.Acquire(ctx, s.Primary)
+	c, err := g.Pool.Acquire(ctx, s.Primary, workspace)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -78,8 +78,8 @@
 		Group: g.Name,
 		Clock: n.options.Clock,
 		Rand:  n.random("pool/" + g.Name),
-		Open: func(ctx context.Context, address string) (wire.Conn, error) {
-			return n.protocol.Open(ctx, g.Name, address)
+		Open: func(ctx context.Context, address, workspace string) (wire.Conn, error) {
+			return n.protocol.Open(ctx, g.Name, address, workspace)
 		},
 		Probe: func(ctx context.Context, c wire.Conn) error { return c.Probe(ctx) },
 		Check: wire.Conn.Check,
--- a/internal/instance/postgres.go
+++ b/internal/instance/postgres.go
@@ -21,7 +21,7 @@
 	}
 }
 
-func (n *Instance) openPostgres(ctx context.Context, group, address string) (wire.Conn, error) {
+func (n *Instance) openPostgres(ctx context.Context, group, address, _ string) (wire.Conn, error) {
 	s := n.options.Settings.Upstream
 	o := upstream.Opener{
 		Dialer:          n.options.Network,
--- a/internal/instance/protocol.go
+++ b/internal/instance/protocol.go
@@ -19,8 +19,8 @@
 // Protocol is what callers and members speak, and how groups are followed over it.
 type Protocol struct {
 	Wire wire.Features
-	// Open opens a connection for statements to a member of a group.
-	Open func(ctx context.Context, group, address string) (wire.Conn, error)
+	// Open opens a connection for statements of a workspace to a member of a group.
+	Open func(ctx context.Context, group, address, workspace string) (wire.Conn, error)
 	// Control opens the control side of members of a group.
 	Control func(group string) member.Dialer
 	// Callers makes the side that serves callers.
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -9,8 +9,8 @@
 )
 
 // Acquire implements Pool.
-func (p *Limited) Acquire(ctx context.Context, address string) (wire.Conn, error) {
-	w := p.newWaiter(ctx, address)
+func (p *Limited) Acquire(ctx context.Context, address, workspace string) (wire.Conn, error) {
+	w := p.newWaiter(ctx, address, workspace)
 	for {
 		e, err := p.await(ctx, w)
 		if err != nil {
@@ -25,7 +25,7 @@
 
 // newWaiter returns a waiter with the place of a caller who arrives now. It is
 // not queued yet.
-func (p *Limited) newWaiter(ctx context.Context, address string) *waiter {
+func (p *Limited) newWaiter(ctx context.Context, address, workspace string) *waiter {
 	deadline := p.cfg.Clock.Now().Add(p.cfg.MaxWait)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
@@ -34,10 +34,11 @@
 	defer p.mu.Unlock()
 	p.arrivals++
 	return &waiter{
-		address:  address,
-		deadline: deadline,
-		arrival:  p.arrivals,
-		granted:  make(chan grant, 1),
+		address:   address,
+		workspace: workspace,
+		deadline:  deadline,
+		arrival:   p.arrivals,
+		granted:   make(chan grant, 1),
 	}
 }
 
@@ -73,7 +74,7 @@
 	if m.leaving {
 		return p.unreachable(m)
 	}
-	if err := p.hopeless(m, w.deadline); err != nil {
+	if err := p.hopeless(m, w); err != nil {
 		return err
 	}
 	p.waiting.Add(w)
@@ -82,9 +83,9 @@
 }
 
 // hopeless returns the error for a wait that nothing can end in time: no
-// connection to the member exists and none will be opened before the deadline.
-func (p *Limited) hopeless(m *memberState, deadline time.Time) *result.Error {
-	if len(m.idle)+m.inUse+m.opening+m.probing > 0 {
+// connection of the workspace exists and none will be opened before the deadline.
+func (p *Limited) hopeless(m *memberState, w *waiter) *result.Error {
+	if l := m.lanes[w.workspace]; l != nil && l.counted() > 0 {
 		return nil
 	}
 	if !p.cfg.Clock.Now().Before(m.pausedUntil) {
@@ -93,25 +94,33 @@
 	if !m.refused {
 		return p.unreachable(m)
 	}
-	if m.pausedUntil.Before(deadline) && !p.staysFull(m) {
+	if m.pausedUntil.Before(w.deadline) && !p.staysFull(m, w.workspace) {
 		return nil
 	}
 	return p.full(m)
 }
 
 // staysFull reports whether a member has refused openings twice or more in a row and
-// there is no connection to it: it will be full for a while, as members are that still
-// count the connections of machines that lost power, and others are to be asked.
-func (p *Limited) staysFull(m *memberState) bool {
-	return m.refused && m.counted() == m.opening && m.pause > p.cfg.MinPause
+// there is no connection of the workspace to it: it will be full for a while, as members
+// are that still count the connections of machines that lost power, and others are to be
+// asked.
+func (p *Limited) staysFull(m *memberState, workspace string) bool {
+	return m.refusesOpenings(p.cfg.MinPause) && !m.lane(workspace).connected()
 }
 
-// Full reports whether statements for a member are refused because it takes no
-// connection and there is none.
+// Full implements Pool.
 func (p *Limited) Full(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.staysFull(p.member(address))
+	m := p.member(address)
+	return m.refusesOpenings(p.cfg.MinPause) && m.counted() == m.opening
+}
+
+// FullFor implements Pool.
+func (p *Limited) FullFor(address, workspace string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.staysFull(p.member(address), workspace)
 }
 
 // giveUp ends w's wait without a connection.
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -30,9 +30,9 @@
 	// Rand is used under the pool's lock only, so it needs no lock of its own
 	// but must not be shared.
 	Rand *rand.Rand
-	// Open returns an authenticated connection to the member at address. A
-	// refusal by the member wraps wire.ErrRefused.
-	Open func(ctx context.Context, address string) (wire.Conn, error)
+	// Open returns an authenticated connection to the member at address, for a
+	// workspace. A refusal by the member wraps wire.ErrRefused.
+	Open func(ctx context.Context, address, workspace string) (wire.Conn, error)
 	// Probe makes one round trip on the connection. When it is nil, a suspect
 	// connection is closed without a probe.
 	Probe func(ctx context.Context, c wire.Conn) error
--- a/internal/pool/dispatch.go
+++ b/internal/pool/dispatch.go
@@ -17,59 +17,85 @@
 	if p.waiting.Len() == 0 {
 		return
 	}
-	c := coverage{openings: make(map[*memberState]int)}
-	now := p.cfg.Clock.Now()
 	p.waiting.TakeWhere(p.waiting.Len(), func(w *waiter) bool {
-		m := p.member(w.address)
-		if e := m.takeIdle(); e != nil {
+		e := p.member(w.address).takeIdle(w.workspace)
+		if e != nil {
 			p.hand(w, e)
-			return true
 		}
-		p.cover(m, &c, now)
+		return e != nil
+	})
+	// Room is made only now, when no idle connection has a waiter of its workspace.
+	c := coverage{openings: make(map[*lane]int), replacing: make(map[*memberState]int)}
+	now := p.cfg.Clock.Now()
+	p.waiting.TakeWhere(p.waiting.Len(), func(w *waiter) bool {
+		p.cover(w, &c, now)
 		return false
 	})
 }
 
 // coverage is what the waiters seen so far in one dispatch wait for.
 type coverage struct {
-	openings map[*memberState]int
+	openings map[*lane]int
 	rooms    int
+	// replacing counts, by member, those that wait for room which a closing makes there.
+	replacing map[*memberState]int
 }
 
-// cover sees to it that a waiter for m waits for something that will end.
-func (p *Limited) cover(m *memberState, c *coverage, now time.Time) {
+// cover sees to it that a waiter waits for something that will end.
+func (p *Limited) cover(w *waiter, c *coverage, now time.Time) {
+	m := p.member(w.address)
+	l := m.lane(w.workspace)
 	switch {
-	case c.openings[m] < m.opening:
-		c.openings[m]++
-	case p.memberFull(m, 0):
-		// The end of a use dispatches again.
+	case c.openings[l] < l.opening:
+		c.openings[l]++
 	case p.opening >= p.cfg.MaxOpening || !m.mayOpen(now):
 		// The end of an opening or of the pause dispatches again.
+	case p.memberFull(m, 0):
+		p.replaceAt(m, c)
 	case p.total() < p.limit:
-		p.startOpen(m)
-		c.openings[m]++
+		p.startOpen(m, w.workspace)
+		c.openings[l]++
 	case c.rooms < p.limit-p.total()+p.closing:
 		c.rooms++
-	case p.makeRoom(m):
+	case p.makeRoom():
 		c.rooms++
 	}
 }
 
+// replaceAt closes the idle connection to a full member that was used longest ago, for a
+// waiter of another workspace. Where none is idle, the end of a use dispatches again.
+func (p *Limited) replaceAt(m *memberState, c *coverage) {
+	if c.replacing[m] < m.replacing {
+		c.replacing[m]++
+		return
+	}
+	if len(m.idle) == 0 {
+		return
+	}
+	c.replacing[m]++
+	m.replacing++
+	p.idle--
+	e := m.takeOldest()
+	e.replaced = true
+	p.startClose(e, closedReplaced)
+}
+
 // hand gives an idle connection to a waiter.
 func (p *Limited) hand(w *waiter, e *entry) {
 	p.idle--
 	p.inUse++
 	e.member.inUse++
+	e.member.lane(e.workspace).inUse++
 	e.state = stateInUse
 	w.granted <- grant{entry: e}
 }
 
 // makeRoom closes the idle connection used longest ago of the member that has
-// the most of them, other than m. It reports whether there was one.
-func (p *Limited) makeRoom(m *memberState) bool {
+// the most of them. It reports whether there was one.
+func (p *Limited) makeRoom() bool {
 	var most *memberState
 	for _, o := range p.members {
-		if o == m || len(o.idle) == 0 {
+		if len(o.idle) == 0 {
 			continue
 		}
 		if most == nil || len(o.idle) > len(most.idle) ||
@@ -102,16 +128,16 @@
 
 // closeIdle closes all idle connections of a member.
 func (p *Limited) closeIdle(m *memberState, reason string) {
-	for _, e := range m.idle {
+	for len(m.idle) > 0 {
 		p.idle--
-		p.startClose(e, reason)
+		p.startClose(m.takeOldest(), reason)
 	}
-	m.idle = nil
 }
 
-// refuseWaiters ends the wait of the first n waiters for a member.
-func (p *Limited) refuseWaiters(m *memberState, n int, err *result.Error) {
-	for _, w := range p.waiting.TakeWhere(n, func(w *waiter) bool { return w.address == m.address }) {
+// refuseWaiters ends the wait of the waiters for a member that are to be refused.
+func (p *Limited) refuseWaiters(m *memberState, refuse func(*waiter) bool, err *result.Error) {
+	ended := func(w *waiter) bool { return w.address == m.address && refuse(w) }
+	for _, w := range p.waiting.TakeWhere(p.waiting.Len(), ended) {
 		w.granted <- grant{err: err}
 	}
 }
--- a/internal/pool/entry.go
+++ b/internal/pool/entry.go
@@ -20,7 +20,11 @@
 type entry struct {
 	conn   wire.Conn
 	member *memberState
-	state  state
+	// workspace is the one that the connection was opened for, the only one it serves.
+	workspace string
+	state     state
+	// replaced says that the connection is closed to make room at the member.
+	replaced bool
 	// suspect says that the connection must be probed before its next use.
 	suspect bool
 	// heardAt is when the connection last became idle, with every answer read.
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -85,7 +85,7 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), timeout)
 				defer cancel()
-				if c, err := p.Acquire(ctx, firstMember); err == nil {
+				if c, err := p.Acquire(ctx, firstMember, ""); err == nil {
 					served <- timeout
 					p.Release(c)
 				}
@@ -110,7 +110,7 @@
 		p.Release(held[0])
 		p.SetLeaving([]string{firstMember})
 		is.Equal(p.Stats().Idle, 0)
-		_, err := p.Acquire(t.Context(), firstMember)
+		_, err := p.Acquire(t.Context(), firstMember, "")
 		is.Equal(code(err), result.UpstreamUnreachable)
 		p.Release(held[1])
 		after(roundTrip)
@@ -170,7 +170,7 @@
 		held := acquire(t, p, firstMember)
 		refused := make(chan error, 1)
 		go func() {
-			_, err := p.Acquire(context.Background(), firstMember)
+			_, err := p.Acquire(context.Background(), firstMember, "")
 			refused <- err
 		}()
 		synctest.Wait()
--- a/internal/pool/fake_test.go
+++ b/internal/pool/fake_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-func (f *fakeMembers) open(ctx context.Context, address string) (wire.Conn, error) {
+func (f *fakeMembers) open(ctx context.Context, address, _ string) (wire.Conn, error) {
 	f.begin()
 	defer f.end()
 	if err := clock.Sleep(ctx, clock.System{}, openLatency); err != nil {
--- a/internal/pool/limited.go
+++ b/internal/pool/limited.go
@@ -90,7 +90,7 @@
 func (p *Limited) member(address string) *memberState {
 	m, ok := p.members[address]
 	if !ok {
-		m = &memberState{address: address}
+		m = &memberState{address: address, lanes: make(map[string]*lane)}
 		p.members[address] = m
 	}
 	return m
@@ -141,15 +141,13 @@
 
 // probeSuspects begins the probes of a member's idle connections in doubt.
 func (p *Limited) probeSuspects(m *memberState) {
-	idle := m.idle
-	m.idle = nil
-	for _, e := range idle {
-		if !e.suspect {
-			m.idle = append(m.idle, e)
+	for n := 0; n < len(m.idle); {
+		if !m.idle[n].suspect {
+			n++
 			continue
 		}
 		p.idle--
-		p.startProbe(e)
+		p.startProbe(m.takeAt(n))
 	}
 }
 
@@ -171,7 +169,7 @@
 			continue
 		}
 		p.closeIdle(m, closedLeaving)
-		p.refuseWaiters(m, p.waiting.Len(), p.unreachable(m))
+		p.refuseWaiters(m, everyWaiter, p.unreachable(m))
 	}
 	p.dispatch()
 }
@@ -204,7 +202,7 @@
 // memberFull reports whether a member has its limit of connections, or more than
 // that by over.
 func (p *Limited) memberFull(m *memberState, over int) bool {
-	return p.memberLimit > 0 && m.counted() >= p.memberLimit+over
+	return p.memberLimit > 0 && m.counted()+m.replacing >= p.memberLimit+over
 }
 
 // Settle waits until no more connections count than the limit allows.
@@ -218,7 +216,7 @@
 func (p *Limited) Close(ctx context.Context) error {
 	p.mu.Lock()
 	p.closed = true
-	for _, w := range p.waiting.TakeWhere(p.waiting.Len(), func(*waiter) bool { return true }) {
+	for _, w := range p.waiting.TakeWhere(p.waiting.Len(), everyWaiter) {
 		w.granted <- grant{err: p.draining()}
 	}
 	for _, m := range p.members {
--- a/internal/pool/limited_test.go
+++ b/internal/pool/limited_test.go
@@ -15,7 +15,7 @@
 // acquire returns a connection or ends the test.
 func acquire(t *testing.T, p *Limited, address string) wire.Conn {
 	t.Helper()
-	c, err := p.Acquire(t.Context(), address)
+	c, err := p.Acquire(t.Context(), address, "")
 	if err != nil {
 		t.Fatalf("acquire: %v", err)
 	}
@@ -82,7 +82,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		began := time.Now()
-		_, err := p.Acquire(ctx, firstMember)
+		_, err := p.Acquire(ctx, firstMember, "")
 		is.Equal(code(err), result.TooManyConnections)
 		is.Equal(time.Since(began), time.Second)
 		p.Release(held)
--- a/internal/pool/machine_test.go
+++ b/internal/pool/machine_test.go
@@ -27,12 +27,13 @@
 
 func (m *machine) acquire(t *rapid.T) {
 	address := m.address(t)
+	workspace := rapid.SampledFrom([]string{"", "north", "south"}).Draw(t, "workspace")
 	timeout := time.Duration(rapid.IntRange(1, 400).Draw(t, "timeout")) * time.Millisecond
 	m.pending++
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		c, _ := m.pool.Acquire(ctx, address)
+		c, _ := m.pool.Acquire(ctx, address, workspace)
 		m.got <- c
 	}()
 }
@@ -200,7 +201,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			c, err := p.Acquire(ctx, firstMember)
+			c, err := p.Acquire(ctx, firstMember, "")
 			if err != nil {
 				b.Error(err)
 				return
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -10,12 +11,14 @@
 	address string
 	leaving bool
 	// idle is ordered by last use, the latest at the end.
-	idle []*entry
-	// leastIdle is how many were idle all the time since the last trim.
-	leastIdle int
-	inUse     int
-	opening   int
-	probing   int
+	idle    []*entry
+	inUse   int
+	opening int
+	probing int
+	// replacing counts closings that make room at the member for another workspace.
+	replacing int
+	// lanes holds the same counts by workspace.
+	lanes map[string]*lane
 	// pause is the present length of the pause between failed openings; zero
 	// after one that went well.
 	pause       time.Duration
@@ -28,25 +31,43 @@
 // counted is how many connections to the member count.
 func (m *memberState) counted() int { return len(m.idle) + m.inUse + m.opening + m.probing }
 
-// takeIdle removes and returns the connection used last; nil if there is none.
-func (m *memberState) takeIdle() *entry {
-	n := len(m.idle)
-	if n == 0 {
+// takeIdle removes and returns the workspace's connection used last; nil if there is none.
+func (m *memberState) takeIdle(workspace string) *entry {
+	if l := m.lanes[workspace]; l == nil || l.idle == 0 {
 		return nil
 	}
-	e := m.idle[n-1]
-	m.idle = m.idle[:n-1]
-	m.leastIdle = min(m.leastIdle, n-1)
-	return e
+	for n := len(m.idle) - 1; n >= 0; n-- {
+		if m.idle[n].workspace == workspace {
+			return m.takeAt(n)
+		}
+	}
+	return nil
 }
 
 // takeOldest removes and returns the connection used longest ago.
-func (m *memberState) takeOldest() *entry {
-	e := m.idle[0]
-	m.idle = m.idle[1:]
+func (m *memberState) takeOldest() *entry { return m.takeAt(0) }
+
+// takeOldestOf is takeOldest among those of a workspace that has one.
+func (m *memberState) takeOldestOf(workspace string) *entry {
+	return m.takeAt(slices.IndexFunc(m.idle, func(e *entry) bool { return e.workspace == workspace }))
+}
+
+// takeAt removes and returns the idle connection at a place in their order.
+func (m *memberState) takeAt(n int) *entry {
+	e := m.idle[n]
+	m.idle = slices.Delete(m.idle, n, n+1)
+	l := m.lane(e.workspace)
+	l.idle--
+	l.leastIdle = min(l.leastIdle, l.idle)
 	return e
 }
 
+// addIdle puts a connection behind those used before.
+func (m *memberState) addIdle(e *entry) {
+	m.idle = append(m.idle, e)
+	m.lane(e.workspace).idle++
+}
+
 // mayOpen reports whether an opening may start now.
 func (m *memberState) mayOpen(now time.Time) bool {
 	if m.leaving || now.Before(m.pausedUntil) {
@@ -57,6 +78,12 @@
 	return m.pause == 0 || m.opening == 0
 }
 
+// refusesOpenings reports whether the member has answered two openings or more in a row that
+// it takes no more, by the pause that followed the first.
+func (m *memberState) refusesOpenings(shortest time.Duration) bool {
+	return m.refused && m.pause > shortest
+}
+
 // holdBack begins a pause after a failed opening, twice as long as the one
 // before and jittered between a half and the whole of it.
 func (m *memberState) holdBack(now time.Time, r *rand.Rand, shortest, longest time.Duration) {
--- a/internal/pool/memberlimit_test.go
+++ b/internal/pool/memberlimit_test.go
@@ -26,7 +26,7 @@
 		other := acquire(t, p, secondMember)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := p.Acquire(ctx, firstMember)
+		_, err := p.Acquire(ctx, firstMember, "")
 		is.Equal(code(err), result.TooManyConnections)
 		p.Release(held[0])
 		held[0] = acquire(t, p, firstMember)
--- a/internal/pool/metrics.go
+++ b/internal/pool/metrics.go
@@ -11,6 +11,7 @@
 	closedLimit    = "limit_lowered"
 	closedSurplus  = "not_needed"
 	closedMakeRoom = "room_for_other_member"
+	closedReplaced = "room_for_other_workspace"
 	closedShutdown = "shutdown"
 )
 
--- a/internal/pool/opening_test.go
+++ b/internal/pool/opening_test.go
@@ -30,7 +30,7 @@
 		var all sync.WaitGroup
 		for range 8 {
 			all.Go(func() {
-				_, err := p.Acquire(ctx, firstMember)
+				_, err := p.Acquire(ctx, firstMember, "")
 				is.Equal(code(err), result.TooManyConnections)
 			})
 		}
@@ -66,10 +66,10 @@
 		p := members.newPool(2)
 		defer closePool(t, p)
 		members.down[firstMember] = true
-		_, err := p.Acquire(t.Context(), firstMember)
+		_, err := p.Acquire(t.Context(), firstMember, "")
 		is.Equal(code(err), result.UpstreamUnreachable)
 		began := time.Now()
-		_, err = p.Acquire(t.Context(), firstMember)
+		_, err = p.Acquire(t.Context(), firstMember, "")
 		e, _ := result.As(err)
 		is.Equal(e.Code, result.UpstreamUnreachable)
 		is.Equal(time.Since(began), time.Duration(0))
@@ -99,7 +99,7 @@
 		for _, p := range pools {
 			for range 10 {
 				all.Go(func() {
-					c, err := p.Acquire(context.Background(), secondMember)
+					c, err := p.Acquire(context.Background(), secondMember, "")
 					is.NoErr(err)
 					after(time.Second)
 					p.Release(c)
@@ -128,14 +128,14 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		began := time.Now()
-		_, err := p.Acquire(ctx, firstMember)
+		_, err := p.Acquire(ctx, firstMember, "")
 		is.Equal(code(err), result.TooManyConnections)
 		is.True(time.Since(began) < 4*DefaultMinPause)
 		is.True(p.Full(firstMember))
 		is.True(!p.Full(secondMember))
 		for range 100 {
 			began = time.Now()
-			_, err := p.Acquire(ctx, firstMember)
+			_, err := p.Acquire(ctx, firstMember, "")
 			is.Equal(code(err), result.TooManyConnections)
 			is.True(time.Since(began) <= maxFullPause)
 			_ = clock.Sleep(t.Context(), clock.System{}, 100*time.Millisecond)
@@ -145,7 +145,7 @@
 		members.mu.Unlock()
 		free := time.Now()
 		for {
-			c, err := p.Acquire(t.Context(), firstMember)
+			c, err := p.Acquire(t.Context(), firstMember, "")
 			if err == nil {
 				p.Release(c)
 				break
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,9 +19,9 @@
 
 // Pool hands out connections of one group.
 type Pool interface {
-	// Acquire returns a clean connection to the member at address. Errors are
-	// *result.Error with a code of the did-not-run family.
-	Acquire(ctx context.Context, address string) (wire.Conn, error)
+	// Acquire returns a clean connection to the member at address that was opened for
+	// the workspace. Errors are *result.Error with a code of the did-not-run family.
+	Acquire(ctx context.Context, address, workspace string) (wire.Conn, error)
 	// Release takes back a connection. One that is not provably clean, or whose
 	// member is leaving, is closed.
 	Release(c wire.Conn)
@@ -35,4 +35,6 @@
 	// Full reports whether statements for the member at address are refused because
 	// it takes no connection and there is none.
 	Full(address string) bool
+	// FullFor reports the same for statements of one workspace.
+	FullFor(address, workspace string) bool
 }
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -29,6 +29,7 @@
 func (p *Limited) leaveUse(e *entry) {
 	p.inUse--
 	e.member.inUse--
+	e.member.lane(e.workspace).inUse--
 }
 
 // settle gives a connection that no caller holds its next state.
@@ -52,7 +53,7 @@
 	default:
 		e.state = stateIdle
 		e.heardAt = p.cfg.Clock.Now()
-		e.member.idle = append(e.member.idle, e)
+		e.member.addIdle(e)
 		p.idle++
 	}
 }
--- a/internal/pool/suspect_test.go
+++ b/internal/pool/suspect_test.go
@@ -56,7 +56,7 @@
 		releaseAll(p, held[:2])
 		members.down[firstMember] = true
 		busy := fill(t, p, firstMember, 2)
-		_, err := p.Acquire(t.Context(), firstMember)
+		_, err := p.Acquire(t.Context(), firstMember, "")
 		is.Equal(code(err), result.UpstreamUnreachable)
 		releaseAll(p, busy)
 		after(DefaultProbeTimeout + roundTrip)
--- a/internal/pool/trim.go
+++ b/internal/pool/trim.go
@@ -15,19 +15,22 @@
 		p.mu.Lock()
 		for _, m := range p.members {
 			p.trimMember(m)
+			m.dropEmptyLanes()
 		}
 		p.mu.Unlock()
 	}
 }
 
-// trimMember closes as many idle connections as were idle all the time, and leaves one
-// connection at least. A spare one as well, in each of seven instances, was a third of
-// what a member takes: none was free for the first seconds after all had lost power.
+// trimMember closes as many idle connections of each workspace as were idle all the time, and
+// leaves one connection at least. A spare one as well, in each of seven instances, was a third
+// of what a member takes: none was free for the first seconds after all had lost power.
 func (p *Limited) trimMember(m *memberState) {
-	surplus := min(m.leastIdle, len(m.idle), m.counted()-1)
-	for range surplus {
-		p.idle--
-		p.startClose(m.takeOldest(), closedSurplus)
+	for workspace, l := range m.lanes {
+		surplus := min(l.leastIdle, l.idle, l.counted()-1)
+		for range surplus {
+			p.idle--
+			p.startClose(m.takeOldestOf(workspace), closedSurplus)
+		}
+		l.leastIdle = l.idle
 	}
-	m.leastIdle = len(m.idle)
 }
--- a/internal/pool/waiter.go
+++ b/internal/pool/waiter.go
@@ -14,14 +14,19 @@
 
 // waiter is one Acquire that waits.
 type waiter struct {
-	address  string
-	deadline time.Time
-	arrival  uint64
+	address string
+	// workspace is the one that the connection is to be for.
+	workspace string
+	deadline  time.Time
+	arrival   uint64
 	// granted receives exactly one grant when the waiter leaves the queue by
 	// the pool's doing.
 	granted chan grant
 }
 
+// everyWaiter matches all.
+func everyWaiter(*waiter) bool { return true }
+
 // before orders waiters by deadline, then by arrival.
 func (w *waiter) before(o *waiter) bool {
 	if !w.deadline.Equal(o.deadline) {
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -13,17 +13,18 @@
 // startOpen begins an opening. One that starts while others run waits a random
 // moment first: after a failover every instance needs all its connections at
 // the same instant, and the new primary would meet them as one burst.
-func (p *Limited) startOpen(m *memberState) {
+func (p *Limited) startOpen(m *memberState, workspace string) {
 	var delay time.Duration
 	if p.opening > 0 {
 		delay = time.Duration(p.cfg.Rand.Int64N(int64(p.cfg.OpenJitter)))
 	}
 	p.opening++
 	m.opening++
-	go p.open(m, delay)
+	m.lane(workspace).opening++
+	go p.open(m, workspace, delay)
 }
 
-func (p *Limited) open(m *memberState, delay time.Duration) {
+func (p *Limited) open(m *memberState, workspace string, delay time.Duration) {
 	ctx, cancel := context.WithTimeout(p.background, p.cfg.OpenTimeout)
 	defer cancel()
 	var c wire.Conn
@@ -32,42 +33,44 @@
 		err = clock.Sleep(ctx, p.cfg.Clock, delay)
 	}
 	if err == nil {
-		c, err = p.cfg.Open(ctx, m.address)
+		c, err = p.cfg.Open(ctx, m.address, workspace)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
 	m.opening--
+	m.lane(workspace).opening--
 	if err != nil {
-		p.openFailed(m, err)
+		p.openFailed(m, workspace, err)
 	} else {
-		p.opened(m, c)
+		p.opened(m, workspace, c)
 	}
 	p.dispatch()
 }
 
 // opened takes in a new connection.
-func (p *Limited) opened(m *memberState, c wire.Conn) {
+func (p *Limited) opened(m *memberState, workspace string, c wire.Conn) {
 	p.cfg.Metrics.opened.WithLabelValues(p.cfg.Group, "ok").Inc()
 	m.recovered()
-	e := &entry{conn: c, member: m}
+	e := &entry{conn: c, member: m, workspace: workspace}
 	p.entries[c] = e
 	p.settle(e)
 	p.changed.Notify()
 }
 
 // maxFullPause bounds the pause between tries of a member that takes no more
-// connections, while there is none to it. It answers such a try at once, and has room again some seconds later:
-// when it has, it must not take another second to find out.
+// connections, while there is none of the workspace to it. It answers such a try at once, and
+// has room again some seconds later: when it has, it must not take another second to find out.
 const maxFullPause = 400 * time.Millisecond
 
 // openFailed holds back openings to the member, and ends the wait of those
 // whom nothing else can serve.
-func (p *Limited) openFailed(m *memberState, err error) {
+func (p *Limited) openFailed(m *memberState, workspace string, err error) {
 	now := p.cfg.Clock.Now()
 	m.refused = errors.Is(err, wire.ErrFull)
 	longest := p.cfg.MaxPause
-	if m.refused && m.counted() == m.opening {
+	l := m.lane(workspace)
+	if m.refused && !l.connected() {
 		longest = min(longest, maxFullPause)
 	}
 	m.holdBack(now, p.cfg.Rand, p.cfg.MinPause, longest)
@@ -82,25 +85,28 @@
 		// The attempt may have reached the member, which then holds a
 		// connection that this side has given up.
 		p.closing++
-		go p.hold(p.cfg.CloseHold)
+		go p.hold(p.cfg.CloseHold, nil)
 	} else {
 		p.changed.Notify()
 	}
 	if m.refused {
-		if p.staysFull(m) {
-			p.refuseWaiters(m, p.waiting.Len(), p.full(m))
-		}
+		p.refuseWaiters(m, func(w *waiter) bool { return p.staysFull(m, w.workspace) }, p.full(m))
 		return
 	}
 	// A member that takes no new connection has often lost the old ones too. A
 	// statement sent on one would end as outcome unknown, and after a failover
 	// they would hold the places that the new primary needs.
 	p.suspect(m, now)
-	refuse := p.waiting.Len()
-	if m.inUse+m.probing > 0 {
-		refuse = 1
-	}
-	p.refuseWaiters(m, refuse, p.unreachable(m).WithCause(err))
+	refused := 0
+	p.refuseWaiters(m, func(w *waiter) bool {
+		serving := m.lane(w.workspace)
+		if serving.inUse+serving.probing == 0 {
+			return true
+		}
+		// Those behind the first may still get the connections in use.
+		refused++
+		return w.workspace == workspace && refused == 1
+	}, p.unreachable(m).WithCause(err))
 }
 
 // dispatchAfter dispatches when a pause is over.
@@ -122,6 +128,7 @@
 	e.state = stateProbing
 	p.probing++
 	e.member.probing++
+	e.member.lane(e.workspace).probing++
 	go p.probe(e)
 }
 
@@ -133,6 +140,7 @@
 	defer p.mu.Unlock()
 	p.probing--
 	e.member.probing--
+	e.member.lane(e.workspace).probing--
 	e.suspect = false
 	if err != nil {
 		p.startClose(e, closedSilent)
@@ -165,7 +173,7 @@
 		p.cfg.Metrics.unconfirmed.WithLabelValues(p.cfg.Group).Inc()
 		rest = p.cfg.CloseHold - p.cfg.Clock.Now().Sub(started)
 	}
-	p.hold(rest)
+	p.hold(rest, e)
 }
 
 func (p *Limited) closeConfirmed(e *entry) bool {
@@ -178,14 +186,18 @@
 	return p.cfg.Close(ctx, e.conn) == nil
 }
 
-// hold waits for d and then stops counting one closing.
-func (p *Limited) hold(d time.Duration) {
+// hold waits for d and then stops counting one closing: that of e, or, where e is nil, of a
+// connection that was never whole.
+func (p *Limited) hold(d time.Duration, e *entry) {
 	if d > 0 {
 		_ = clock.Sleep(context.WithoutCancel(p.background), p.cfg.Clock, d)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closing--
+	if e != nil && e.replaced {
+		e.member.replacing--
+	}
 	p.changed.Notify()
 	p.dispatch()
 }
--- /dev/null
+++ b/internal/pool/workspaces_test.go
@@ -0,0 +1,145 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/wire"
+)
+
+// acquireFor takes a connection of a workspace.
+func acquireFor(t *testing.T, p *Limited, workspace string) wire.Conn {
+	t.Helper()
+	c, err := p.Acquire(t.Context(), firstMember, workspace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against a connection that serves another workspace than the one it was opened for.
+func TestConnectionServesItsWorkspaceAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(100)
+		defer closePool(t, p)
+		north := acquireFor(t, p, "north")
+		p.Release(north)
+		south := acquireFor(t, p, "south")
+		is.True(south != north)
+		again := acquireFor(t, p, "north")
+		is.Equal(again, north)
+		p.Release(south)
+		p.Release(again)
+		is.Equal(members.openings, 2)
+	})
+}
+
+// Guards against a workspace that waits for ever at a member whose whole part is idle in the
+// hands of others: the connection idle longest makes room, and no more than the part is held.
+func TestIdleLongestMakesRoomForAnotherWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(100)
+		defer closePool(t, p)
+		p.SetMemberLimit(3)
+		for _, workspace := range []string{"a", "b", "c"} {
+			p.Release(acquireFor(t, p, workspace))
+			_ = clock.Sleep(t.Context(), clock.System{}, time.Second)
+		}
+		p.Release(acquireFor(t, p, "a"))
+		p.Release(acquireFor(t, p, "d"))
+		is.Equal(members.openings, 4)
+		p.Release(acquireFor(t, p, "a"))
+		p.Release(acquireFor(t, p, "c"))
+		is.Equal(members.openings, 4)
+		p.Release(acquireFor(t, p, "b"))
+		is.Equal(members.openings, 5)
+		is.True(members.highest <= 3)
+	})
+}
+
+// Guards against room that is made from a workspace whose own statement waits for it.
+func TestConnectionWithAWaiterMakesNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(100)
+		defer closePool(t, p)
+		p.SetMemberLimit(1)
+		held := acquireFor(t, p, "a")
+		got := make(chan string, 2)
+		wait := func(workspace string) {
+			c, err := p.Acquire(t.Context(), firstMember, workspace)
+			is.NoErr(err)
+			got <- workspace
+			_ = clock.Sleep(t.Context(), clock.System{}, time.Millisecond)
+			p.Release(c)
+		}
+		go wait("b")
+		synctest.Wait()
+		go wait("a")
+		synctest.Wait()
+		p.Release(held)
+		is.Equal(<-got, "a")
+		is.Equal(<-got, "b")
+		is.Equal(members.openings, 2)
+		_ = clock.Sleep(t.Context(), clock.System{}, time.Second)
+	})
+}
+
+// Guards against a trim that closes the one connection of a workspace that comes back every
+// few seconds.
+func TestTrimLeavesEachWorkspaceAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		cfg := members.config(100)
+		cfg.TrimInterval = time.Second
+		p := New(cfg)
+		defer closePool(t, p)
+		first, second := acquireFor(t, p, "a"), acquireFor(t, p, "a")
+		p.Release(first)
+		p.Release(second)
+		p.Release(acquireFor(t, p, "b"))
+		_ = clock.Sleep(t.Context(), clock.System{}, 5*time.Second)
+		is.Equal(members.count(), 2)
+		p.Release(acquireFor(t, p, "a"))
+		p.Release(acquireFor(t, p, "b"))
+		is.Equal(members.openings, 3)
+	})
+}
+
+// Guards against callers of many workspaces who starve each other of a member's part: each is
+// served within a few openings.
+func TestManyWorkspacesTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		members := newFakeMembers()
+		p := members.newPool(100)
+		defer closePool(t, p)
+		p.SetMemberLimit(6)
+		done := make(chan error)
+		for n := range 75 {
+			go func() {
+				c, err := p.Acquire(t.Context(), firstMember, fmt.Sprint(n))
+				if err == nil {
+					_ = clock.Sleep(t.Context(), clock.System{}, 5*time.Millisecond)
+					p.Release(c)
+				}
+				done <- err
+			}()
+		}
+		for range 75 {
+			is.NoErr(<-done)
+		}
+		is.True(members.highest <= 6)
+	})
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -35,6 +35,9 @@
 	ReadRefused         Code = 1026
 	MemberBusy          Code = 1027
 	ReadFailed          Code = 1028
+	InvalidKey          Code = 1029
+	QuotaExceeded       Code = 1030
+	QuotaUnavailable    Code = 1031
 )
 
 // Codes of FamilyOutcomeUnknown.
--- a/internal/shares/resource_test.go
+++ b/internal/shares/resource_test.go
@@ -25,7 +25,7 @@
 	highest int
 }
 
-func (m *member) open(ctx context.Context, address string) (wire.Conn, error) {
+func (m *member) open(ctx context.Context, address, _ string) (wire.Conn, error) {
 	if err := clock.Sleep(ctx, clock.System{}, 10*time.Millisecond); err != nil {
 		return nil, err
 	}
@@ -101,7 +101,7 @@
 	got := make(chan wire.Conn, n)
 	for range n {
 		all.Go(func() {
-			if c, err := p.Acquire(ctx, "10.0.0.1:5432"); err == nil {
+			if c, err := p.Acquire(ctx, "10.0.0.1:5432", ""); err == nil {
 				got <- c
 			}
 		})
--- a/internal/standin/member/linerun.go
+++ b/internal/standin/member/linerun.go
@@ -12,6 +12,8 @@
 	Values map[string]string
 	// Conn numbers the connection, and Transaction its transactions; zero is none.
 	Conn, Transaction int
+	// User is the name that the connection was opened in.
+	User string
 	// Role is what the node was.
 	Role string
 }
@@ -43,7 +45,7 @@
 	n := s.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r := Run{ID: id, Text: text, Shape: shape, Values: maps.Clone(s.values), Conn: s.number, Role: string(n.role)}
+	r := Run{ID: id, Text: text, Shape: shape, Values: maps.Clone(s.values), Conn: s.number, User: s.user, Role: string(n.role)}
 	if s.tx != nil {
 		r.Transaction = s.transactions
 	}
--- a/internal/standin/member/linesession.go
+++ b/internal/standin/member/linesession.go
@@ -38,6 +38,8 @@
 	in     *bufio.Reader
 	out    *bufio.Writer
 	number int
+	// user is the name that the connection was opened in.
+	user string
 
 	values   map[string]string
 	prepared map[string]linePrepared
@@ -82,7 +84,7 @@
 	}
 	n.mu.Lock()
 	n.lineConns++
-	s.number = n.lineConns
+	s.number, s.user = n.lineConns, fields[2]
 	n.mu.Unlock()
 	s.reset()
 	s.ready()
