Keep each workspace's operations within its limit over all instances

Change: every instance owns an equal share of each limit and delegates it for the length of a lease to a limiter of its failure domain, which hands out tokens; where it has none, the limiters of other failure domains are asked. A share is delegated anew only behind the end of the lease before by its holder's clock. An instance that vanished counts for a minute, a new one has no share at first. With the bucket's depth, or the end of leases, taken out, tests fail; without the order of leases, the wait behind a start, the settling of buckets or the check of the limiter's process they do not yet.

--- a/internal/inifile/kinds.go
+++ b/internal/inifile/kinds.go
@@ -13,6 +13,7 @@
 
 var (
 	errNotInteger  = errors.New("not a whole number")
+	errNotNumber   = errors.New("not a number")
 	errNotDuration = errors.New("not a duration")
 	errOutOfRange  = errors.New("out of range")
 	errNotListed   = errors.New("not one of the allowed words")
@@ -39,6 +40,24 @@
 // Allowed implements Kind.
 func (k Int) Allowed() string { return fmt.Sprintf("%d to %d", k.Min, k.Max) }
 
+// Decimal is a number from Min to Max, written like 0.1; its value is a float64.
+type Decimal struct{ Min, Max float64 }
+
+// Parse implements Kind.
+func (k Decimal) Parse(text string) (any, error) {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0.0, errNotNumber
+	}
+	if !(n >= k.Min && n <= k.Max) {
+		return 0.0, errOutOfRange
+	}
+	return n, nil
+}
+
+// Allowed implements Kind.
+func (k Decimal) Allowed() string { return fmt.Sprintf("%v to %v", k.Min, k.Max) }
+
 // Duration is a time span from Min to Max, written like 250ms, 5s or 1m30s;
 // its value is a time.Duration.
 type Duration struct{ Min, Max time.Duration }
--- a/internal/inifile/section.go
+++ b/internal/inifile/section.go
@@ -32,6 +32,12 @@
 	return n
 }
 
+// Decimal returns the value of a key of kind Decimal.
+func (s *Section) Decimal(key string) float64 {
+	n, _ := s.values[key].(float64)
+	return n
+}
+
 // String returns the value of a key whose value is a string.
 func (s *Section) String(key string) string {
 	text, _ := s.values[key].(string)
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -7,6 +7,7 @@
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/objectwatch"
+	"github.com/topazrock/topazrock/internal/workspace"
 )
 
 // Documents are the services in force.
@@ -17,6 +18,8 @@
 	Ready() bool
 	// Groups returns every group of every service.
 	Groups() []GroupInForce
+	// Workspaces returns those in force; nil where callers belong to none.
+	Workspaces() *workspace.Table
 	// Leaving reports whether a member is to get no new work.
 	Leaving(address string) bool
 	// Subscribe calls f after each change. f must not block.
@@ -63,6 +66,9 @@
 	return all
 }
 
+// Workspaces implements Documents.
+func (d storedDocuments) Workspaces() *workspace.Table { return nil }
+
 // Leaving implements Documents.
 func (d storedDocuments) Leaving(address string) bool { return d.members.Leaving(address) }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/quota"
 	"github.com/topazrock/topazrock/internal/registry"
 	"github.com/topazrock/topazrock/internal/shares"
 )
@@ -52,6 +53,8 @@
 	peers   *peer.Server
 	client  *peer.Client
 	router  *executor.Router
+	// limits keeps the operations of workspaces within their limits.
+	limits  *quota.Guard
 	callers Callers
 	admin   *adminapi.Server
 	// changed asks for a comparison of homes; it holds at most one request.
@@ -145,8 +148,9 @@
 	}
 	n.router = executor.NewRouter(s.Instance.ID, s.Peer.Address, homes{n.members}, n.client, o.Clock, n.metrics.executor)
 	n.router.Register(n.peers)
+	n.limits = n.newLimits()
 	n.callers = n.protocol.Callers(CallerParts{
-		Executor:   n.router,
+		Executor:   quota.Executor{Executor: n.router, Guard: n.limits, Clock: o.Clock},
 		EndUnits:   n.router.EndUnits,
 		Clock:      o.Clock,
 		Logger:     o.Logger,
@@ -196,6 +200,7 @@
 	defer stop()
 	n.documents.Subscribe(n.noteChange)
 	n.members.Subscribe(n.noteChange)
+	n.members.Subscribe(n.limits.Observe)
 	n.running.Go(func() { n.follow(parts) })
 	n.running.Go(func() { _ = n.documents.Run(parts) })
 	n.reconciling.Go(func() { n.runHomes(parts) })
@@ -204,6 +209,7 @@
 	n.running.Go(func() { n.serveMetrics(parts) })
 	n.running.Go(func() { n.watchReach(parts) })
 	n.running.Go(func() { n.farWatch(parts) })
+	n.running.Go(func() { n.limits.Run(parts) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.callers.Serve(callers) })
 	select {
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/pool"
+	"github.com/topazrock/topazrock/internal/quota"
 	"github.com/topazrock/topazrock/internal/retry"
 	"github.com/topazrock/topazrock/internal/shares"
 )
@@ -22,6 +23,7 @@
 	group      *group.Metrics
 	membership *membership.Metrics
 	pool       *pool.Metrics
+	quota      *quota.Metrics
 	retry      *retry.Metrics
 	shares     *shares.Metrics
 }
@@ -35,6 +37,7 @@
 		group:      group.NewMetrics(r),
 		membership: membership.NewMetrics(r),
 		pool:       pool.NewMetrics(r),
+		quota:      quota.NewMetrics(r),
 		retry:      retry.NewMetrics(r),
 		shares:     shares.NewMetrics(r),
 	}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -56,6 +56,10 @@
 // The result must not be changed.
 func (m *Members) Live() []platform.Instance { return m.current.Load().live }
 
+// Listed returns the instances of the platform's list as it stands, those that leave included.
+// The result must not be changed.
+func (m *Members) Listed() []platform.Instance { return m.current.Load().listed }
+
 // Peers returns the live instances other than this one. The result must not be
 // changed.
 func (m *Members) Peers() []platform.Instance { return m.current.Load().peers }
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -12,7 +12,9 @@
 // snapshot is the view at one moment. Apart from the cache of homes it is
 // never changed after it was published.
 type snapshot struct {
-	self    platform.Instance
+	self platform.Instance
+	// listed are all instances of the list, live those that are not leaving.
+	listed  []platform.Instance
 	live    []platform.Instance
 	domains [][]platform.Instance
 	peers   []platform.Instance
@@ -28,7 +30,7 @@
 // newSnapshot builds a view. self says who this instance is; what the list
 // says of its addresses is not used, and its word that it leaves is.
 func newSnapshot(self platform.Instance, l list, counts homeCounts) *snapshot {
-	s := &snapshot{counts: counts, leaving: make(map[string]bool), homes: make(map[string]*homeSet)}
+	s := &snapshot{counts: counts, listed: l.instances, leaving: make(map[string]bool), homes: make(map[string]*homeSet)}
 	byID := make(map[string]platform.Instance)
 	for _, i := range l.instances {
 		byID[i.ID] = i
@@ -55,5 +57,5 @@
 }
 
 func (s *snapshot) same(o *snapshot) bool {
-	return s.self == o.self && s.counts.same(o.counts) && slices.Equal(s.live, o.live) && maps.Equal(s.leaving, o.leaving)
+	return s.self == o.self && s.counts.same(o.counts) && slices.Equal(s.live, o.live) && slices.Equal(s.listed, o.listed) && maps.Equal(s.leaving, o.leaving)
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -19,6 +19,11 @@
 	minDrain           = 500 * time.Millisecond
 	maxDrain           = 10 * time.Minute
 	maxMemoryMB        = 1 << 20
+
+	minQuotaWindow  = 100 * time.Millisecond
+	maxQuotaWindow  = time.Hour
+	maxQuotaOverage = 1
+	maxQuotaSlack   = 1_000_000
 )
 
 // schema is the one table of sections, keys, defaults and ranges.
@@ -27,7 +32,7 @@
 	Sections: []inifile.SectionRule{
 		{Kind: "instance", Required: true}, {Kind: "caller", Required: true}, {Kind: "peer", Required: true},
 		{Kind: "admin", Required: true}, {Kind: "platform", Required: true}, {Kind: "upstream", Required: true},
-		{Kind: "homes"}, {Kind: "ready"}, {Kind: "metrics"}, {Kind: "promotion"}, {Kind: "drain"}, {Kind: "process"}, {Kind: "log"},
+		{Kind: "homes"}, {Kind: "ready"}, {Kind: "metrics"}, {Kind: "promotion"}, {Kind: "drain"}, {Kind: "process"}, {Kind: "quota"}, {Kind: "log"},
 	},
 	Keys: []inifile.Key{
 		{Section: "instance", Name: "id", Kind: inifile.Name{}, Required: true,
@@ -88,6 +93,13 @@
 		{Section: "process", Name: "memory_mb", Kind: inifile.Int{Max: maxMemoryMB}, Default: "0",
 			Meaning: "Memory that the process may use, in megabytes; 0 sets no bound."},
 
+		{Section: "quota", Name: "window", Kind: inifile.Duration{Min: minQuotaWindow, Max: maxQuotaWindow}, Default: "5s",
+			Meaning: "Time over which the operations of a workspace are held against its limit."},
+		{Section: "quota", Name: "overage", Kind: inifile.Decimal{Max: maxQuotaOverage}, Default: "0",
+			Meaning: "Part of the limit by which the operations in a window may pass it. Some of it deepens the buckets and lets instances hold tokens ahead, so that fewer operations below the limit are refused or wait."},
+		{Section: "quota", Name: "slack", Kind: inifile.Int{Max: maxQuotaSlack}, Default: "0",
+			Meaning: "Number of operations by which those in a window may pass the limit besides; of use to workspaces with small limits."},
+
 		{Section: "log", Name: "level", Kind: inifile.Enum{"trace", "debug", "info", "warn", "error"}, Default: "info",
 			Meaning: "Least important level that is logged."},
 		{Section: "log", Name: "format", Kind: inifile.Enum{FormatText, FormatJSON}, Default: FormatText,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -47,7 +47,9 @@
 		Promotion: Promotion{URL: section("promotion").String("url")},
 		Drain:     Drain{Linger: section("drain").Duration("linger"), Timeout: section("drain").Duration("timeout")},
 		Process:   Process{MemoryMB: section("process").Int("memory_mb")},
-		Log:       Log{Level: section("log").String("level"), Format: section("log").String("format")},
+		Quota: Quota{Window: section("quota").Duration("window"), Overage: section("quota").Decimal("overage"),
+			Slack: section("quota").Int("slack")},
+		Log: Log{Level: section("log").String("level"), Format: section("log").String("format")},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 	Promotion Promotion
 	Drain     Drain
 	Process   Process
+	Quota     Quota
 	Log       Log
 }
 
@@ -114,6 +115,14 @@
 	MemoryMB int
 }
 
+// Quota says by how much the operations of a workspace may pass its limit: in any Window,
+// (rate x Window + burst) x (1 + Overage) + Slack operations are begun at most.
+type Quota struct {
+	Window  time.Duration
+	Overage float64
+	Slack   int
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string
