Give PostgreSQL callers workspaces, and show them in status

A service document has [workspace NAME] with rate, burst, priority and whether its connections to members are its own; each user may belong to one. The administration API and topazrock status show the workspaces with what the instance was asked for and refused.

--- a/internal/adminapi/openapi_test.go
+++ b/internal/adminapi/openapi_test.go
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	bodies := []any{
 		Identity{}, DocumentInfo{}, Document{}, Change{}, Outcome{}, InstanceVersion{}, GroupView{}, MemberView{},
-		PoolView{}, PeerView{}, Readiness{}, DrainView{}, StatusView{}, Problem{},
+		PoolView{}, WorkspaceView{}, PeerView{}, Readiness{}, DrainView{}, StatusView{}, Problem{},
 	}
 	schemas := readDescription(t).Components.Schemas
 	is.Equal(len(schemas), len(bodies))
--- a/internal/adminapi/parts.go
+++ b/internal/adminapi/parts.go
@@ -41,6 +41,11 @@
 	Pools() []PoolView
 }
 
+// Workspaces describes the workspaces in force.
+type Workspaces interface {
+	Workspaces() []WorkspaceView
+}
+
 // Peers describes the instances that this one knows.
 type Peers interface {
 	Peers() []PeerView
@@ -60,12 +65,13 @@
 // Parts is what the server needs of the rest of the instance. A nil part makes
 // its routes answer with result.NotReady.
 type Parts struct {
-	Identity  Identity
-	Documents Documents
-	Fleet     Fleet
-	Groups    Groups
-	Pools     Pools
-	Peers     Peers
-	Lifecycle Lifecycle
-	Metrics   prometheus.Gatherer
+	Identity   Identity
+	Documents  Documents
+	Fleet      Fleet
+	Groups     Groups
+	Pools      Pools
+	Workspaces Workspaces
+	Peers      Peers
+	Lifecycle  Lifecycle
+	Metrics    prometheus.Gatherer
 }
--- a/internal/adminapi/running.go
+++ b/internal/adminapi/running.go
@@ -53,6 +53,14 @@
 	return views
 }
 
+// workspaces describes the workspaces in force.
+func (s *Server) workspaces() []WorkspaceView {
+	if s.parts.Workspaces == nil {
+		return []WorkspaceView{}
+	}
+	return orEmpty(s.parts.Workspaces.Workspaces())
+}
+
 func (s *Server) listPools(w http.ResponseWriter, _ *http.Request) {
 	if s.parts.Pools == nil {
 		unavailable(w, "pools")
@@ -71,12 +79,13 @@
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	v := StatusView{
-		Instance:  s.parts.Identity,
-		Readiness: s.readiness(),
-		Documents: []DocumentInfo{},
-		Groups:    s.groups(),
-		Pools:     s.pools(),
-		Peers:     []PeerView{},
+		Instance:   s.parts.Identity,
+		Readiness:  s.readiness(),
+		Documents:  []DocumentInfo{},
+		Groups:     s.groups(),
+		Pools:      s.pools(),
+		Workspaces: s.workspaces(),
+		Peers:      []PeerView{},
 	}
 	if s.parts.Lifecycle != nil {
 		v.Draining = s.parts.Lifecycle.Draining()
--- a/internal/adminapi/views.go
+++ b/internal/adminapi/views.go
@@ -88,6 +88,19 @@
 	Idle  int `json:"idle"`
 }
 
+// WorkspaceView is what this instance knows of a workspace and has begun for it.
+type WorkspaceView struct {
+	Name     string `json:"name"`
+	Priority int    `json:"priority"`
+	// RatePerSecond and Burst are its limit over all instances; both zero where there is none.
+	RatePerSecond float64 `json:"rate_per_second"`
+	Burst         float64 `json:"burst"`
+	// BegunPerSecond is the average of the operations that this instance has been asked to
+	// begin of late, and Refused counts those that it refused for the limit.
+	BegunPerSecond float64 `json:"begun_per_second"`
+	Refused        uint64  `json:"refused"`
+}
+
 // PeerView is one instance that this one knows.
 type PeerView struct {
 	ID            string `json:"id"`
@@ -116,5 +129,7 @@
 	Documents []DocumentInfo `json:"documents"`
 	Groups    []GroupView    `json:"groups"`
 	Pools     []PoolView     `json:"pools"`
-	Peers     []PeerView     `json:"peers"`
+	// Workspaces are those that callers of this instance may belong to.
+	Workspaces []WorkspaceView `json:"workspaces"`
+	Peers      []PeerView      `json:"peers"`
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -32,6 +32,7 @@
 	}
 	writeGroups(w, s.Groups)
 	writePools(w, s.Pools)
+	writeWorkspaces(w, s.Workspaces)
 	writePeers(w, s.Peers)
 }
 
@@ -91,6 +92,25 @@
 	}
 }
 
+func writeWorkspaces(w *tabwriter.Writer, workspaces []adminapi.WorkspaceView) {
+	if len(workspaces) == 0 {
+		return
+	}
+	line(w)
+	line(w, "WORKSPACE", "PRIORITY", "RATE", "BURST", "ASKED HERE", "REFUSED HERE")
+	for _, v := range workspaces {
+		line(w, v.Name, v.Priority, limitText(v.RatePerSecond), limitText(v.Burst), fmt.Sprintf("%.1f/s", v.BegunPerSecond), v.Refused)
+	}
+}
+
+// limitText prints a part of a limit, or a dash where there is none.
+func limitText(n float64) string {
+	if n == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%g", n)
+}
+
 func writePeers(w *tabwriter.Writer, peers []adminapi.PeerView) {
 	if len(peers) == 0 {
 		return
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/objectwatch"
@@ -32,16 +31,14 @@
 	// Seed starts the random sources that spread the calls.
 	Seed uint64
 	Log  hclog.Logger
-	// Registry takes the directory's metrics; it may be nil.
-	Registry prometheus.Registerer
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Directory follows manifest and members.
 type Directory struct {
-	config Config
-	log    hclog.Logger
-	// faults counts what of manifests names no workspace.
-	faults  prometheus.Counter
+	config  Config
+	log     hclog.Logger
 	current atomic.Pointer[view]
 
 	mu       sync.Mutex
@@ -55,14 +52,10 @@
 
 // New returns a Directory that knows nothing yet; Run makes it learn.
 func New(c Config) *Directory {
-	d := &Directory{config: c, log: c.Log.Named("directory"), roster: newRoster()}
-	d.faults = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "topazrock_workspace_faults_total",
-		Help: "Workspaces and keys of manifests that could not be used as they were written.",
-	})
-	if c.Registry != nil {
-		c.Registry.MustRegister(d.faults)
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics(nil)
 	}
+	d := &Directory{config: c, log: c.Log.Named("directory"), roster: newRoster()}
 	d.current.Store(emptyView())
 	return d
 }
@@ -191,7 +184,7 @@
 // reportFaults logs and counts what of a manifest names no workspace.
 func (d *Directory) reportFaults(m Manifest) {
 	for _, f := range m.Faults {
-		d.faults.Inc()
+		d.config.Metrics.workspaceFaults.Inc()
 		d.log.Warn("Workspace cannot be used as it is written.", "version", m.Version, "workspace", f.Workspace, "reason", f.Reason)
 	}
 }
--- a/internal/document/keys.go
+++ b/internal/document/keys.go
@@ -7,11 +7,18 @@
 	sectionService = "service"
 	sectionGroup   = "group"
 	sectionUser    = "user"
+	sectionWork    = "workspace"
 	sectionLimits  = "limits"
 	sectionRead    = "read"
 	sectionRequest = "request"
 )
 
+// Words of the key connections of a workspace.
+const (
+	connectionsShared = "shared"
+	connectionsOwn    = "own"
+)
+
 // Words of the key repeat.
 const (
 	repeatNever   = "never"
@@ -31,6 +38,7 @@
 		{Kind: sectionService, Required: true},
 		{Kind: sectionGroup, Named: true, Required: true},
 		{Kind: sectionUser, Named: true, Required: true},
+		{Kind: sectionWork, Named: true},
 		{Kind: sectionLimits},
 		{Kind: sectionRead, Named: true},
 		{Kind: sectionRequest, Named: true},
@@ -48,6 +56,17 @@
 
 		{Section: sectionUser, Name: "verifier", Kind: verifier{}, Required: true, Secret: true,
 			Meaning: "SCRAM-SHA-256 verifier of the account's password, as PostgreSQL stores it."},
+		{Section: sectionUser, Name: "workspace", Kind: optionalName{}, Default: noName,
+			Meaning: "Workspace that the account's operations are run for; - for none."},
+
+		{Section: sectionWork, Name: "rate", Kind: inifile.Decimal{Max: maxRate}, Default: "0",
+			Meaning: "Operations a second that may be begun for the workspace, over all instances. 0 with a burst of 0 sets no limit."},
+		{Section: sectionWork, Name: "burst", Kind: inifile.Decimal{Max: maxRate}, Default: "0",
+			Meaning: "How many operations may be begun at once behind a pause."},
+		{Section: sectionWork, Name: "priority", Kind: priorityRange, Default: "5",
+			Meaning: "Order among workspaces within a class: 1 goes first, 9 last."},
+		{Section: sectionWork, Name: "connections", Kind: inifile.Enum{connectionsShared, connectionsOwn}, Default: connectionsShared,
+			Meaning: "Whether the workspace's statements share connections to members with others, or run on connections that serve it alone."},
 
 		{Section: sectionLimits, Name: "statement_timeout", Kind: timeoutRange, Default: "10s",
 			Meaning: "How long one statement may run at a member."},
--- a/internal/document/limits.go
+++ b/internal/document/limits.go
@@ -19,6 +19,7 @@
 	maxConnections = 10_000
 	maxSlots       = 1_000
 	maxQueueBound  = 100_000
+	maxRate        = 1_000_000
 
 	// HighestPriority goes first.
 	HighestPriority = 1
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/inifile"
+	"github.com/topazrock/topazrock/internal/workspace"
 )
 
 // Parse reads and checks a service document. The error is inifile.Problems
@@ -15,6 +16,7 @@
 	checkLimits(f, s)
 	checkGroups(f)
 	checkClasses(f, s)
+	checkWorkspaces(f, s)
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
@@ -29,7 +31,10 @@
 			Connections: sec.Int("connections"), Slots: sec.Int("slots")})
 	}
 	for _, sec := range f.All(sectionUser) {
-		s.Users = append(s.Users, User{Name: sec.Name, Verifier: sec.String("verifier")})
+		s.Users = append(s.Users, User{Name: sec.Name, Verifier: sec.String("verifier"), Workspace: sec.String("workspace")})
+	}
+	for _, sec := range f.All(sectionWork) {
+		s.Workspaces = append(s.Workspaces, buildWorkspace(sec))
 	}
 	s.Limits = buildLimits(f.First(&schema, sectionLimits))
 	for _, sec := range f.All(sectionRead) {
@@ -43,6 +48,17 @@
 	return s
 }
 
+func buildWorkspace(sec *inifile.Section) Workspace {
+	return Workspace{
+		Workspace: workspace.Workspace{
+			Name:     sec.Name,
+			Priority: sec.Int("priority"),
+			Limit:    workspace.Limit{RatePerSecond: sec.Decimal("rate"), Burst: sec.Decimal("burst")},
+		},
+		OwnConnections: sec.String("connections") == connectionsOwn,
+	}
+}
+
 func buildLimits(sec *inifile.Section) Limits {
 	return Limits{
 		StatementTimeout:       sec.Duration("statement_timeout"),
@@ -91,6 +107,25 @@
 	}
 }
 
+// checkWorkspaces refuses users of workspaces that do not exist, and limits that let nothing
+// begin.
+func checkWorkspaces(f *inifile.File, s *Service) {
+	for _, sec := range f.All(sectionUser) {
+		name := sec.String("workspace")
+		if _, found := s.FindWorkspace(name); name != "" && !found {
+			f.Refuse(sec, "workspace", "no section [workspace "+name+"]", "the name of a workspace of this document")
+		}
+	}
+	for _, sec := range f.All(sectionWork) {
+		if sec.Decimal("rate") > 0 && sec.Decimal("burst") < 1 {
+			f.Refuse(sec, "burst", "less than one operation", "1 or more where a rate is given")
+		}
+		if sec.Decimal("burst") > 0 && sec.Decimal("rate") == 0 {
+			f.Refuse(sec, "rate", "a burst without a rate never fills again", "more than 0 where a burst is given")
+		}
+	}
+}
+
 // checkClasses refuses a read and a request of the same name: a tag names a
 // class by its name alone.
 func checkClasses(f *inifile.File, s *Service) {
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -3,16 +3,22 @@
 // atomically by version.
 package document
 
-import "time"
+import (
+	"time"
+
+	"github.com/topazrock/topazrock/internal/workspace"
+)
 
 // Service is one parsed and checked service document.
 type Service struct {
 	Name   string
 	Groups []Group
 	Users  []User
-	Limits Limits
-	Reads  []ReadClass
-	Writes []RequestClass
+	// Workspaces are those that users belong to.
+	Workspaces []Workspace
+	Limits     Limits
+	Reads      []ReadClass
+	Writes     []RequestClass
 	// reads finds the read classes by name once Index was called.
 	reads map[string]int
 }
@@ -48,6 +54,29 @@
 	// Verifier is a SCRAM-SHA-256 verifier in the form that PostgreSQL stores:
 	// SCRAM-SHA-256$iterations:salt$storedkey:serverkey
 	Verifier string
+	// Workspace is the one that the user belongs to; empty for none.
+	Workspace string
+}
+
+// Workspace is one tenant of the service.
+type Workspace struct {
+	// Workspace has the name that the document gives it; see FullName.
+	workspace.Workspace
+	// OwnConnections says that its statements run on connections to members of its own.
+	OwnConnections bool
+}
+
+// FullName is a workspace's name among those of all services.
+func (s *Service) FullName(w Workspace) string { return s.Name + "/" + w.Name }
+
+// FindWorkspace returns the workspace of a name.
+func (s *Service) FindWorkspace(name string) (Workspace, bool) {
+	for _, w := range s.Workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
 }
 
 // Limits bounds time and size for every class that does not state its own.
--- a/internal/document/unset.go
+++ b/internal/document/unset.go
@@ -17,5 +17,22 @@
 	return k.Duration.Parse(text)
 }
 
+// noName stands in a document where a name could.
+const noName = "-"
+
+// optionalName is a name, or noName, whose value is empty.
+type optionalName struct{ inifile.Name }
+
+// Parse implements inifile.Kind.
+func (k optionalName) Parse(text string) (any, error) {
+	if text == noName {
+		return "", nil
+	}
+	return k.Name.Parse(text)
+}
+
+// Allowed implements inifile.Kind.
+func (k optionalName) Allowed() string { return noName + " or " + k.Name.Allowed() }
+
 // Allowed implements inifile.Kind.
 func (k orUnset) Allowed() string { return "0s or " + k.Duration.Allowed() }
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -61,6 +61,9 @@
 	Group   string `json:"group"`
 	// Workspace is who the unit is run for; empty where callers belong to none.
 	Workspace string `json:"workspace,omitempty"`
+	// Owner is the workspace whose connections to members alone may run the unit; empty
+	// where they are shared.
+	Owner string `json:"owner,omitempty"`
 	// Class and Key come from the request's tag; empty when untagged.
 	Class string `json:"class,omitempty"`
 	Key   string `json:"key,omitempty"`
--- a/internal/executor/concludein.go
+++ b/internal/executor/concludein.go
@@ -84,5 +84,5 @@
 	if tx.key == "" || !u.Ends {
 		return err
 	}
-	return g.settle(ctx, requestKey{tx.key, u.Workspace}, err)
+	return g.settle(ctx, requestKey{tx.key, u.Owner}, err)
 }
--- a/internal/executor/hedge.go
+++ b/internal/executor/hedge.go
@@ -54,7 +54,7 @@
 	case <-timer.C:
 	}
 	exclude[m.Address] = true
-	second, ok := g.pickReplica(u.Workspace, n, exclude)
+	second, ok := g.pickReplica(u.Owner, n, exclude)
 	if !ok || !g.mayHedge(ctx) {
 		return <-results
 	}
--- a/internal/executor/key.go
+++ b/internal/executor/key.go
@@ -20,7 +20,7 @@
 	if x.KeyFailure.Kind != wire.FailureKeyExists {
 		return keyNotStored(x.KeyFailure)
 	}
-	return g.lookUpKey(ctx, requestKey{u.Key, u.Workspace})
+	return g.lookUpKey(ctx, requestKey{u.Key, u.Owner})
 }
 
 // keyRefusedIn is keyRefused inside of the caller's transaction, which is
@@ -30,7 +30,7 @@
 	if x.KeyFailure.Kind != wire.FailureKeyExists {
 		return keyNotStored(x.KeyFailure)
 	}
-	return g.lookUpKey(ctx, requestKey{u.Key, u.Workspace})
+	return g.lookUpKey(ctx, requestKey{u.Key, u.Owner})
 }
 
 func keyNotStored(e *wire.Failure) error {
@@ -76,7 +76,7 @@
 // block makes one attempt to insert the tombstone. The second value is false
 // when the attempt showed nothing and may be made again.
 func (g *Group) block(ctx context.Context, key requestKey) (error, bool) {
-	x, err := g.control(ctx, key.workspace, wire.Step{Kind: wire.StepStoreKey, Key: key.name, Outcome: wire.KeyBlocked})
+	x, err := g.control(ctx, key.owner, wire.Step{Kind: wire.StepStoreKey, Key: key.name, Outcome: wire.KeyBlocked})
 	if err != nil {
 		return nil, false
 	}
@@ -100,7 +100,7 @@
 }
 
 func (g *Group) readKey(ctx context.Context, key requestKey) (wire.KeyOutcome, error) {
-	x, err := g.control(ctx, key.workspace, wire.Step{Kind: wire.StepFindKey, Key: key.name})
+	x, err := g.control(ctx, key.owner, wire.Step{Kind: wire.StepFindKey, Key: key.name})
 	if err != nil {
 		return "", err
 	}
@@ -114,8 +114,8 @@
 }
 
 // control runs one step about keys at the present primary.
-func (g *Group) control(ctx context.Context, workspace string, step wire.Step) (*exchange, error) {
-	x, err := g.keyExchange(ctx, workspace)
+func (g *Group) control(ctx context.Context, owner string, step wire.Step) (*exchange, error) {
+	x, err := g.keyExchange(ctx, owner)
 	if err != nil {
 		return nil, err
 	}
@@ -125,12 +125,12 @@
 }
 
 // keyExchange begins an exchange at the present primary.
-func (g *Group) keyExchange(ctx context.Context, workspace string) (*exchange, error) {
+func (g *Group) keyExchange(ctx context.Context, owner string) (*exchange, error) {
 	s, err := g.writablePrimary()
 	if err != nil {
 		return nil, err
 	}
-	c, err := g.Pool.Acquire(ctx, s.Primary, workspace)
+	c, err := g.Pool.Acquire(ctx, s.Primary, owner)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		if p.keyed(u) {
-			err = g.settle(ctx, requestKey{u.Key, u.Workspace}, err)
+			err = g.settle(ctx, requestKey{u.Key, u.Owner}, err)
 		}
 		return nil, err
 	}
@@ -45,7 +45,7 @@
 		slot.Release()
 		return nil, err
 	}
-	c, err := g.Pool.Acquire(ctx, s.Primary, u.Workspace)
+	c, err := g.Pool.Acquire(ctx, s.Primary, u.Owner)
 	if err != nil {
 		slot.Release()
 		g.reportRefused(s.Primary, err)
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -23,7 +23,7 @@
 	exclude := make(map[string]bool)
 	patience := g.Clock.Now().Add(logWait)
 	for attempt := 1; ; attempt++ {
-		m, ok := g.pickReplica(u.Workspace, n, exclude)
+		m, ok := g.pickReplica(u.Owner, n, exclude)
 		if !ok && g.mayWaitForLog(ctx, exclude, patience) {
 			clear(exclude)
 			attempt = 0
@@ -68,7 +68,7 @@
 		return nil, false, nil
 	}
 	n := need{position: position, token: u.Token}
-	m, ok := g.pickReplica(u.Workspace, n, nil)
+	m, ok := g.pickReplica(u.Owner, n, nil)
 	if !ok {
 		return nil, false, nil
 	}
@@ -89,7 +89,7 @@
 			slot.Release()
 		}
 	}()
-	c, err := g.Pool.Acquire(ctx, m.Address, u.Workspace)
+	c, err := g.Pool.Acquire(ctx, m.Address, u.Owner)
 	if err != nil {
 		g.reportRefused(m.Address, err)
 		return nil, false, err
--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -40,6 +40,7 @@
 	if err := n.exchangeSCRAM(backend, credentials); err != nil || !known {
 		return result.New(result.AuthFailed, "user %q", m.Parameters["user"])
 	}
+	n.user = user.Name
 	return nil
 }
 
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -21,6 +21,8 @@
 	processID uint32
 	secret    uint32
 
+	// user is the account that the caller authenticated as.
+	user  string
 	state state.State
 	// staged are the session values that the open transaction has changed.
 	staged     []setting
--- a/internal/frontend/units.go
+++ b/internal/frontend/units.go
@@ -84,11 +84,30 @@
 	u.ID = n.server.config.Instance + "-" + strconv.FormatUint(uint64(n.processID), 36) + "-" + strconv.FormatUint(n.units, 36)
 	n.state.Fill(u)
 	u.Class, u.Key = t.class, t.key
+	n.fillWorkspace(u)
 	u.Timeout = n.timeout(t.class)
 	u.Begins = hintBegins(sql)
 	u.Ends = hintEnds(sql)
 }
 
+// fillWorkspace names the workspace that the unit is run for by the document in force, so that
+// an account that moves is the other workspace's from its next operation on.
+func (n *session) fillWorkspace(u *execution.Unit) {
+	service, ok := n.server.config.Directory.FindService(n.state.Group)
+	if !ok {
+		return
+	}
+	user, _ := service.FindUser(n.user)
+	w, ok := service.FindWorkspace(user.Workspace)
+	if !ok {
+		return
+	}
+	u.Workspace = service.FullName(w)
+	if w.OwnConnections {
+		u.Owner = u.Workspace
+	}
+}
+
 // announceValues tells the members' side which values the session will have when
 // the unit goes well, so that the connection that ran it may be kept. What a
 // transaction sets may be rolled back; its connection is not used again.
--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -22,14 +22,15 @@
 	}
 	stored := adminDocuments{n.store}
 	parts := adminapi.Parts{
-		Identity:  identity,
-		Documents: stored,
-		Fleet:     adminapi.NewPeerFleet(identity, adminInventory{n}, n.client, stored),
-		Groups:    adminGroups{n},
-		Pools:     adminPools{n},
-		Peers:     adminPeers{n},
-		Lifecycle: adminLifecycle{n},
-		Metrics:   n.options.Registry,
+		Identity:   identity,
+		Documents:  stored,
+		Fleet:      adminapi.NewPeerFleet(identity, adminInventory{n}, n.client, stored),
+		Groups:     adminGroups{n},
+		Pools:      adminPools{n},
+		Workspaces: adminWorkspaces{n},
+		Peers:      adminPeers{n},
+		Lifecycle:  adminLifecycle{n},
+		Metrics:    n.options.Registry,
 	}
 	c := adminapi.Config{Address: s.Admin.Address, Token: s.Admin.AccessToken}
 	return adminapi.New(c, parts, n.options.Network, n.options.Clock, n.options.Logger)
@@ -126,6 +127,25 @@
 	return all
 }
 
+type adminWorkspaces struct{ instance *Instance }
+
+// Workspaces implements adminapi.Workspaces.
+func (a adminWorkspaces) Workspaces() []adminapi.WorkspaceView {
+	var all []adminapi.WorkspaceView
+	for _, w := range a.instance.documents.Workspaces().All() {
+		use := a.instance.limits.UseOf(w.Name)
+		all = append(all, adminapi.WorkspaceView{
+			Name:           w.Name,
+			Priority:       w.Priority,
+			RatePerSecond:  w.Limit.RatePerSecond,
+			Burst:          w.Limit.Burst,
+			BegunPerSecond: use.PerSecond,
+			Refused:        use.Refused,
+		})
+	}
+	return all
+}
+
 type adminPeers struct{ instance *Instance }
 
 // Peers implements adminapi.Peers.
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
@@ -44,19 +45,45 @@
 type storedDocuments struct {
 	store   *config.Store
 	members *membership.Members
+	// workspaces are those of all documents in force.
+	workspaces atomic.Pointer[workspace.Table]
 }
 
+func newStoredDocuments(s *config.Store, m *membership.Members) *storedDocuments {
+	d := &storedDocuments{store: s, members: m}
+	s.Subscribe(func(config.Applied) { d.gatherWorkspaces() })
+	return d
+}
+
+// gatherWorkspaces finds the workspaces of all documents. Those of two services never have the
+// same name.
+func (d *storedDocuments) gatherWorkspaces() {
+	var entries []workspace.Entry
+	for _, a := range d.store.All() {
+		for _, w := range a.Service.Workspaces {
+			named := w.Workspace
+			named.Name = a.Service.FullName(w)
+			entries = append(entries, workspace.Entry{Workspace: named})
+		}
+	}
+	table, _ := workspace.NewTable(entries)
+	d.workspaces.Store(table)
+}
+
+// Workspaces implements Documents.
+func (d *storedDocuments) Workspaces() *workspace.Table { return d.workspaces.Load() }
+
 // FindService implements Documents.
-func (d storedDocuments) FindService(group string) (*document.Service, bool) {
+func (d *storedDocuments) FindService(group string) (*document.Service, bool) {
 	a, _, ok := d.store.FindGroup(group)
 	return a.Service, ok
 }
 
 // Ready implements Documents.
-func (d storedDocuments) Ready() bool { return d.store.Ready() }
+func (d *storedDocuments) Ready() bool { return d.store.Ready() }
 
 // Groups implements Documents.
-func (d storedDocuments) Groups() []GroupInForce {
+func (d *storedDocuments) Groups() []GroupInForce {
 	var all []GroupInForce
 	for _, a := range d.store.All() {
 		for _, g := range a.Service.Groups {
@@ -66,14 +93,11 @@
 	return all
 }
 
-// Workspaces implements Documents.
-func (d storedDocuments) Workspaces() *workspace.Table { return nil }
-
 // Leaving implements Documents.
-func (d storedDocuments) Leaving(address string) bool { return d.members.Leaving(address) }
+func (d *storedDocuments) Leaving(address string) bool { return d.members.Leaving(address) }
 
 // Subscribe implements Documents.
-func (d storedDocuments) Subscribe(f func()) { d.store.Subscribe(func(config.Applied) { f() }) }
+func (d *storedDocuments) Subscribe(f func()) { d.store.Subscribe(func(config.Applied) { f() }) }
 
 // Run implements Documents.
-func (d storedDocuments) Run(ctx context.Context) error { return d.store.Run(ctx) }
+func (d *storedDocuments) Run(ctx context.Context) error { return d.store.Run(ctx) }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -137,7 +137,7 @@
 	}
 	n.documents = o.Documents
 	if n.documents == nil {
-		n.documents = storedDocuments{n.store, n.members}
+		n.documents = newStoredDocuments(n.store, n.members)
 	}
 	if d, ok := n.documents.(sharer); ok {
 		d.UseSharing(sharing)
--- a/internal/instance/pages_test.go
+++ b/internal/instance/pages_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/topazrock/topazrock/internal/directory"
 	"github.com/topazrock/topazrock/internal/frontend"
 	"github.com/topazrock/topazrock/internal/logqueue"
 )
@@ -27,6 +28,7 @@
 	r := prometheus.NewRegistry()
 	newMetrics(r)
 	frontend.NewMetrics(r)
+	directory.NewMetrics(r)
 	logqueue.New(io.Discard, r).Close()
 	descriptions := make(chan *prometheus.Desc)
 	go func() {
--- a/internal/instance/postgres.go
+++ b/internal/instance/postgres.go
@@ -21,7 +21,7 @@
 	}
 }
 
-func (n *Instance) openPostgres(ctx context.Context, group, address, _ string) (wire.Conn, error) {
+func (n *Instance) openPostgres(ctx context.Context, group, address, workspace string) (wire.Conn, error) {
 	s := n.options.Settings.Upstream
 	o := upstream.Opener{
 		Dialer:          n.options.Network,
@@ -29,11 +29,20 @@
 		User:            s.User,
 		Password:        s.Password,
 		Database:        group,
-		ApplicationName: s.ApplicationName,
+		ApplicationName: applicationName(s.ApplicationName, workspace),
 	}
 	return o.Open(ctx, address)
 }
 
+// applicationName is what members see of a connection: the product's name, and the workspace
+// whose statements alone run on it, if any.
+func applicationName(product, workspace string) string {
+	if workspace == "" {
+		return product
+	}
+	return product + " " + workspace
+}
+
 func (n *Instance) postgresCallers(p CallerParts) Callers {
 	f := frontend.NewServer(frontend.Config{
 		Instance:       n.options.Settings.Instance.ID,
--- /dev/null
+++ b/internal/instance/workspace_test.go
@@ -0,0 +1,91 @@
+package instance
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/topazrock/topazrock/internal/document"
+)
+
+// workspaceDocument is the bed's document with two more accounts, each of a workspace of its
+// own; one has a limit and connections of its own.
+func workspaceDocument(t *testing.T) string {
+	verifier, err := document.NewVerifier(bedPassword)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bedDocument() + `
+[user north]
+workspace = north
+verifier  = ` + verifier + `
+
+[user south]
+workspace = south
+verifier  = ` + verifier + `
+
+[workspace north]
+rate        = 10
+burst       = 10
+connections = own
+
+[workspace south]
+`
+}
+
+// connectAs opens a session of an account.
+func (b *bed) connectAs(i int, user string) *pgx.Conn {
+	b.t.Helper()
+	c := b.config(i, "")
+	c.User = user
+	conn, err := pgx.ConnectConfig(ctx, c)
+	b.is.NoErr(err)
+	b.callers = append(b.callers, conn)
+	return conn
+}
+
+// Guards against PostgreSQL callers who pass their workspace's limit, and against others who
+// are refused for it.
+func TestAccountsAreHeldToTheirWorkspacesLimit(t *testing.T) {
+	inBed(t, func(b *bed) {
+		b.apply(workspaceDocument(t), 1)
+		time.Sleep(5 * time.Second)
+		served, refused := 0, 0
+		north, south := b.connectAs(0, "north"), b.connectAs(0, "south")
+		for range 100 {
+			_, err := north.Exec(ctx, "SELECT v FROM kv WHERE k = 'a' /*request='pending-visits'*/")
+			switch state(err) {
+			case "":
+				served++
+			case "TD030":
+				refused++
+			default:
+				t.Fatal(err)
+			}
+			b.exec(south, "SELECT v FROM kv WHERE k = 'a' /*request='pending-visits'*/")
+			time.Sleep(20 * time.Millisecond)
+		}
+		b.is.True(served >= 20 && served <= 40)
+		b.is.Equal(served+refused, 100)
+		use := b.instances[0].limits.UseOf("base/north")
+		b.is.Equal(use.Refused, uint64(refused))
+	})
+}
+
+// Guards against a user of a workspace that the document does not have, and limits that let
+// nothing begin.
+func TestFaultyWorkspacesAreRefused(t *testing.T) {
+	good := workspaceDocument(t)
+	for text, want := range map[string]string{
+		strings.Replace(good, "workspace = south", "workspace = west", 1): "no section [workspace west]",
+		strings.Replace(good, "burst       = 10", "burst = 0.5", 1):       "less than one operation",
+		strings.Replace(good, "rate        = 10", "rate = 0", 1):          "a burst without a rate",
+	} {
+		_, err := document.Parse("base.ini", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -30,6 +30,8 @@
 	// demand is the average of operations a second, as of demandAt.
 	demand   float64
 	demandAt time.Time
+	// refusals counts the operations that were refused.
+	refusals uint64
 	// refusedUntil is until when each limiter that had no token is not asked again, and
 	// returnAt when the callers that it refused are to come back.
 	refusedUntil map[string]time.Time
@@ -105,5 +107,5 @@
 
 // unused reports whether the account can be forgotten.
 func (a *account) unused(now time.Time) bool {
-	return a.tokens == 0 && a.returned == 0 && now.Sub(a.demandAt) > accountLife
+	return a.tokens == 0 && a.returned == 0 && a.refusals == 0 && now.Sub(a.demandAt) > accountLife
 }
--- a/internal/quota/guard.go
+++ b/internal/quota/guard.go
@@ -389,6 +389,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := g.account(w.Name, now)
+	a.refusals++
 	after := time.Duration(0)
 	for _, at := range a.returnAt {
 		if in := at.Sub(now); in > 0 && (after == 0 || in < after) {
@@ -408,6 +409,26 @@
 	return d + time.Duration(g.Rand.Int64N(int64(d)/2+1))
 }
 
+// Use is what an instance has begun for a workspace.
+type Use struct {
+	// PerSecond is the average of the operations that were asked for of late.
+	PerSecond float64
+	// Refused counts those that were refused.
+	Refused uint64
+}
+
+// UseOf returns the use of a workspace's limit by this instance.
+func (g *Guard) UseOf(name string) Use {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.accounts[name]
+	if a == nil {
+		return Use{}
+	}
+	a.decay(g.Clock.Now())
+	return Use{PerSecond: a.demand, Refused: a.refusals}
+}
+
 // GiveBack gives a token back that was taken at a time, for an operation that did not run.
 func (g *Guard) GiveBack(name string, taken time.Time) {
 	now := g.Clock.Now()
