Spread a change of a large object by what differs

A feed keeps 4 MB of values, not 512 versions of a manifest, and as many changes as there are objects: a fleet of 600 databases changes more than 512 entries in seconds, and followers were told that history is gone.

--- a/internal/objectwatch/exchange.go
+++ b/internal/objectwatch/exchange.go
@@ -1,10 +1,6 @@
 package objectwatch
 
 import (
-	"bytes"
-	"compress/flate"
-	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/platform"
@@ -23,13 +19,26 @@
 type question struct {
 	Kind  platform.Kind `json:"kind"`
 	After int64         `json:"after,omitempty"`
+	// Base is the version of an object that whoever asks holds, and against which its next
+	// one may be packed; nil for none.
+	Base *baseRef `json:"base,omitempty"`
+}
+
+// baseRef names one version of an object.
+type baseRef struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
 }
 
 // answer is what a feed holds. Compacted says that it does not reach back so far.
 type answer struct {
-	Objects   packed `json:"objects,omitempty"`
-	Revision  int64  `json:"revision"`
-	Compacted bool   `json:"compacted,omitempty"`
+	// Packed holds the objects. OnBase says that it was packed against the question's base.
+	Packed []byte `json:"packed,omitempty"`
+	OnBase bool   `json:"on_base,omitempty"`
+	// objects are what Packed holds, once it was unpacked.
+	objects   []platform.Object
+	Revision  int64 `json:"revision"`
+	Compacted bool  `json:"compacted,omitempty"`
 	// AgeMS is how long ago the platform showed that this is all, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
@@ -39,45 +48,3 @@
 
 // errNoFeed says that this instance cannot tell.
 var errNoFeed = result.New(result.NotReady, "the platform is not followed here")
-
-// packed is a list of objects that travels compressed: a reader on a small machine passes a
-// manifest of some hundred kilobytes on to all instances of its failure domain at once.
-type packed []platform.Object
-
-// MarshalJSON implements json.Marshaler.
-func (p packed) MarshalJSON() ([]byte, error) {
-	plain, err := json.Marshal([]platform.Object(p))
-	if err != nil {
-		return nil, err
-	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(plain); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return json.Marshal(b.Bytes())
-}
-
-// maxUnpacked bounds what an answer may hold, in bytes: far more than any kind has.
-const maxUnpacked = 64 << 20
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (p *packed) UnmarshalJSON(text []byte) error {
-	var deflated []byte
-	if err := json.Unmarshal(text, &deflated); err != nil {
-		return err
-	}
-	r := flate.NewReader(bytes.NewReader(deflated))
-	defer r.Close()
-	plain, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(plain, (*[]platform.Object)(p))
-}
--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 // follows it is told what changed and need not list all again.
 const feedHistory = 512
 
+// feedHistorySize bounds the values of the changes that a feed keeps, in bytes. A manifest may
+// have a megabyte, and changes often.
+const feedHistorySize = 4 << 20
+
 // change is one object's change and the revision that the platform told with it.
 type change struct {
 	object   platform.Object
@@ -36,10 +41,18 @@
 	since   int64
 	// changed is closed and replaced when the revision rises.
 	changed chan struct{}
+	// before holds the value of each large object in front of its last change.
+	before map[string]platform.Object
+	// historySize is the size of the values of changes, in bytes.
+	historySize int
+
+	// packing guards packs. It is not held together with mu.
+	packing sync.Mutex
+	packs   packs
 }
 
 func newFeed() *feed {
-	return &feed{objects: make(map[string]platform.Object), changed: make(chan struct{})}
+	return &feed{objects: make(map[string]platform.Object), before: make(map[string]platform.Object), changed: make(chan struct{})}
 }
 
 // listed takes in a list of all objects that was asked for at a time.
@@ -66,7 +79,7 @@
 	for _, o := range objects {
 		f.objects[o.Name] = o
 	}
-	f.changes, f.since = nil, revision
+	f.changes, f.since, f.historySize = nil, revision, 0
 	f.rise(revision)
 }
 
@@ -117,21 +130,36 @@
 
 // take takes in one change. The caller holds f.mu.
 func (f *feed) take(o platform.Object, revision int64) {
+	if held, ok := f.objects[o.Name]; ok && len(held.Value) >= leastBase && held.Revision != o.Revision {
+		f.before[o.Name] = held
+	}
 	if o.Removed {
 		delete(f.objects, o.Name)
+		delete(f.before, o.Name)
 	} else {
 		f.objects[o.Name] = o
 	}
 	f.changes = append(f.changes, change{o, revision})
-	if len(f.changes) > feedHistory {
-		// A batch has one revision, and goes as a whole.
-		f.since = f.changes[len(f.changes)-feedHistory-1].revision
-		keep := 0
-		for keep < len(f.changes) && f.changes[keep].revision <= f.since {
-			keep++
-		}
-		f.changes = append([]change(nil), f.changes[keep:]...)
+	f.historySize += len(o.Value)
+	for len(f.changes) > f.historyLength() || f.historySize > feedHistorySize && len(f.changes) > 1 {
+		f.dropOldest()
+	}
+}
+
+// historyLength is how many changes are kept: those of some minutes, and as many as there are
+// objects, which may all change within seconds.
+func (f *feed) historyLength() int { return max(feedHistory, len(f.objects)) }
+
+// dropOldest drops the oldest changes. A batch has one revision, and goes as a whole. The caller
+// holds f.mu.
+func (f *feed) dropOldest() {
+	f.since = f.changes[0].revision
+	dropped := 0
+	for dropped < len(f.changes) && f.changes[dropped].revision <= f.since {
+		f.historySize -= len(f.changes[dropped].object.Value)
+		dropped++
 	}
+	f.changes = slices.Delete(f.changes, 0, dropped)
 }
 
 // rise tells those who wait of a new revision. The caller holds f.mu.
@@ -228,3 +256,35 @@
 	}
 	return objects, f.revision, nil, nil
 }
+
+// valueOf returns the value of one version of an object, the present one or the one before it;
+// nil if it is not held.
+func (f *feed) valueOf(r *baseRef) []byte {
+	if r == nil {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range []platform.Object{f.objects[r.Name], f.before[r.Name]} {
+		if o.Name == r.Name && o.Revision == r.Revision {
+			return o.Value
+		}
+	}
+	return nil
+}
+
+// packed returns objects packed for whoever asks with a question, from a revision to another.
+func (f *feed) packed(objects []platform.Object, from, to int64, q question) (answer, error) {
+	k := packKey{from: from, to: to}
+	base := f.valueOf(q.Base)
+	if len(base) > 0 {
+		k.base = *q.Base
+	}
+	f.packing.Lock()
+	defer f.packing.Unlock()
+	bytes, err := f.packs.get(k, objects, base)
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{Packed: bytes, OnBase: len(base) > 0, Revision: to}, nil
+}
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -44,6 +44,7 @@
 	own     ownTries
 	// informed says that a list was answered once.
 	informed atomic.Bool
+	held     heldObject
 }
 
 // listing asks the platform for a list in one of its ways.
@@ -63,7 +64,7 @@
 	got, err := a.listOfReaders(ctx)
 	if err == nil {
 		a.informed.Store(true)
-		return got.Objects, got.Revision, nil
+		return got.objects, got.Revision, nil
 	}
 	if !errors.Is(err, errReadsItself) {
 		return nil, 0, err
@@ -72,12 +73,13 @@
 	objects, revision, err := ask(ctx, a.kind)
 	if err == nil {
 		a.feed.listed(objects, revision, asked)
+		a.held.note(objects)
 		a.informed.Store(true)
 		return objects, revision, nil
 	}
 	a.failed()
 	if got, ok := a.rescue(ctx, a.listFrom); ok {
-		return got.Objects, got.Revision, nil
+		return got.objects, got.Revision, nil
 	}
 	return nil, 0, err
 }
@@ -120,6 +122,7 @@
 	objects, next, err := a.API.Watch(ctx, a.kind, after)
 	if err == nil {
 		a.feed.watched(objects, after, next)
+		a.held.note(objects)
 		return objects, next, nil
 	}
 	if errors.Is(err, platform.ErrCompacted) {
@@ -138,7 +141,7 @@
 	if got.Compacted {
 		return nil, after, platform.ErrCompacted
 	}
-	return got.Objects, max(after, got.Revision), nil
+	return got.objects, max(after, got.Revision), nil
 }
 
 // Current reports whether a reader has proved lately that nothing came after a revision.
@@ -218,7 +221,23 @@
 func (a *SharedAPI) call(ctx context.Context, reader platform.Instance, method string, q question, timeout time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	base := a.held.get()
+	if base.Name != "" {
+		q.Base = &baseRef{Name: base.Name, Revision: base.Revision}
+	}
 	var got answer
-	err := a.sharing.Caller.Call(ctx, reader.PeerAddress, method, q, &got)
-	return got, err
+	if err := a.sharing.Caller.Call(ctx, reader.PeerAddress, method, q, &got); err != nil {
+		return got, err
+	}
+	var dictionary []byte
+	if got.OnBase {
+		dictionary = base.Value
+	}
+	objects, err := unpack(got.Packed, dictionary)
+	if err != nil {
+		return got, err
+	}
+	got.objects, got.Packed = objects, nil
+	a.held.note(objects)
+	return got, nil
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -185,7 +185,7 @@
 }
 
 func (s *Sharing) serveList(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-	f, _, err := s.asked(params)
+	f, q, err := s.asked(params)
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +196,12 @@
 	if !ok {
 		return nil, errNoFeed
 	}
-	return answer{Objects: objects, Revision: revision, AgeMS: age.Milliseconds()}, nil
+	got, err := f.packed(objects, wholeList, revision, q)
+	if err != nil {
+		return nil, err
+	}
+	got.AgeMS = age.Milliseconds()
+	return got, nil
 }
 
 func (s *Sharing) serveProof(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -225,5 +230,8 @@
 	case err != nil:
 		return nil, errNoFeed
 	}
-	return answer{Objects: objects, Revision: revision}, nil
+	if len(objects) == 0 {
+		return answer{Revision: revision}, nil
+	}
+	return f.packed(objects, q.After, revision, q)
 }
