Let limits serve at once behind a return of all

A new process waited a second for leases of the one before, and buckets began empty. Change: a process asks the limiters of its failure domain as soon as it knows them; each drops what an earlier process of the same instance had delegated, and when all have answered its share is free at once. A limiter gives each share something to begin with in its first two seconds: what the tolerance spares for tokens held ahead, which went with the processes. What is left: a lease that an earlier process made with a limiter outside of the present view stands for its second.

--- a/internal/quota/guard.go
+++ b/internal/quota/guard.go
@@ -69,6 +69,8 @@
 	unreached map[string]time.Time
 	// renewing holds the limiters that are asked for leases and tokens ahead now.
 	renewing map[string]bool
+	// kick asks for a look at leases and accounts at once; it holds at most one request.
+	kick chan struct{}
 }
 
 // New returns a Guard; Run keeps its leases.
@@ -83,6 +85,7 @@
 		accounts:  make(map[string]*account),
 		unreached: make(map[string]time.Time),
 		renewing:  make(map[string]bool),
+		kick:      make(chan struct{}, 1),
 	}
 }
 
@@ -104,6 +107,15 @@
 	g.layout = view
 	g.mu.Unlock()
 	g.observe()
+	g.look()
+}
+
+// look asks for a look at leases and accounts at once. It never blocks.
+func (g *Guard) look() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
 }
 
 // observe takes in the list of instances.
@@ -125,7 +137,16 @@
 func (g *Guard) Run(ctx context.Context) {
 	var parts sync.WaitGroup
 	defer parts.Wait()
-	for n := 0; clock.Sleep(ctx, g.Clock, tick) == nil; n++ {
+	timer := g.Clock.NewTimer(tick)
+	defer timer.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.kick:
+		case <-timer.C:
+			timer.Reset(tick)
+		}
 		if n%listTicks == 0 {
 			g.observe()
 		}
@@ -173,6 +194,15 @@
 	return func(shard int) string { return g.layout.nearest(shard, g.passedBy(now)).ID }
 }
 
+// nearLimiters returns the limiters of this failure domain. The caller holds g.mu.
+func (g *Guard) nearLimiters() []string {
+	var ids []string
+	for _, i := range g.layout.near[0] {
+		ids = append(ids, i.ID)
+	}
+	return ids
+}
+
 // passedBy reports which limiters did not answer of late. The caller holds g.mu.
 func (g *Guard) passedBy(now time.Time) func(id string) bool {
 	return func(id string) bool { return now.Before(g.unreached[id]) }
@@ -209,6 +239,9 @@
 	if err != nil {
 		return
 	}
+	if g.shares.clear(g.nearLimiters(), g.Clock.Now()) {
+		g.look()
+	}
 	for name, n := range answer.Ahead {
 		if a := g.accounts[name]; a != nil {
 			a.add(n, asked)
--- a/internal/quota/guard_test.go
+++ b/internal/quota/guard_test.go
@@ -158,6 +158,40 @@
 	})
 }
 
+// The load pattern is a return of all: the processes know each other after a third of a second,
+// and callers of many workspaces are back at once. Guards against a second in which limits refuse
+// them all.
+func TestReturnOfAllServesWithinASecond(t *testing.T) {
+	all := manyWorkspaces()
+	inSystem(t, 3, 22, all, func(s *system) {
+		for n := range s.nodes {
+			s.kill(n)
+		}
+		for n := range s.nodes {
+			s.net.SetCut(s.instances[n].PeerAddress, false)
+			s.start(n, nil)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, n := range s.nodes {
+			n.fleet.set(s.instances)
+			n.guard.Observe()
+		}
+		time.Sleep(50 * time.Millisecond)
+		var loads []*sync.WaitGroup
+		for _, w := range all {
+			loads = append(loads, s.load(w.Name, w.Limit.RatePerSecond/1.6, time.Second))
+		}
+		asked, refused := 0, 0
+		for i, w := range all {
+			loads[i].Wait()
+			asked += s.asked[w.Name]
+			refused += s.refused[w.Name]
+		}
+		t.Logf("%d of %d refused", refused, asked)
+		is.New(t).True(refused <= asked/5)
+	})
+}
+
 // Guards against views that differ: some instances know of others that the rest does not, and
 // choose other limiters.
 func TestDifferentViewsMakeNoLimitersMore(t *testing.T) {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -32,6 +32,8 @@
 	leases  map[string]*delegated
 	buckets map[string]*bucket
 	held    map[string]map[string]heldAhead
+	// opened are the shards for which each holder's first lease was counted.
+	opened map[string]*[shardCount]bool
 }
 
 // delegated is the share of one holder.
@@ -57,6 +59,7 @@
 		leases:  make(map[string]*delegated),
 		buckets: make(map[string]*bucket),
 		held:    make(map[string]map[string]heldAhead),
+		opened:  make(map[string]*[shardCount]bool),
 	}
 }
 
@@ -68,6 +71,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
+	if d := l.leases[r.Holder]; d != nil && d.process != r.Process {
+		// The process that delegated it is gone.
+		delete(l.leases, r.Holder)
+	}
 	if r.Lease != nil {
 		l.delegate(r.Holder, r.Process, *r.Lease, now)
 	}
@@ -142,6 +149,7 @@
 		l.settle(now)
 	}
 	l.leases[holder] = next
+	l.open(holder, next, now)
 	for shard, idle := range n.Idle {
 		if shard >= 0 && shard < shardCount && next.shards[shard] {
 			l.credit(shard, next.part, time.Duration(idle)*time.Microsecond, now)
@@ -149,6 +157,34 @@
 	}
 }
 
+// openingTime is how long after its start a limiter gives its buckets something to begin with.
+const openingTime = 2 * leaseLength
+
+// open gives buckets of a new limiter something to begin with, once for each share. The load
+// pattern is a return of all instances: callers are back before a bucket of six a second that
+// begins empty has its first token. What this adds to a window is what the tolerance spares for
+// tokens held ahead, which are gone with the processes that held them.
+func (l *Limiter) open(holder string, d *delegated, now time.Time) {
+	if now.Sub(l.startedAt) > openingTime {
+		return
+	}
+	opened := l.opened[holder]
+	if opened == nil {
+		opened = new([shardCount]bool)
+		l.opened[holder] = opened
+	}
+	var fresh [shardCount]bool
+	for shard, has := range d.shards {
+		fresh[shard] = has && !opened[shard]
+		opened[shard] = opened[shard] || has
+	}
+	for _, w := range l.workspaces.Workspaces().All() {
+		if fresh[shardOf(w.Name)] {
+			l.bucket(w, now).add(d.part*l.tolerance.ahead(w.Limit), l.size(w))
+		}
+	}
+}
+
 // covers reports whether the share of a lease is no larger than that of the one before.
 func (d *delegated) covers(before *delegated) bool {
 	if before == nil || d.part > before.part {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -15,6 +15,10 @@
 	process string
 	number  uint64
 	shards  [shardCount]shareState
+	// startedAt is when this process started. Until cleared, one before it may have left
+	// leases that stand.
+	startedAt time.Time
+	cleared   bool
 	// clocks holds what is known of the limiters' clocks.
 	clocks map[string]limiterClock
 }
@@ -41,13 +45,34 @@
 // NewShares returns the shares of an instance whose process started at a time. An earlier
 // process may have delegated them just before.
 func NewShares(process string, startedAt time.Time) *Shares {
-	s := &Shares{process: process, clocks: make(map[string]limiterClock)}
+	s := &Shares{process: process, startedAt: startedAt, clocks: make(map[string]limiterClock)}
 	for i := range s.shards {
 		s.shards[i] = shareState{leaseEnd: startedAt.Add(leaseLength), freeSince: startedAt.Add(leaseLength)}
 	}
 	return s
 }
 
+// clear reports whether leases of an earlier process are known to have ended just now, before
+// their time: every limiter of the failure domain has answered this process, and has dropped
+// what it had of another one.
+func (s *Shares) clear(near []string, now time.Time) bool {
+	if s.cleared || !now.Before(s.startedAt.Add(leaseLength)) {
+		return false
+	}
+	for _, id := range near {
+		if _, answered := s.clocks[id]; !answered {
+			return false
+		}
+	}
+	s.cleared = len(near) > 0
+	for shard := range s.shards {
+		if state := &s.shards[shard]; s.cleared && state.limiter == "" {
+			*state = shareState{leaseEnd: now, freeSince: now}
+		}
+	}
+	return s.cleared
+}
+
 // limiterOf returns the limiter to ask for tokens of a shard: chosen, or, while a lease stands,
 // the one that has it.
 func (s *Shares) limiterOf(shard int, chosen string, now time.Time) string {
@@ -125,9 +150,12 @@
 	}
 }
 
-// due reports whether a lease for a limiter should be made now, before the last one is too near
-// its end.
+// due reports whether a limiter should be asked for its clock or sent a lease now, before the
+// last one is too near its end.
 func (s *Shares) due(limiter string, chosen func(shard int) string, now time.Time) bool {
+	if _, known := s.clocks[limiter]; !known {
+		return true
+	}
 	for shard := range s.shards {
 		state := s.shards[shard]
 		if chosen(shard) != limiter {
