--- a/internal/quota/guard.go
+++ b/internal/quota/guard.go
@@ -285,6 +285,7 @@
 // ask asks a limiter and keeps in mind whether it answers.
 func (g *Guard) ask(ctx context.Context, l platform.Instance, r request, limit time.Duration) (response, error) {
 	var answer response
+	asked := g.Clock.Now()
 	if l.ID == g.Fleet.Self().ID {
 		answer = g.limiter.serve(r, g.Clock.Now())
 	} else {
@@ -298,7 +299,7 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.shares.heard(l.ID, answer, now)
+	g.shares.heard(l.ID, answer, asked, now)
 	delete(g.unreached, l.ID)
 	return answer, nil
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -127,8 +127,9 @@
 	}
 }
 
-// delegate takes in a lease. One for another process of this instance, of an earlier number, or
-// whose time is over when it arrives, however long it was on its way, delegates nothing.
+// delegate takes in a lease. One for another process of this instance, or whose time is over when
+// it arrives, however long it was on its way, delegates nothing. One of an earlier number would
+// end the share before its time.
 func (l *Limiter) delegate(holder, process string, n lease, now time.Time) {
 	until := l.startedAt.Add(time.Duration(n.Until) * time.Microsecond)
 	if n.Process != l.process || n.Parts <= 0 || !until.After(now) || until.Sub(now) > leaseLength {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -131,13 +131,18 @@
 	}
 }
 
-// heard takes in a limiter's answer. One of another process than before says that the leases of
-// the one before have ended with it.
-func (s *Shares) heard(limiter string, r response, now time.Time) {
+// heard takes in a limiter's answer to a request that was sent at a time. One of another process
+// than before says that the leases of the one before have ended with it, unless the request was
+// sent before that one was heard of: then it is an answer of an earlier process that was long on
+// its way, and the leases of the present one stand.
+func (s *Shares) heard(limiter string, r response, asked, now time.Time) {
 	before, known := s.clocks[limiter]
 	if known && before.process == r.Process && before.clock > r.Clock {
 		return
 	}
+	if known && before.process != r.Process && !asked.After(before.heardAt) {
+		return
+	}
 	s.clocks[limiter] = limiterClock{process: r.Process, clock: r.Clock, heardAt: now}
 	if !known || before.process == r.Process {
 		return
--- a/internal/workspace/table.go
+++ b/internal/workspace/table.go
@@ -19,6 +19,8 @@
 type Table struct {
 	byKey  map[KeyDigest]Workspace
 	byName map[string]Workspace
+	// all are the workspaces in the order of their names.
+	all []Workspace
 }
 
 // Fault is an entry, or a key of it, that names nothing.
@@ -65,6 +67,10 @@
 			delete(t.byKey, k)
 		}
 	}
+	for _, w := range t.byName {
+		t.all = append(t.all, w)
+	}
+	slices.SortFunc(t.all, func(a, b Workspace) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(faults, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Reason, b.Reason))
 	})
@@ -119,17 +125,12 @@
 	return w, ok
 }
 
-// All returns the workspaces in the order of their names.
+// All returns the workspaces in the order of their names. The result must not be changed.
 func (t *Table) All() []Workspace {
 	if t == nil {
 		return nil
 	}
-	all := make([]Workspace, 0, len(t.byName))
-	for _, w := range t.byName {
-		all = append(all, w)
-	}
-	slices.SortFunc(all, func(a, b Workspace) int { return cmp.Compare(a.Name, b.Name) })
-	return all
+	return t.all
 }
 
 // Required reports whether callers need a key.
