Begin from the parent in a tree with a large list

At a start each of a hundred instances of a failure domain asked its two readers for the whole manifest; over a narrow link that takes longer than they wait, and they asked again. Change: the first list comes from the parent in a tree with the readers at its root, which waits for its own. What comes behind is asked of the readers as before.

--- a/internal/objectwatch/current_test.go
+++ b/internal/objectwatch/current_test.go
@@ -25,6 +25,9 @@
 // Known implements Fleet.
 func (fakeFleet) Known() bool { return true }
 
+// Live implements Fleet.
+func (fakeFleet) Live() []platform.Instance { return nil }
+
 // Pick implements Fleet.
 func (f fakeFleet) Pick(_ string, n int) []platform.Instance {
 	if n <= readersPerDomain {
--- a/internal/objectwatch/exchange.go
+++ b/internal/objectwatch/exchange.go
@@ -22,6 +22,8 @@
 	// Base is the version of an object that whoever asks holds, and against which its next
 	// one may be packed; nil for none.
 	Base *baseRef `json:"base,omitempty"`
+	// Waits says that whoever asks has time until the objects are learned.
+	Waits bool `json:"waits,omitempty"`
 }
 
 // baseRef names one version of an object.
--- a/internal/objectwatch/fleet.go
+++ b/internal/objectwatch/fleet.go
@@ -7,6 +7,8 @@
 	Self() platform.Instance
 	// Known reports whether the others have been learned once.
 	Known() bool
+	// Live returns the instances that are not leaving.
+	Live() []platform.Instance
 	// Pick returns n instances of each failure domain for a duty.
 	Pick(duty string, n int) []platform.Instance
 }
--- /dev/null
+++ b/internal/objectwatch/narrow_test.go
@@ -0,0 +1,105 @@
+package objectwatch
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// links are the instances' links to the network; each sends one answer after the other, at
+// narrowLink.
+type links struct {
+	mu   sync.Mutex
+	busy map[string]time.Time
+	sent map[string]int
+}
+
+// take lets an instance send a number of bytes, and returns when they are there.
+func (l *links) take(address string, bytes int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from := time.Now()
+	if l.busy[address].After(from) {
+		from = l.busy[address]
+	}
+	l.busy[address] = from.Add(time.Duration(float64(bytes) / narrowLink * float64(time.Second)))
+	l.sent[address] += bytes
+	return l.busy[address]
+}
+
+// narrowCaller has answers take the time of a narrow link.
+type narrowCaller struct {
+	peer.Caller
+	links *links
+}
+
+// Call implements peer.Caller.
+func (c narrowCaller) Call(ctx context.Context, address, method string, params, reply any) error {
+	if err := c.Caller.Call(ctx, address, method, params, reply); err != nil {
+		return err
+	}
+	text, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	timer := time.NewTimer(time.Until(c.links.take(address, len(text))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// The load pattern is a fleet that starts: a hundred instances of a failure domain need a large
+// manifest at once, over links of 10 Mbit/s. Guards against readers that send it to all, and
+// again to each that gave up waiting for it.
+func TestLargeManifestReachesAWholeDomainOverNarrowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newSharedDomain(100)
+		_, err := d.store.Put(context.Background(), platform.KindUpstreams, "m", largeValue(1), 0)
+		is.NoErr(err)
+		l := &links{busy: make(map[string]time.Time), sent: make(map[string]int)}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		began := time.Now()
+		d.knownFrom = began.Add(freshFleetWait)
+		for k, i := range d.instances {
+			f := d.follower(k, i.view, 0, 0)
+			s := f.API.(*SharedAPI).sharing
+			s.Caller = narrowCaller{s.Caller, l}
+			running.Go(func() { f.Run(ctx) })
+		}
+		for known := 0; known < len(d.instances); {
+			time.Sleep(100 * time.Millisecond)
+			known = 0
+			for _, i := range d.instances {
+				if i.knows("m") {
+					known++
+				}
+			}
+			if time.Since(began) > 20*time.Second {
+				t.Fatalf("%d of %d know it after 20 s", known, len(d.instances))
+			}
+		}
+		most := 0
+		for _, n := range l.sent {
+			most = max(most, n)
+		}
+		t.Logf("all know it after %v; most sent by one %d bytes", time.Since(began), most)
+		is.True(time.Since(began) <= 5*time.Second)
+		is.True(most <= 1<<20)
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -29,6 +29,11 @@
 	// with their followers have the platform's answer within it.
 	readerRounds = 3
 	readerPause  = 400 * time.Millisecond
+	// parentTimeout bounds the first list from the parent in the tree: the time that the parent
+	// may wait for its own, parentWait, and that of a large list over a narrow link that it
+	// sends to all its children.
+	parentTimeout = 4 * time.Second
+	parentWait    = 2500 * time.Millisecond
 	// rescueWidth is how many readers of any failure domain an instance asks that the
 	// platform does not answer.
 	rescueWidth = 3
@@ -40,6 +45,7 @@
 	sharing *Sharing
 	kind    platform.Kind
 	feed    *feed
+	copy    *listCopy
 	maxAge  time.Duration
 	own     ownTries
 	// informed says that a list was answered once.
@@ -96,6 +102,9 @@
 	// The instances themselves are known from an older list by now.
 	patient := a.informed.Load() || a.kind == platform.KindInstances
 	if patient || a.sharing.Clock.Now().Sub(began) >= freshFleetWait {
+		if got, ok := a.listOfParent(ctx); ok {
+			return got, nil
+		}
 		return a.follow(ctx, a.listFrom)
 	}
 	for _, reader := range a.sharing.readers() {
@@ -107,6 +116,16 @@
 	return answer{}, errReadsItself
 }
 
+// listOfParent asks the parent in the tree for the first list.
+func (a *SharedAPI) listOfParent(ctx context.Context) (answer, bool) {
+	parent, ok := a.sharing.parent(a.kind)
+	if !ok || a.informed.Load() || len(a.sharing.readers()) == 0 {
+		return answer{}, false
+	}
+	got, err := a.call(ctx, parent, methodList, question{Kind: a.kind, Waits: true}, parentTimeout)
+	return got, err == nil && a.young(got)
+}
+
 // Watch implements platform.API.
 func (a *SharedAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
 	watch := func(ctx context.Context, reader platform.Instance) (answer, bool) {
@@ -239,5 +258,16 @@
 	}
 	got.objects, got.Packed = objects, nil
 	a.held.note(objects)
+	a.keepCopy(method, q, got)
 	return got, nil
 }
+
+// keepCopy keeps what an answer told for those behind this instance in the tree.
+func (a *SharedAPI) keepCopy(method string, q question, got answer) {
+	switch {
+	case method == methodList:
+		a.copy.listed(got.objects, got.Revision, a.sharing.Clock.Now().Add(-got.age()))
+	case method == methodAfter && !got.Compacted:
+		a.copy.changed(got.objects, q.After, got.Revision)
+	}
+}
--- a/internal/objectwatch/shareddomain_test.go
+++ b/internal/objectwatch/shareddomain_test.go
@@ -35,6 +35,8 @@
 	store     *standin.Store
 	net       *peernet.Net
 	instances []*sharedInstance
+	// knownFrom is when the instances know each other.
+	knownFrom time.Time
 }
 
 // Watch counts the watches that reach the platform.
@@ -68,8 +70,17 @@
 	return all
 }
 
+// Live implements Fleet.
+func (i *sharedInstance) Live() []platform.Instance {
+	var all []platform.Instance
+	for _, o := range i.domain.instances {
+		all = append(all, o.Self())
+	}
+	return all
+}
+
 // Known implements Fleet.
-func (*sharedInstance) Known() bool { return true }
+func (i *sharedInstance) Known() bool { return !time.Now().Before(i.domain.knownFrom) }
 
 // Listed implements Sink.
 func (i *sharedInstance) Listed(objects []platform.Object) {
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -15,6 +15,7 @@
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/relaytree"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -57,6 +58,8 @@
 
 	mu    sync.Mutex
 	feeds map[platform.Kind]*feed
+	// copies holds what this instance learned from others.
+	copies map[platform.Kind]*listCopy
 	// silent is until when readers that did not answer are not asked, by instance.
 	silent map[string]time.Time
 }
@@ -76,7 +79,7 @@
 // NewSharing returns a Sharing and registers its methods.
 func NewSharing(c SharingConfig, r peer.Registry) *Sharing {
 	c.Log = c.Log.Named("objectwatch")
-	s := &Sharing{SharingConfig: c, feeds: make(map[platform.Kind]*feed), silent: make(map[string]time.Time)}
+	s := &Sharing{SharingConfig: c, feeds: make(map[platform.Kind]*feed), copies: make(map[platform.Kind]*listCopy), silent: make(map[string]time.Time)}
 	r.Handle(methodList, s.serveList)
 	r.Handle(methodAfter, s.serveAfter)
 	r.Handle(methodProof, s.serveProof)
@@ -90,7 +93,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.feeds[kind] = f
-	return &SharedAPI{API: s.SharingConfig.API, sharing: s, kind: kind, feed: f, maxAge: maxAge}
+	s.copies[kind] = newListCopy()
+	return &SharedAPI{API: s.SharingConfig.API, sharing: s, kind: kind, feed: f, copy: s.copies[kind], maxAge: maxAge}
+}
+
+func (s *Sharing) copyOf(kind platform.Kind) *listCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copies[kind]
+}
+
+// parent returns the instance that this one takes its first list from: its parent in a tree with
+// the readers at its root. A reader that sent a list of some hundred kilobytes to fifty followers
+// at once over a narrow link would take longer than they wait, and each would ask again.
+func (s *Sharing) parent(kind platform.Kind) (platform.Instance, bool) {
+	self := s.Fleet.Self()
+	readers, reads := OnDuty(s.Fleet, readDuty, readersPerDomain)
+	if reads || kind == platform.KindInstances {
+		return platform.Instance{}, false
+	}
+	return relaytree.New(self.FailureDomain, readers, s.Fleet.Live()).Parent(string(kind), self.ID)
 }
 
 func (s *Sharing) feed(kind platform.Kind) *feed {
@@ -189,10 +211,19 @@
 	if err != nil {
 		return nil, err
 	}
-	f.awaitKnown(ctx, s.Clock, firstWait)
+	if q.Waits {
+		s.awaitEither(ctx, f, s.copyOf(q.Kind))
+	} else {
+		f.awaitKnown(ctx, s.Clock, firstWait)
+	}
 	// The proof is read first: what is listed behind it is no older.
 	_, age, _ := f.proof(s.Clock.Now())
 	objects, revision, ok := f.list()
+	if !ok && q.Waits {
+		var provenAt time.Time
+		objects, revision, provenAt, ok = s.copyOf(q.Kind).list()
+		age = s.Clock.Now().Sub(provenAt)
+	}
 	if !ok {
 		return nil, errNoFeed
 	}
@@ -204,6 +235,25 @@
 	return got, nil
 }
 
+// awaitEither waits until a list is known by the instance's own calls or from others, for a time
+// at most.
+func (s *Sharing) awaitEither(ctx context.Context, f *feed, c *listCopy) {
+	f.mu.Lock()
+	known, changed := f.known, f.changed
+	f.mu.Unlock()
+	if known {
+		return
+	}
+	timer := s.Clock.NewTimer(parentWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-changed:
+	case <-c.learned:
+	}
+}
+
 func (s *Sharing) serveProof(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	f, _, err := s.asked(params)
 	if err != nil {
