--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	mu       sync.Mutex
 	manifest Manifest
 	known    bool
+	// manifests counts those that were adopted.
+	manifests int
 	// sharing spares the platform most calls; nil without.
 	sharing     *objectwatch.Sharing
 	roster      *roster
@@ -143,14 +146,15 @@
 // differs from the last one.
 func (d *Directory) publish() {
 	d.mu.Lock()
-	next := d.build(d.config.Clock.Now())
-	changed := !next.same(d.current.Load())
-	d.current.Store(next)
-	subscribers := d.subscribers
-	d.mu.Unlock()
-	if !changed {
+	old := d.current.Load()
+	present := d.roster.present(d.config.Clock.Now())
+	if old.manifest == d.manifests && slices.Equal(old.present, present) {
+		d.mu.Unlock()
 		return
 	}
+	d.current.Store(d.build(old, present))
+	subscribers := d.subscribers
+	d.mu.Unlock()
 	for _, f := range subscribers {
 		f()
 	}
@@ -170,6 +174,7 @@
 	held, later := d.manifest.Version, !d.known || m.Version > d.manifest.Version
 	if later {
 		d.manifest, d.known = m, true
+		d.manifests++
 	}
 	d.mu.Unlock()
 	switch {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -1,7 +1,7 @@
 package directory
 
 import (
-	"reflect"
+	"slices"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/document"
@@ -24,6 +24,11 @@
 
 // view is the directory at one moment. It is never changed after it was published.
 type view struct {
+	// manifest counts the manifests that were in force, this one included, and present are
+	// the members' entries in the order of their addresses; the rest follows from both.
+	manifest int
+	present  []platform.Upstream
+
 	version   int64
 	known     bool
 	services  map[string]*document.Service
@@ -37,41 +42,80 @@
 
 func emptyView() *view { return &view{} }
 
-// build makes a view of the present state. It runs under the lock.
-func (d *Directory) build(now time.Time) *view {
+// build makes the view of the present state behind an earlier one. A group whose entries are the
+// same keeps its service: a member of one group of hundreds changes often. It runs under the lock.
+func (d *Directory) build(old *view, present []platform.Upstream) *view {
 	v := &view{
+		manifest:   d.manifests,
+		present:    present,
 		version:    d.manifest.Version,
 		known:      d.known,
-		services:   make(map[string]*document.Service),
-		databases:  make(map[string]document.Database),
+		services:   make(map[string]*document.Service, len(d.manifest.Groups)),
+		databases:  old.databases,
 		workspaces: d.manifest.Workspaces,
-		upstreams:  make(map[string]platform.Upstream),
-		leaving:    make(map[string]bool),
+		upstreams:  make(map[string]platform.Upstream, len(present)),
+		leaving:    make(map[string]bool, len(present)),
 	}
-	present := make(map[string][]platform.Upstream)
-	for _, u := range d.roster.present(now) {
-		present[u.Group] = append(present[u.Group], u)
+	for _, u := range present {
 		v.upstreams[u.Address] = u
 		v.leaving[u.Address] = u.Leaving
 	}
+	before, now := byGroup(old.present), byGroup(present)
+	kept := old.manifest == v.manifest
+	made := make(map[string]*document.Service)
 	for _, g := range d.manifest.Groups {
-		d.addGroup(v, g, present[g.Name])
+		s := old.services[g.Name]
+		if !kept || !slices.Equal(before[g.Name], now[g.Name]) {
+			s = d.service(g, now[g.Name])
+			made[g.Name] = s
+		}
+		if s != nil {
+			v.services[g.Name] = s
+		}
+	}
+	d.addClasses(made)
+	if !kept {
+		v.databases = d.databases()
 	}
+	return v
+}
+
+// byGroup parts entries by their groups.
+func byGroup(entries []platform.Upstream) map[string][]platform.Upstream {
+	groups := make(map[string][]platform.Upstream)
+	for _, u := range entries {
+		groups[u.Group] = append(groups[u.Group], u)
+	}
+	return groups
+}
+
+// addClasses adds the classes of the databases to new services.
+func (d *Directory) addClasses(made map[string]*document.Service) {
 	for _, b := range d.manifest.Databases {
-		if s := v.services[b.Group]; s != nil {
+		if s := made[b.Group]; s != nil {
 			s.Reads = append(s.Reads, b.Class)
 		}
-		v.databases[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name, Public: b.Public}
 	}
-	for _, s := range v.services {
-		s.Index()
+	for _, s := range made {
+		if s != nil {
+			s.Index()
+		}
 	}
-	return v
 }
 
-func (d *Directory) addGroup(v *view, g Group, present []platform.Upstream) {
+// databases returns the databases of the manifest by name.
+func (d *Directory) databases() map[string]document.Database {
+	all := make(map[string]document.Database, len(d.manifest.Databases))
+	for _, b := range d.manifest.Databases {
+		all[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name, Public: b.Public}
+	}
+	return all
+}
+
+// service makes the service of a group; nil if it has no members.
+func (d *Directory) service(g Group, present []platform.Upstream) *document.Service {
 	if len(present) == 0 {
-		return
+		return nil
 	}
 	slots := 0
 	var members []document.Member
@@ -79,7 +123,7 @@
 		slots += u.Slots
 		members = append(members, document.Member{Address: u.Address, FailureDomain: u.FailureDomain})
 	}
-	v.services[g.Name] = &document.Service{
+	return &document.Service{
 		Name: g.Name,
 		Groups: []document.Group{{
 			Name: g.Name, Members: members, Slots: slots,
@@ -99,8 +143,6 @@
 	}
 }
 
-func (v *view) same(o *view) bool { return reflect.DeepEqual(v, o) }
-
 // Services returns the service of each group with the manifest's version.
 func (d *Directory) Services() ([]*document.Service, int64) {
 	v := d.current.Load()
