--- a/cmd/topazrock/fleet_test.go
+++ b/cmd/topazrock/fleet_test.go
@@ -22,9 +22,9 @@
 const (
 	processGroup    = "ligacoes-1"
 	processPassword = "pampa"
-	// patience bounds every wait on a busy machine.
-	patience = 60 * time.Second
-	pollStep = 20 * time.Millisecond
+	// waitLimit bounds every wait on a busy machine.
+	waitLimit = 60 * time.Second
+	pollStep  = 20 * time.Millisecond
 )
 
 var processDomains = []string{"poa-a", "poa-b", "fln-c"}
@@ -153,7 +153,7 @@
 	p.t.Helper()
 	ticker := time.NewTicker(pollStep)
 	defer ticker.Stop()
-	limit := time.NewTimer(patience)
+	limit := time.NewTimer(waitLimit)
 	defer limit.Stop()
 	for !f() {
 		select {
@@ -165,7 +165,7 @@
 }
 
 func (p *processes) connect(i int) (*pgx.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	return pgx.Connect(ctx, fmt.Sprintf("postgres://clerk:%s@%s/%s?sslmode=disable", processPassword, p.callers[i], processGroup))
 }
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -38,10 +38,10 @@
 func (s *Store) watchLoop(ctx context.Context) {
 	s.awaitPeers(ctx)
 	w := &watcher{store: s, revision: unlisted}
-	patience := s.options.Clock.Now().Add(peersFirst)
+	deadline := s.options.Clock.Now().Add(peersFirst)
 	for ctx.Err() == nil {
 		informed := s.informed()
-		if s.contact.isRelay() || (!informed && s.options.Clock.Now().After(patience)) {
+		if s.contact.isRelay() || (!informed && s.options.Clock.Now().After(deadline)) {
 			w.step(ctx)
 			continue
 		}
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -21,10 +21,10 @@
 		return nil, err
 	}
 	exclude := make(map[string]bool)
-	patience := g.Clock.Now().Add(logWait)
+	waitUntil := g.Clock.Now().Add(logWait)
 	for attempt := 1; ; attempt++ {
 		m, ok := g.pickReplica(u.Owner, n, exclude)
-		if !ok && g.mayWaitForLog(ctx, exclude, patience) {
+		if !ok && g.mayWaitForLog(ctx, exclude, waitUntil) {
 			clear(exclude)
 			attempt = 0
 			continue
--- a/internal/executor/scout.go
+++ b/internal/executor/scout.go
@@ -20,8 +20,8 @@
 	// scoutLinger is how long homes are asked on behind the last unit that could not
 	// be served here.
 	scoutLinger = 500 * time.Millisecond
-	// scoutPatience is how long a unit waits for the first answers.
-	scoutPatience = 120 * time.Millisecond
+	// scoutWait is how long a unit waits for the first answers.
+	scoutWait = 120 * time.Millisecond
 )
 
 // scout finds out which other homes of a group can serve what this instance cannot.
@@ -64,7 +64,7 @@
 		if home, ok := s.pick(u); ok {
 			return home, true
 		}
-		left := scoutPatience - s.clock.Now().Sub(began)
+		left := scoutWait - s.clock.Now().Sub(began)
 		if left <= 0 || told || !s.await(ctx, round, left) {
 			return platform.Instance{}, false
 		}
--- a/internal/executor/scout_test.go
+++ b/internal/executor/scout_test.go
@@ -94,7 +94,7 @@
 		began := time.Now()
 		_, ok := s.find(context.Background(), writing)
 		is.True(!ok)
-		is.True(time.Since(began) <= scoutPatience)
+		is.True(time.Since(began) <= scoutWait)
 		time.Sleep(2 * scoutInterval)
 		for range 10 {
 			began = time.Now()
--- a/internal/failover/attacher.go
+++ b/internal/failover/attacher.go
@@ -62,7 +62,7 @@
 		}
 		if now.Sub(since) >= wait<<min(a.tries[m.Address], maxAttachDoublings) {
 			a.detached[m.Address] = now
-			bound := patience(a.c.Settings.Call, a.tries[m.Address])
+			bound := callTimeout(a.c.Settings.Call, a.tries[m.Address])
 			a.tries[m.Address]++
 			orders = append(orders, order{address: m.Address, term: s.Term, primary: s.Primary, bound: bound})
 		}
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -24,12 +24,12 @@
 	reachable time.Time
 }
 
-// maxPatience bounds how often the detection time doubles, once for each rise
+// maxDoublings bounds how often the detection time doubles, once for each rise
 // of the term since the group was calm. Load that makes a primary answer late
-// makes its successor answer late as well; without more patience each time, they
+// makes its successor answer late as well; without more time at each rise, they
 // would depose each other for as long as the load lasts. A primary that is lost
 // out of a calm is replaced as fast as the first.
-const maxPatience = 2
+const maxDoublings = 2
 
 // firstAttachFactor is how many times the stall time is added while no replica
 // has been attached in the term yet.
@@ -86,19 +86,19 @@
 }
 
 // detection is how long the primary must have failed. A refused probe is no
-// matter of patience: a process that is slow does not refuse.
+// matter of time: a process that is slow does not refuse.
 func (p *suspicion) detection(m group.MemberView) time.Duration {
 	if m.Refused {
 		return p.settings.Detect
 	}
-	return p.settings.Detect << min(p.rises, maxPatience)
+	return p.settings.Detect << min(p.rises, maxDoublings)
 }
 
 // takeover is how long a claimed term may be without a primary. It doubles with
 // each further term of late: where everything is slow, claimers that give each
 // other no more time than usual would take the term from each other for ever.
 func (p *suspicion) takeover() time.Duration {
-	return p.settings.Takeover << min(max(p.rises-1, 0), maxPatience)
+	return p.settings.Takeover << min(max(p.rises-1, 0), maxDoublings)
 }
 
 // note keeps the time since which one cause has stood in one term, and how often
--- a/internal/failover/ward.go
+++ b/internal/failover/ward.go
@@ -64,7 +64,7 @@
 // calls are idempotent within their term.
 func (w *ward) persist(ctx context.Context, f call) (member.Status, error) {
 	for tries := 0; ; tries++ {
-		s, err := w.try(ctx, f, patience(w.a.c.Settings.Call, tries))
+		s, err := w.try(ctx, f, callTimeout(w.a.c.Settings.Call, tries))
 		if err == nil {
 			return s, nil
 		}
@@ -83,9 +83,9 @@
 // maxCallDoublings bounds how often the bound of a call doubles.
 const maxCallDoublings = 4
 
-// patience is the bound of a call after a number of failed tries. It doubles,
+// callTimeout is the bound of a call after a number of failed tries. It doubles,
 // for a member that is merely slow would else never be fenced.
-func patience(least time.Duration, tries int) time.Duration {
+func callTimeout(least time.Duration, tries int) time.Duration {
 	return least << min(tries, maxCallDoublings)
 }
 
--- a/internal/group/health.go
+++ b/internal/group/health.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// busyPatience is how long a member may be too busy for a report before it is taken for
+// busyTimeout is how long a member may be too busy for a report before it is taken for
 // lost, as a process is that hangs while its machine still takes connections.
-const busyPatience = 5 * time.Second
+const busyTimeout = 5 * time.Second
 
-// busyTooLong reports whether the member has been too busy for its patience and has
+// busyTooLong reports whether the member has been too busy for too long and has
 // answered nothing else meanwhile.
 func (f *follower) busyTooLong() bool {
 	f.w.mu.Lock()
@@ -23,7 +23,7 @@
 	if f.sightedAt.After(since) {
 		since = f.sightedAt
 	}
-	return now.Sub(since) > busyPatience
+	return now.Sub(since) > busyTimeout
 }
 
 // answeredAfter notes how long an answer took. The other followers look at it when they
--- a/internal/instance/bed_test.go
+++ b/internal/instance/bed_test.go
@@ -203,7 +203,7 @@
 // applyAgain applies the document in force once more, through instance 1, and
 // returns the version if it was accepted.
 func (b *bed) applyAgain() int64 {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	current, ok := b.instances[1].store.Current("base")
 	if !ok {
--- a/internal/instance/faults_test.go
+++ b/internal/instance/faults_test.go
@@ -132,7 +132,7 @@
 func (b *bed) raceOperators() {
 	for _, i := range []int{1, 2} {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 			defer cancel()
 			current, ok := b.instances[i].store.Current("base")
 			if ok {
--- a/internal/instance/firstview.go
+++ b/internal/instance/firstview.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// viewPatience is how long an instance that knows the groups and not yet the other instances
+// firstViewWait is how long an instance that knows the groups and not yet the other instances
 // is home to none: a few slow answers of the platform.
-const viewPatience = 3 * time.Second
+const firstViewWait = 3 * time.Second
 
 // firstView decides whether an instance may choose its homes by the instances it knows.
 //
@@ -19,7 +19,7 @@
 }
 
 // awaits reports whether to go on without homes. It gives the list of instances up after its
-// patience: the platform may be away for long, and the homes' least shares serve until then.
+// time: the platform may be away for long, and the homes' least shares serve until then.
 func (v *firstView) awaits(now time.Time, groups int, listKnown bool) bool {
 	if groups == 0 {
 		return true
@@ -27,5 +27,5 @@
 	if v.groupsSince.IsZero() {
 		v.groupsSince = now
 	}
-	return !listKnown && now.Sub(v.groupsSince) < viewPatience
+	return !listKnown && now.Sub(v.groupsSince) < firstViewWait
 }
--- a/internal/instance/firstview_test.go
+++ b/internal/instance/firstview_test.go
@@ -15,7 +15,7 @@
 
 // A fleet returns together. The groups are known before the list of instances, with it and
 // after it: homes start with the list. Where the list stays away they start at the end of
-// the patience.
+// the wait.
 func TestHomesWaitForTheListOfInstances(t *testing.T) {
 	start := time.Unix(100, 0)
 	for _, c := range []struct {
@@ -26,7 +26,7 @@
 		{"groups before the list", 0, 200 * time.Millisecond, 200 * time.Millisecond},
 		{"both together", 100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
 		{"groups behind the list", 500 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond},
-		{"no list", 100 * time.Millisecond, time.Hour, 100*time.Millisecond + viewPatience},
+		{"no list", 100 * time.Millisecond, time.Hour, 100*time.Millisecond + firstViewWait},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/instance/history_test.go
+++ b/internal/instance/history_test.go
@@ -163,7 +163,7 @@
 }
 
 func (c *historyCaller) read(key string) {
-	ctx, cancel := context.WithTimeout(c.load.ctx, patience)
+	ctx, cancel := context.WithTimeout(c.load.ctx, requestTimeout)
 	defer cancel()
 	call := c.history.tick()
 	conn := c.connected(ctx)
--- a/internal/instance/load_test.go
+++ b/internal/instance/load_test.go
@@ -39,8 +39,8 @@
 	connections int
 }
 
-// patience bounds each request of the load.
-const patience = 6 * time.Second
+// requestTimeout bounds each request of the load.
+const requestTimeout = 6 * time.Second
 
 // startLoad starts two callers of each kind, each with a seed of its own.
 func startLoad(b *bed, seed uint64) *load {
@@ -132,7 +132,7 @@
 
 // exec runs one write and notes what was told of it.
 func (c *caller) exec(key, sql string) fate {
-	ctx, cancel := context.WithTimeout(c.load.ctx, patience)
+	ctx, cancel := context.WithTimeout(c.load.ctx, requestTimeout)
 	defer cancel()
 	conn := c.connected(ctx)
 	if conn == nil {
@@ -167,7 +167,7 @@
 	c.move(c.random.IntN(2) == 0)
 	c.load.bed.atLoad("roam.moved")
 	tag := []string{agedRead, freshRead}[c.random.IntN(2)]
-	ctx, cancel := context.WithTimeout(c.load.ctx, patience)
+	ctx, cancel := context.WithTimeout(c.load.ctx, requestTimeout)
 	defer cancel()
 	conn := c.connected(ctx)
 	if conn == nil {
@@ -203,7 +203,7 @@
 
 // transact writes two rows in one transaction: both or none.
 func (c *caller) transact() {
-	ctx, cancel := context.WithTimeout(c.load.ctx, patience)
+	ctx, cancel := context.WithTimeout(c.load.ctx, requestTimeout)
 	defer cancel()
 	conn := c.connected(ctx)
 	if conn == nil {
--- a/internal/instance/matrix_test.go
+++ b/internal/instance/matrix_test.go
@@ -148,7 +148,7 @@
 }
 
 func (b *bed) tryService(i int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	c, err := pgx.ConnectConfig(ctx, b.config(i, ""))
 	if err != nil {
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -100,8 +100,8 @@
 	began := a.sharing.Clock.Now()
 	a.sharing.awaitFleet(ctx, a.kind)
 	// The instances themselves are known from an older list by now.
-	patient := a.informed.Load() || a.kind == platform.KindInstances
-	if patient || a.sharing.Clock.Now().Sub(began) >= freshFleetWait {
+	mayWait := a.informed.Load() || a.kind == platform.KindInstances
+	if mayWait || a.sharing.Clock.Now().Sub(began) >= freshFleetWait {
 		if got, ok := a.listOfParent(ctx); ok {
 			return got, nil
 		}
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -27,11 +27,11 @@
 	// ownReading is up to how many instances of a failure domain all read for
 	// themselves: with so few there is nothing to save.
 	ownReading = 4
-	// fleetPatience is how long a kind waits at the start for the list of instances, which
+	// fleetWait is how long a kind waits at the start for the list of instances, which
 	// names the readers, and fleetPoll the time between two looks. A whole fleet that starts
 	// for the first time takes most of it to be listed.
-	fleetPatience = 3 * time.Second
-	fleetPoll     = 20 * time.Millisecond
+	fleetWait = 3 * time.Second
+	fleetPoll = 20 * time.Millisecond
 	// afterWait is how long a reader holds a question while nothing changes. A reader that
 	// has gone silent is found out by its end.
 	afterWait = 5 * time.Second
@@ -128,7 +128,7 @@
 	return d/2 + time.Duration(s.Rand.Int64N(int64(d)/2+1))
 }
 
-// awaitFleet waits until the instances are known, or for its patience. Without the list
+// awaitFleet waits until the instances are known, or for a time at most. Without the list
 // every instance would take itself for a reader, and all that start together would ask the
 // platform for everything.
 func (s *Sharing) awaitFleet(ctx context.Context, kind platform.Kind) {
@@ -136,7 +136,7 @@
 		// This is what names the readers.
 		return
 	}
-	for deadline := s.Clock.Now().Add(fleetPatience); !s.Fleet.Known() && s.Clock.Now().Before(deadline); {
+	for deadline := s.Clock.Now().Add(fleetWait); !s.Fleet.Known() && s.Clock.Now().Before(deadline); {
 		if clock.Sleep(ctx, s.Clock, fleetPoll) != nil {
 			return
 		}
--- a/internal/standin/linedemo/line.go
+++ b/internal/standin/linedemo/line.go
@@ -11,8 +11,8 @@
 // codeBusy is the protocol's code of a statement that did not run.
 const codeBusy = "BUSY"
 
-// patience bounds one statement, as callers see it.
-const patience = 5 * time.Second
+// statementTimeout bounds one statement, as callers see it.
+const statementTimeout = 5 * time.Second
 
 // line is one session over the line protocol.
 type line struct {
@@ -25,7 +25,7 @@
 // dialLine opens a session. A session that could not be opened is broken.
 func dialLine(address, database string) *line {
 	l := &line{database: database}
-	conn, err := net.DialTimeout("tcp", address, patience)
+	conn, err := net.DialTimeout("tcp", address, statementTimeout)
 	if err != nil {
 		l.broken = true
 		return l
@@ -54,7 +54,7 @@
 
 // receive takes an answer up to the line that asks for the next statement.
 func (l *line) receive() (row, code string, ok bool) {
-	_ = l.conn.SetReadDeadline(time.Now().Add(patience))
+	_ = l.conn.SetReadDeadline(time.Now().Add(statementTimeout))
 	for {
 		text, err := l.in.ReadString('\n')
 		if err != nil {
