Keep the statements of a workspace to one home and few members

Ways: the standing one, and among the homes of the failure domain and the members that may answer a hash of the workspace, one with an idle connection first and an opening counted as a statement at work. Deployments without workspaces are not touched.

--- a/internal/executor/bench_test.go
+++ b/internal/executor/bench_test.go
@@ -109,6 +109,9 @@
 // Full implements pool.Pool.
 func (onePool) Full(string) bool { return false }
 
+// Idle implements pool.Pool.
+func (onePool) Idle(string, string) bool { return true }
+
 // FullFor implements pool.Pool.
 func (onePool) FullFor(string, string) bool { return false }
 
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -53,7 +53,7 @@
 // is no home.
 func (r *Router) forward(ctx context.Context, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
 	last := result.New(result.UpstreamUnreachable, "no home of group %s answers", u.Group).WithRetryAfter(retryAfterFailover)
-	for _, home := range r.avoided.order(r.clock.Now(), r.homes.Homes(u.Group)) {
+	for _, home := range r.avoided.order(r.clock.Now(), forOwner(r.homes.Homes(u.Group), u.Owner)) {
 		if home.ID == r.self {
 			continue
 		}
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -125,6 +125,9 @@
 // Full implements pool.Pool.
 func (s *scriptedMembers) Full(address string) bool { return s.full[address] }
 
+// Idle implements pool.Pool.
+func (s *scriptedMembers) Idle(string, string) bool { return true }
+
 // FullFor implements pool.Pool.
 func (s *scriptedMembers) FullFor(address, _ string) bool { return s.full[address] }
 
--- a/internal/executor/place.go
+++ b/internal/executor/place.go
@@ -8,17 +8,19 @@
 	"github.com/topazrock/topazrock/internal/routing"
 )
 
-// pickReplica returns the member that suits a workspace's read best, or false when none may
-// answer it.
-func (g *Group) pickReplica(workspace string, n need, exclude map[string]bool) (group.MemberView, bool) {
+// pickReplica returns the member that suits a read best, or false when none may answer it. owner
+// is whose connections alone may run it.
+func (g *Group) pickReplica(owner string, n need, exclude map[string]bool) (group.MemberView, bool) {
 	now := g.Clock.Now()
 	r := routing.Read{
 		Required:       n.position,
 		Checked:        g.Wire.ChecksPosition,
 		FailureDomain:  g.FailureDomain,
 		Exclude:        exclude,
-		Load:           func(address string) int { return g.loadAt(address, workspace) },
+		Load:           func(address string) int { return g.loadAt(address, owner) },
 		SpillToPrimary: g.spill(),
+		Owner:          owner,
+		Connected:      func(address string) bool { return g.Pool.Idle(address, owner) },
 		Behind:         func(address string) bool { return g.behind.at(address, now) },
 	}
 	if n.maxAge > 0 {
@@ -48,11 +50,11 @@
 // other goes before it.
 const fullLoad = 1000
 
-// loadAt is how many statements of this instance run at a member or wait for it, as one of a
-// workspace finds it.
-func (g *Group) loadAt(address, workspace string) int {
+// loadAt is how many statements of this instance run at a member or wait for it, as one of an
+// owner finds it.
+func (g *Group) loadAt(address, owner string) int {
 	load := g.running.at(address)
-	if g.Pool.FullFor(address, workspace) || g.failing.at(address, g.Clock.Now()) {
+	if g.Pool.FullFor(address, owner) || g.failing.at(address, g.Clock.Now()) {
 		load += fullLoad
 	}
 	if q, ok := g.Gate.(memberQueues); ok {
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -116,6 +116,14 @@
 	return m.refusesOpenings(p.cfg.MinPause) && m.counted() == m.opening
 }
 
+// Idle implements Pool.
+func (p *Limited) Idle(address, workspace string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.member(address).lanes[workspace]
+	return l != nil && l.idle > 0
+}
+
 // FullFor implements Pool.
 func (p *Limited) FullFor(address, workspace string) bool {
 	p.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,8 @@
 	// Full reports whether statements for the member at address are refused because
 	// it takes no connection and there is none.
 	Full(address string) bool
+	// Idle reports whether a connection of the workspace to the member at address is idle.
+	Idle(address, workspace string) bool
 	// FullFor reports the same for statements of one workspace.
 	FullFor(address, workspace string) bool
 }
--- a/internal/routing/read.go
+++ b/internal/routing/read.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/member"
@@ -30,6 +32,11 @@
 	// SpillToPrimary lets the primary answer where the replicas are that much busier:
 	// by so many statements of this instance. Zero keeps reads off the primary.
 	SpillToPrimary int
+	// Owner is whose connections alone may run the read; empty where they are shared. Its
+	// reads keep to one replica, so that few connections serve many owners.
+	Owner string
+	// Connected tells whether a connection of the owner to a member is idle.
+	Connected func(address string) bool
 	// Behind tells whether a member lately lacked a required position; it may be
 	// nil.
 	Behind func(address string) bool
@@ -37,7 +44,10 @@
 
 // Replica returns the replica that suits r best, or false when none may answer.
 // Less loaded replicas go first, then those of the own failure domain, then
-// chance decides.
+// chance decides. For an owner, the opening of a connection counts as load, and a hash of the
+// owner decides in place of failure domain and chance: with each replica by turns, or the
+// nearest for all, the connections of the others would lie idle while those of owners take
+// turns at one.
 func Replica(s *group.Snapshot, r Read, random *rand.Rand) (group.MemberView, bool) {
 	var best group.MemberView
 	found := false
@@ -63,8 +73,11 @@
 
 func score(m group.MemberView, primary string, r Read, random *rand.Rand) int {
 	s := r.Load(m.Address) * 2
-	if m.FailureDomain != r.FailureDomain {
+	switch {
+	case r.Owner == "" && m.FailureDomain != r.FailureDomain:
 		s++
+	case r.Owner != "" && !r.Connected(m.Address):
+		s += openingLoad
 	}
 	if m.Address == primary {
 		s += r.SpillToPrimary * 2
@@ -72,7 +85,19 @@
 	if r.Behind != nil && r.Behind(m.Address) {
 		s += behindPenalty
 	}
-	return s*scoreStep + random.IntN(scoreStep)
+	return s*scoreStep + r.tieBreak(m.Address, random)
+}
+
+// openingLoad is what the opening of a connection adds to a score: it takes a slot for about as
+// long as a statement.
+const openingLoad = 2
+
+// tieBreak orders members that are as good as each other.
+func (r Read) tieBreak(address string, random *rand.Rand) int {
+	if r.Owner == "" {
+		return random.IntN(scoreStep)
+	}
+	return int(xxhash.Sum64String(r.Owner+"\x00"+address) % scoreStep)
 }
 
 func eligible(s *group.Snapshot, m group.MemberView, r Read) bool {
