Ask readers of other failure domains before the platform behind a cut

Change: who follows readers that do not answer asks one of another failure domain first, then the platform, and does not pause for readers that are known to be silent.

--- /dev/null
+++ b/internal/objectwatch/rescue_test.go
@@ -0,0 +1,148 @@
+package objectwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/standin/peernet"
+	standin "github.com/topazrock/topazrock/internal/standin/platform"
+)
+
+// lateSink notes when it was told of an object.
+type lateSink struct{ at chan time.Time }
+
+// Listed implements Sink.
+func (n lateSink) Listed(objects []platform.Object) { n.Changed(objects) }
+
+// Changed implements Sink.
+func (n lateSink) Changed(objects []platform.Object) {
+	for _, o := range objects {
+		if o.Name == "late" {
+			select {
+			case n.at <- time.Now():
+			default:
+			}
+		}
+	}
+}
+
+// Touch implements Sink.
+func (lateSink) Touch(bool) {}
+
+// cutAPI is the platform as an instance reaches it whose packets are lost while it is cut: each
+// call takes a second to fail.
+type cutAPI struct {
+	platform.API
+	cut *atomic.Bool
+}
+
+func (a cutAPI) lost(ctx context.Context) error {
+	if !a.cut.Load() {
+		return nil
+	}
+	if err := clock.Sleep(ctx, clock.System{}, time.Second); err != nil {
+		return err
+	}
+	return platform.ErrUnavailable
+}
+
+// List implements platform.API.
+func (a cutAPI) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	if err := a.lost(ctx); err != nil {
+		return nil, 0, err
+	}
+	return a.API.List(ctx, kind)
+}
+
+// Watch implements platform.API.
+func (a cutAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	if err := a.lost(ctx); err != nil {
+		return nil, after, err
+	}
+	objects, next, err := a.API.Watch(ctx, kind, after)
+	if lost := a.lost(ctx); lost != nil {
+		return nil, after, lost
+	}
+	return objects, next, err
+}
+
+// largeFleet is a fleet whose failure domains have more instances than read for themselves.
+type largeFleet struct{ fakeFleet }
+
+// Pick implements Fleet.
+func (f largeFleet) Pick(_ string, n int) []platform.Instance {
+	if n <= readersPerDomain {
+		return f.readers
+	}
+	all := slices.Clone(f.readers)
+	for _, domain := range []string{"a", "b"} {
+		for range n - readersPerDomain {
+			all = append(all, platform.Instance{ID: "more", FailureDomain: domain})
+		}
+	}
+	return all
+}
+
+// A failure domain is cut off with its readers; an instance of it comes back first, and the
+// platform refuses it still. Guards against a change that it learns only when its readers are
+// back, or it may ask the platform again: longer than a change may take behind a cut.
+func TestInstanceBackFromACutLearnsFromReadersElsewhere(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store, net := standin.NewStore(), peernet.New()
+			instance := func(id, domain string) platform.Instance {
+				return platform.Instance{ID: id, FailureDomain: domain, PeerAddress: id}
+			}
+			near := []platform.Instance{instance("n1", "a"), instance("n2", "a")}
+			far := []platform.Instance{instance("f1", "b"), instance("f2", "b")}
+			all := append(slices.Clone(near), far...)
+			ctx, cancel := context.WithCancel(context.Background())
+			follow := func(self platform.Instance, cut *atomic.Bool, sink Sink) {
+				s := NewSharing(SharingConfig{API: cutAPI{store, cut}, Fleet: largeFleet{fakeFleet{self, all}}, Caller: net.At(self.ID), Clock: clock.System{},
+					Rand: rand.New(rand.NewPCG(seed, 1)), Log: hclog.NewNullLogger()}, net.At(self.ID))
+				api := s.API(platform.KindManifest, 2300*time.Millisecond)
+				f := New(Config{API: api, Kind: platform.KindManifest, Sink: sink, Clock: clock.System{}, Check: 2 * time.Second,
+					Current: api.Current, Rand: rand.New(rand.NewPCG(seed, 2)), Log: hclog.NewNullLogger()})
+				go f.Run(ctx)
+			}
+			cut := new(atomic.Bool)
+			for _, i := range near {
+				follow(i, cut, lateSink{make(chan time.Time, 1)})
+			}
+			for _, i := range far {
+				follow(i, new(atomic.Bool), lateSink{make(chan time.Time, 1)})
+			}
+			told := lateSink{make(chan time.Time, 1)}
+			follow(instance("s", "a"), cut, told)
+			time.Sleep(5 * time.Second)
+			for _, id := range []string{"n1", "n2", "s"} {
+				net.SetCut(id, true)
+			}
+			cut.Store(true)
+			time.Sleep(2 * time.Second)
+			_, err := store.Put(ctx, platform.KindManifest, "late", []byte("{}"), 0)
+			is.NoErr(err)
+			time.Sleep(time.Duration(6000+137*seed) * time.Millisecond)
+			net.SetCut("s", false)
+			healed := time.Now()
+			time.Sleep(12 * time.Second)
+			is.Equal(len(told.at), 1)
+			late := (<-told.at).Sub(healed)
+			t.Logf("seed %d: %v behind the end of the cut", seed, late)
+			is.True(late <= 5*time.Second)
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -72,6 +72,14 @@
 		a.informed.Store(true)
 		return got.objects, got.Revision, nil
 	}
+	// Readers elsewhere are asked before the platform by those whose own do not answer: an
+	// instance that comes back from a cut must not wait until it may ask the platform again.
+	follows := a.informed.Load() && len(a.sharing.readers()) > 0
+	if follows {
+		if got, ok := a.rescue(ctx, 1, a.listFrom); ok {
+			return got.objects, got.Revision, nil
+		}
+	}
 	if !errors.Is(err, errReadsItself) {
 		return nil, 0, err
 	}
@@ -84,7 +92,10 @@
 		return objects, revision, nil
 	}
 	a.failed()
-	if got, ok := a.rescue(ctx, a.listFrom); ok {
+	if follows {
+		return nil, 0, err
+	}
+	if got, ok := a.rescue(ctx, rescueWidth, a.listFrom); ok {
 		return got.objects, got.Revision, nil
 	}
 	return nil, 0, err
@@ -149,7 +160,7 @@
 	}
 	a.failed()
 	a.feed.lost()
-	if got, ok := a.rescue(ctx, watch); ok {
+	if got, ok := a.rescue(ctx, rescueWidth, watch); ok {
 		return told(got, after)
 	}
 	return nil, after, err
@@ -190,7 +201,11 @@
 		if len(readers) == 0 {
 			return answer{}, errReadsItself
 		}
-		for _, reader := range a.sharing.answering(readers) {
+		asked := a.sharing.answering(readers)
+		if len(asked) == 0 {
+			break
+		}
+		for _, reader := range asked {
 			if got, ok := ask(ctx, reader); ok {
 				// Nobody keeps this instance's own feed up to date any more.
 				a.feed.lost()
@@ -207,10 +222,9 @@
 	return answer{}, errReadsItself
 }
 
-// rescue asks readers of any failure domain: the platform may refuse this instance and
-// serve others.
-func (a *SharedAPI) rescue(ctx context.Context, ask func(context.Context, platform.Instance) (answer, bool)) (answer, bool) {
-	for _, reader := range a.sharing.rescuers(rescueWidth) {
+// rescue asks some readers elsewhere: the platform may refuse this instance and serve others.
+func (a *SharedAPI) rescue(ctx context.Context, width int, ask func(context.Context, platform.Instance) (answer, bool)) (answer, bool) {
+	for _, reader := range a.sharing.rescuers(width) {
 		if got, ok := ask(ctx, reader); ok {
 			return got, true
 		}
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -178,12 +178,13 @@
 	s.silent[reader.ID] = s.Clock.Now().Add(silentFor)
 }
 
-// rescuers returns some readers of any failure domain other than this instance.
+// rescuers returns some readers: of other failure domains for an instance that follows readers of
+// its own, of any for one that reads itself.
 func (s *Sharing) rescuers(n int) []platform.Instance {
-	self := s.Fleet.Self().ID
+	self, follows := s.Fleet.Self(), len(s.readers()) > 0
 	var all []platform.Instance
 	for _, i := range s.Fleet.Pick(readDuty, readersPerDomain) {
-		if i.ID != self {
+		if i.ID != self.ID && !(follows && i.FailureDomain == self.FailureDomain) {
 			all = append(all, i)
 		}
 	}
