--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -32,9 +32,6 @@
 	// for the first time takes most of it to be listed.
 	fleetWait = 3 * time.Second
 	fleetPoll = 20 * time.Millisecond
-	// freshFleetSettle is how long an instance of a fleet that starts for the first time waits
-	// besides, for the list to become whole.
-	freshFleetSettle = 1500 * time.Millisecond
 	// afterWait is how long a reader holds a question while nothing changes. A reader that
 	// has gone silent is found out by its end.
 	afterWait = 5 * time.Second
@@ -139,17 +136,11 @@
 		// This is what names the readers.
 		return
 	}
-	began := s.Clock.Now()
-	for !s.Fleet.Known() && s.Clock.Now().Sub(began) < fleetWait {
+	for deadline := s.Clock.Now().Add(fleetWait); !s.Fleet.Known() && s.Clock.Now().Before(deadline); {
 		if clock.Sleep(ctx, s.Clock, fleetPoll) != nil {
 			return
 		}
 	}
-	if s.Clock.Now().Sub(began) >= freshFleetWait && len(s.Fleet.Live()) > ownReading {
-		// A fleet that starts for the first time is listed by and by. Whoever knows few
-		// others yet would take itself for a reader.
-		_ = clock.Sleep(ctx, s.Clock, freshFleetSettle)
-	}
 }
 
 // readers returns the readers of this instance's failure domain; none if it reads for
