--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -16,7 +16,7 @@
 // that instances hold ahead, answers on their way, and shares that are counted with different
 // numbers of instances.
 //
-// Limiter, Shares, Holder and Ownership decide and do no I/O; Guard asks the limiters.
+// Limiter, Shares, Ownership and account decide and do no I/O; Guard asks the limiters.
 //
 // Lock order: Guard.mu or Limiter.mu, never both; neither is held across I/O.
 package quota
