--- a/internal/adminapi/views.go
+++ b/internal/adminapi/views.go
@@ -92,9 +92,9 @@
 type WorkspaceView struct {
 	Name     string `json:"name"`
 	Priority int    `json:"priority"`
-	// RatePerSecond and Burst are its limit over all instances; both zero where there is none.
-	RatePerSecond float64 `json:"rate_per_second"`
-	Burst         float64 `json:"burst"`
+	// Rate and Burst are its limit over all instances; both zero where there is none.
+	Rate  float64 `json:"rate_per_second"`
+	Burst float64 `json:"burst"`
 	// BegunPerSecond is the average of the operations that this instance has been asked to
 	// begin of late, and Refused counts those that it refused for the limit.
 	BegunPerSecond float64 `json:"begun_per_second"`
--- a/internal/admission/late.go
+++ b/internal/admission/late.go
@@ -27,21 +27,21 @@
 			c.waiting.Add(w)
 		}
 	}
-	for _, w := range c.hopeless(now) {
+	for _, w := range c.unservable(now) {
 		c.waiting.Remove(w)
 		w.class.waiting--
 		w.granted <- grant{err: c.refusal(result.QueueTimeout, w.class, c.backlog())}
 	}
 }
 
-// hopeless returns the late waiters that would not end by their deadline even if the
+// unservable returns the late waiters that would not end by their deadline even if the
 // turns went to late ones alone from now on, as many at once as may be at work now: slots
 // that the limit keeps unused bring nobody's turn nearer, and counting them left waiters to
 // be told at their deadline what was known before. Only late ones are judged again while
 // they wait: others keep going before them, which their arrival could not know. A
 // stricter judgement, by the share of the turns that late ones get just now, refuses
 // many whose turn comes when a burst is over.
-func (c *Controller) hopeless(now time.Time) []*waiter {
+func (c *Controller) unservable(now time.Time) []*waiter {
 	var all []*waiter
 	var ahead time.Duration
 	for _, w := range c.waiting.Items() {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -99,7 +99,7 @@
 	line(w)
 	line(w, "WORKSPACE", "PRIORITY", "RATE", "BURST", "ASKED HERE", "REFUSED HERE")
 	for _, v := range workspaces {
-		line(w, v.Name, v.Priority, limitText(v.RatePerSecond), limitText(v.Burst), fmt.Sprintf("%.1f/s", v.BegunPerSecond), v.Refused)
+		line(w, v.Name, v.Priority, limitText(v.Rate), limitText(v.Burst), fmt.Sprintf("%.1f/s", v.BegunPerSecond), v.Refused)
 	}
 }
 
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -53,7 +53,7 @@
 		Workspace: workspace.Workspace{
 			Name:     sec.Name,
 			Priority: sec.Int("priority"),
-			Limit:    workspace.Limit{RatePerSecond: sec.Decimal("rate"), Burst: sec.Decimal("burst")},
+			Limit:    workspace.Limit{Rate: sec.Decimal("rate"), Burst: sec.Decimal("burst")},
 		},
 		OwnConnections: sec.String("connections") == connectionsOwn,
 	}
--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -46,7 +46,7 @@
 	err := x.conn.Run(&x.Exchange)
 	g.running.stop(x.Unit.ID, x.conn, g.Clock.Now(), err == nil)
 	if err == nil && x.Log != (logpos.Mark{}) {
-		g.Tracker.Sighted(x.conn.Address(), x.ticket, group.Sighting{Log: x.Log, Committed: x.Committed})
+		g.Tracker.Observed(x.conn.Address(), x.ticket, group.Observation{Log: x.Log, Committed: x.Committed})
 	}
 	return err
 }
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -69,8 +69,8 @@
 	standby      *standby
 	behind       *behind
 	failing      *failing
-	// scout finds homes that can serve what this one cannot; nil outside a Router.
-	scout *scout
+	// homeFinder finds homes that can serve what this one cannot; nil outside a Router.
+	homeFinder *homeFinder
 	// abandoning counts the rollbacks of abandoned transactions under way.
 	abandoning sync.WaitGroup
 	// atWork counts units between the router's look-up and their answer.
--- a/internal/executor/scout.go
+++ b/internal/executor/homefinder.go
@@ -12,26 +12,26 @@
 )
 
 const (
-	// scoutInterval is the time between two rounds of questions: three rounds, which
-	// ask seven homes, end within half of what an answer counts. scoutTimeout bounds the
+	// homeFinderInterval is the time between two rounds of questions: three rounds, which
+	// ask seven homes, end within half of what an answer counts. homeFinderTimeout bounds the
 	// answers, many times a slow one.
-	scoutInterval = 150 * time.Millisecond
-	scoutTimeout  = 100 * time.Millisecond
-	// scoutLinger is how long homes are asked on behind the last unit that could not
+	homeFinderInterval = 150 * time.Millisecond
+	homeFinderTimeout  = 100 * time.Millisecond
+	// homeFinderLinger is how long homes are asked on behind the last unit that could not
 	// be served here.
-	scoutLinger = 500 * time.Millisecond
-	// scoutWait is how long a unit waits for the first answers.
-	scoutWait = 120 * time.Millisecond
+	homeFinderLinger = 500 * time.Millisecond
+	// homeFinderWait is how long a unit waits for the first answers.
+	homeFinderWait = 120 * time.Millisecond
 )
 
-// scout finds out which other homes of a group can serve what this instance cannot.
+// homeFinder finds out which other homes of a group can serve what this instance cannot.
 //
 // The load pattern is a cut that leaves an instance without the group's primary, or
 // without a majority, while it still reaches instances that have both. Every instance
-// decides by its own view; without the scout each caller of the cut ones is refused until
+// decides by its own view; without it each caller of the cut ones is refused until
 // the cut heals, and comes back to one of them with every second try. Nobody is asked
 // while the group is served here.
-type scout struct {
+type homeFinder struct {
 	clock clock.Clock
 	// homes returns the group's other homes, and ask asks one of them.
 	homes func() []platform.Instance
@@ -47,14 +47,14 @@
 	round    chan struct{}
 }
 
-func newScout(k clock.Clock, r *rand.Rand, homes func() []platform.Instance, ask func(context.Context, platform.Instance) (standing, error)) *scout {
-	return &scout{clock: k, homes: homes, ask: ask, wake: make(chan struct{}, 1), round: make(chan struct{}), known: newKnownHomes(r)}
+func newHomeFinder(k clock.Clock, r *rand.Rand, homes func() []platform.Instance, ask func(context.Context, platform.Instance) (standing, error)) *homeFinder {
+	return &homeFinder{clock: k, homes: homes, ask: ask, wake: make(chan struct{}, 1), round: make(chan struct{}), known: newKnownHomes(r)}
 }
 
 // find returns a home that can serve the unit, and false when none is known to. It waits
 // for answers for a short time, unless enough homes were asked just now: whoever cannot
 // be served is told so at once.
-func (s *scout) find(ctx context.Context, u *execution.Unit) (platform.Instance, bool) {
+func (s *homeFinder) find(ctx context.Context, u *execution.Unit) (platform.Instance, bool) {
 	began := s.clock.Now()
 	for {
 		round := s.want()
@@ -64,7 +64,7 @@
 		if home, ok := s.pick(u); ok {
 			return home, true
 		}
-		left := scoutWait - s.clock.Now().Sub(began)
+		left := homeFinderWait - s.clock.Now().Sub(began)
 		if left <= 0 || told || !s.await(ctx, round, left) {
 			return platform.Instance{}, false
 		}
@@ -72,7 +72,7 @@
 }
 
 // await waits for the end of a round.
-func (s *scout) await(ctx context.Context, round <-chan struct{}, d time.Duration) bool {
+func (s *homeFinder) await(ctx context.Context, round <-chan struct{}, d time.Duration) bool {
 	timer := s.clock.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -86,7 +86,7 @@
 
 // want has the homes asked from now on, and returns what is closed when the present
 // round ends.
-func (s *scout) want() <-chan struct{} {
+func (s *homeFinder) want() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wantedAt = s.clock.Now()
@@ -98,14 +98,14 @@
 }
 
 // pick returns a home that is known to serve the unit.
-func (s *scout) pick(u *execution.Unit) (platform.Instance, bool) {
+func (s *homeFinder) pick(u *execution.Unit) (platform.Instance, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.known.pick(u, s.clock.Now())
 }
 
 // told reports whether enough homes were asked of late.
-func (s *scout) told() bool {
+func (s *homeFinder) told() bool {
 	homes := s.homes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,14 +113,14 @@
 }
 
 // failed says that a home did not serve what it said it could.
-func (s *scout) failed(home platform.Instance) {
+func (s *homeFinder) failed(home platform.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.known.failed(home)
 }
 
 // run asks homes round by round as long as somebody wants to know, until ctx ends.
-func (s *scout) run(ctx context.Context) {
+func (s *homeFinder) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -128,7 +128,7 @@
 		case <-s.wake:
 		}
 		for s.askRound(ctx) {
-			if clock.Sleep(ctx, s.clock, scoutInterval) != nil {
+			if clock.Sleep(ctx, s.clock, homeFinderInterval) != nil {
 				return
 			}
 		}
@@ -136,7 +136,7 @@
 }
 
 // askRound asks some homes at once. It returns false when nobody wants to know any more.
-func (s *scout) askRound(ctx context.Context) bool {
+func (s *homeFinder) askRound(ctx context.Context) bool {
 	var calls sync.WaitGroup
 	for _, home := range s.nextHomes() {
 		calls.Go(func() { s.askOne(ctx, home) })
@@ -146,11 +146,11 @@
 	defer s.mu.Unlock()
 	close(s.round)
 	s.round = make(chan struct{})
-	return s.clock.Now().Sub(s.wantedAt) < scoutLinger
+	return s.clock.Now().Sub(s.wantedAt) < homeFinderLinger
 }
 
 // nextHomes returns the homes that the next round asks.
-func (s *scout) nextHomes() []platform.Instance {
+func (s *homeFinder) nextHomes() []platform.Instance {
 	homes := s.homes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,8 +158,8 @@
 }
 
 // askOne asks one home.
-func (s *scout) askOne(ctx context.Context, home platform.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
+func (s *homeFinder) askOne(ctx context.Context, home platform.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, homeFinderTimeout)
 	defer cancel()
 	at := s.clock.Now()
 	told, err := s.ask(ctx, home)
--- a/internal/executor/scout_test.go
+++ b/internal/executor/homefinder_test.go
@@ -17,15 +17,15 @@
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-// scouted are the other homes of a group, and what they tell.
-type scouted struct {
+// askedHomes are the other homes of a group, and what they tell.
+type askedHomes struct {
 	mu       sync.Mutex
 	standing map[string]standing
 	silent   map[string]bool
 	asked    int
 }
 
-func (s *scouted) ask(ctx context.Context, home platform.Instance) (standing, error) {
+func (s *askedHomes) ask(ctx context.Context, home platform.Instance) (standing, error) {
 	s.mu.Lock()
 	s.asked++
 	silent, told := s.silent[home.ID], s.standing[home.ID]
@@ -38,15 +38,15 @@
 	return told, nil
 }
 
-// inScouted runs f with the scout of a group that has n other homes.
-func inScouted(t *testing.T, n int, f func(is *is.I, homes *scouted, s *scout)) {
+// inHomes runs f with the home finder of a group that has n other homes.
+func inHomes(t *testing.T, n int, f func(is *is.I, homes *askedHomes, s *homeFinder)) {
 	synctest.Test(t, func(t *testing.T) {
-		homes := &scouted{standing: make(map[string]standing), silent: make(map[string]bool)}
+		homes := &askedHomes{standing: make(map[string]standing), silent: make(map[string]bool)}
 		var list []platform.Instance
 		for k := range n {
 			list = append(list, platform.Instance{ID: fmt.Sprint("h", k)})
 		}
-		s := newScout(clock.System{}, rand.New(rand.NewPCG(1, 2)), func() []platform.Instance { return list }, homes.ask)
+		s := newHomeFinder(clock.System{}, rand.New(rand.NewPCG(1, 2)), func() []platform.Instance { return list }, homes.ask)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
@@ -67,8 +67,8 @@
 // One of six other homes reaches the primary, one more a majority, and one does not
 // answer. A write goes to the first, a read to either, and the caller waits for the
 // answers no longer than they take.
-func TestScoutFindsWhoCanServe(t *testing.T) {
-	inScouted(t, 6, func(is *is.I, homes *scouted, s *scout) {
+func TestHomeFinderFindsWhoCanServe(t *testing.T) {
+	inHomes(t, 6, func(is *is.I, homes *askedHomes, s *homeFinder) {
 		homes.standing["h1"] = standing{Writes: true, Reads: true}
 		homes.standing["h2"] = standing{Reads: true}
 		began := time.Now()
@@ -89,20 +89,20 @@
 
 // No home can serve the group. The first caller waits for the answers; those who come
 // after it are refused at once, and homes are not asked any more when nobody comes.
-func TestScoutTellsAtOnceThatNobodyServes(t *testing.T) {
-	inScouted(t, 6, func(is *is.I, homes *scouted, s *scout) {
+func TestHomeFinderTellsAtOnceThatNobodyServes(t *testing.T) {
+	inHomes(t, 6, func(is *is.I, homes *askedHomes, s *homeFinder) {
 		began := time.Now()
 		_, ok := s.find(context.Background(), writing)
 		is.True(!ok)
-		is.True(time.Since(began) <= scoutWait)
-		time.Sleep(2 * scoutInterval)
+		is.True(time.Since(began) <= homeFinderWait)
+		time.Sleep(2 * homeFinderInterval)
 		for range 10 {
 			began = time.Now()
 			_, ok = s.find(context.Background(), writing)
 			is.True(!ok)
 			is.Equal(time.Since(began), time.Duration(0))
 		}
-		time.Sleep(2 * scoutLinger)
+		time.Sleep(2 * homeFinderLinger)
 		homes.mu.Lock()
 		asked := homes.asked
 		homes.mu.Unlock()
@@ -114,8 +114,8 @@
 // A home loses reach after it told that it can serve. The unit that it refused is not
 // offered to it again, nor are others, until it tells so again; what it told is forgotten
 // in any case when it is old.
-func TestScoutForgets(t *testing.T) {
-	inScouted(t, 2, func(is *is.I, homes *scouted, s *scout) {
+func TestHomeFinderForgets(t *testing.T) {
+	inHomes(t, 2, func(is *is.I, homes *askedHomes, s *homeFinder) {
 		homes.standing["h1"] = standing{Writes: true}
 		home, ok := s.find(context.Background(), writing)
 		is.True(ok)
@@ -128,10 +128,10 @@
 		homes.mu.Lock()
 		homes.standing["h1"] = standing{Writes: true}
 		homes.mu.Unlock()
-		time.Sleep(2 * scoutInterval)
+		time.Sleep(2 * homeFinderInterval)
 		_, ok = s.find(context.Background(), writing)
 		is.True(ok)
-		time.Sleep(2*scoutLinger + 2*scoutMemory)
+		time.Sleep(2*homeFinderLinger + 2*scoutMemory)
 		_, ok = s.pick(writing)
 		is.True(!ok)
 	})
@@ -143,11 +143,11 @@
 func TestAnswerThatComesWhileLookingIsSeen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		homes := &scouted{standing: map[string]standing{"h0": {Writes: true}}}
+		homes := &askedHomes{standing: map[string]standing{"h0": {Writes: true}}}
 		list := []platform.Instance{{ID: "h0"}}
-		var s *scout
+		var s *homeFinder
 		arrived := false
-		s = newScout(clock.System{}, rand.New(rand.NewPCG(1, 2)), func() []platform.Instance {
+		s = newHomeFinder(clock.System{}, rand.New(rand.NewPCG(1, 2)), func() []platform.Instance {
 			if !arrived {
 				arrived = true
 				s.askOne(context.Background(), list[0])
--- a/internal/executor/knownhomes.go
+++ b/internal/executor/knownhomes.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// scoutWidth is how many homes are asked in a round. Seven homes so are all asked
+	// homeFinderWidth is how many homes are asked in a round. Seven homes so are all asked
 	// in three rounds.
-	scoutWidth = 3
+	homeFinderWidth = 3
 	// scoutMemory is how long an answer counts: a home whose own view of the group
 	// changed since is asked again within it.
 	scoutMemory = 600 * time.Millisecond
@@ -26,7 +26,7 @@
 	at       time.Time
 }
 
-// knownHomes is what a scout knows of a group's other homes. It decides who is asked
+// knownHomes is what a home finder knows of a group's other homes. It decides who is asked
 // next, whether enough were asked, and to whom a unit goes. It asks nobody itself, and is
 // not safe for concurrent use.
 type knownHomes struct {
@@ -45,7 +45,7 @@
 // choose returns the homes that the next round asks, in turn.
 func (k *knownHomes) choose(homes []platform.Instance) []platform.Instance {
 	var chosen []platform.Instance
-	for range min(scoutWidth, len(homes)) {
+	for range min(homeFinderWidth, len(homes)) {
 		chosen = append(chosen, homes[k.next%len(homes)])
 		k.next++
 	}
@@ -77,7 +77,7 @@
 			asked++
 		}
 	}
-	return asked >= min(len(homes), 2*scoutWidth)
+	return asked >= min(len(homes), 2*homeFinderWidth)
 }
 
 // pick returns one of the homes that are known to serve the unit. Chance decides
--- a/internal/executor/knownhomes_test.go
+++ b/internal/executor/knownhomes_test.go
@@ -38,7 +38,7 @@
 		is.Equal(k.enoughAsked(homes, now), round >= 1)
 	}
 	for _, home := range homes {
-		is.Equal(asked[home.ID], scoutWidth)
+		is.Equal(asked[home.ID], homeFinderWidth)
 	}
 	is.True(k.enoughAsked(homes, now.Add(scoutMemory)))
 	is.True(!k.enoughAsked(homes, now.Add(scoutMemory+1)))
--- a/internal/executor/oversee.go
+++ b/internal/executor/oversee.go
@@ -31,7 +31,7 @@
 			if clock.Sleep(ctx, g.Clock, overseeInterval) != nil {
 				return
 			}
-			g.endDoomed()
+			g.endUnanswered()
 			g.askSilent()
 		}
 	}
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -31,7 +31,7 @@
 func (r *Router) atHome(ctx context.Context, g *Group, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
 	began := r.clock.Now()
 	reply, err := g.Execute(ctx, u, partial)
-	if err == nil || u.Relayed || g.scout == nil || !relayable(err) {
+	if err == nil || u.Relayed || g.homeFinder == nil || !relayable(err) {
 		return reply, err
 	}
 	return r.relay(ctx, g, u, partial, began, err)
@@ -66,7 +66,7 @@
 		if passed.Timeout < leastRelayTime {
 			return nil, refusal
 		}
-		home, ok := g.scout.find(ctx, u)
+		home, ok := g.homeFinder.find(ctx, u)
 		if !ok {
 			return nil, refusal
 		}
@@ -81,7 +81,7 @@
 		if err == nil {
 			return reply, nil
 		}
-		g.scout.failed(home)
+		g.homeFinder.failed(home)
 		g.Logger.Info("Unit was passed on and not served.", "request", u.Request, "unit", u.ID, "group", u.Group, "home", home.ID, "error", err)
 		refusal = relayFailed(refusal, err)
 		if !mayRelayAgain(u, started.Load(), err) {
@@ -116,8 +116,8 @@
 	return forwardFailed(err)
 }
 
-// newGroupScout returns the scout of a group that this instance is home to.
-func (r *Router) newGroupScout(g *Group) *scout {
+// newGroupHomeFinder returns the home finder of a group that this instance is home to.
+func (r *Router) newGroupHomeFinder(g *Group) *homeFinder {
 	homes := func() []platform.Instance {
 		var others []platform.Instance
 		for _, home := range r.homes.Homes(g.Group) {
@@ -132,10 +132,10 @@
 		err := r.caller.Call(ctx, home.PeerAddress, methodStanding, reference{Group: g.Group}, &s)
 		return s, err
 	}
-	return newScout(r.clock, g.forkRandom(), homes, ask)
+	return newHomeFinder(r.clock, g.forkRandom(), homes, ask)
 }
 
-// serveStanding answers another home's scout.
+// serveStanding answers another home's finder.
 func (r *Router) serveStanding(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	var ref reference
 	if err := json.Unmarshal(params, &ref); err != nil {
--- a/internal/executor/relay_test.go
+++ b/internal/executor/relay_test.go
@@ -109,7 +109,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		g.scout.run(ctx)
+		g.homeFinder.run(ctx)
 	}()
 	var seen []byte
 	reply, err := n.router.Execute(ctx, u, func(p []byte) error {
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -71,8 +71,8 @@
 func (r *Router) Add(g *Group) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.caller != nil && g.scout == nil {
-		g.scout = r.newGroupScout(g)
+	if r.caller != nil && g.homeFinder == nil {
+		g.homeFinder = r.newGroupHomeFinder(g)
 	}
 	r.groups[g.Group] = g
 }
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -14,8 +14,8 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { g.oversee(ctx) })
 	parts.Go(func() { g.endIdle(ctx) })
-	if g.scout != nil {
-		parts.Go(func() { g.scout.run(ctx) })
+	if g.homeFinder != nil {
+		parts.Go(func() { g.homeFinder.run(ctx) })
 	}
 	parts.Wait()
 }
--- a/internal/executor/standby.go
+++ b/internal/executor/standby.go
@@ -81,10 +81,10 @@
 // servedElsewhere reports whether another home is known to have a primary to write to,
 // so that there is nothing to wait for here. It has the others asked.
 func (g *Group) servedElsewhere() bool {
-	if g.scout == nil {
+	if g.homeFinder == nil {
 		return false
 	}
-	g.scout.want()
-	_, ok := g.scout.pick(&execution.Unit{})
+	g.homeFinder.want()
+	_, ok := g.homeFinder.pick(&execution.Unit{})
 	return ok
 }
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -14,10 +14,10 @@
 
 // attempt leads one claimed term: fence, choose, promote, attach, record.
 type attempt struct {
-	c     *Claimer
-	claim claim
-	term  logpos.Term
-	wards []*ward
+	c              *Claimer
+	claim          claim
+	term           logpos.Term
+	memberAttempts []*memberAttempt
 	// group is the view that the attempt began with: its members are fenced.
 	group *group.Snapshot
 	// fenced takes each member's report once it has entered the term.
@@ -34,8 +34,8 @@
 // fencing is a member that has entered the term, and its log's end. Until it is
 // told to lead or follow, its log cannot change any more.
 type fencing struct {
-	ward   *ward
-	status member.Status
+	memberAttempt *memberAttempt
+	status        member.Status
 }
 
 func newAttempt(c *Claimer, won claim, s *group.Snapshot) *attempt {
@@ -48,7 +48,7 @@
 	}
 	for _, m := range s.Members {
 		stalled := won.record.Cause == CauseStalled && m.Address == s.Primary
-		a.wards = append(a.wards, &ward{a: a, address: m.Address, avoid: m.Leaving || stalled})
+		a.memberAttempts = append(a.memberAttempts, &memberAttempt{a: a, address: m.Address, avoid: m.Leaving || stalled})
 	}
 	return a
 }
@@ -64,7 +64,7 @@
 	limit, cancel := context.WithTimeout(ctx, a.left())
 	defer cancel()
 	wg.Go(func() { a.watchTerm(limit) })
-	for _, w := range a.wards {
+	for _, w := range a.memberAttempts {
 		wg.Go(func() { w.tend(limit) })
 	}
 	start := a.c.Clock.Now()
@@ -116,7 +116,7 @@
 	}
 	a.c.at(StepFenced)
 	winner := best(candidates)
-	a.target = winner.ward.address
+	a.target = winner.memberAttempt.address
 	a.c.log.Info("Member is promoted.", "term", a.term, "member", a.target, "log_end", winner.status.Last, "fenced", len(candidates))
 	close(a.chosen)
 	a.c.at(StepChosen)
@@ -141,7 +141,7 @@
 		select {
 		case f := <-a.fenced:
 			all = append(all, f)
-			if planned && !f.ward.avoid {
+			if planned && !f.memberAttempt.avoid {
 				others = append(others, f)
 			}
 		case <-grace.C:
@@ -155,7 +155,7 @@
 // enough reports whether the members that were fenced are a quorum of the group.
 func (a *attempt) enough(fenced []fencing) bool {
 	return a.group.Enough(func(m group.MemberView) bool {
-		return slices.ContainsFunc(fenced, func(f fencing) bool { return f.ward.address == m.Address })
+		return slices.ContainsFunc(fenced, func(f fencing) bool { return f.memberAttempt.address == m.Address })
 	})
 }
 
--- a/internal/failover/fixture_test.go
+++ b/internal/failover/fixture_test.go
@@ -143,7 +143,7 @@
 	i.w = group.NewWatcher(group.Config{Group: "g", Members: members, Clock: clock.System{}, Rand: r(100), Dialer: dialer})
 	i.caller = peer.NewClient(i.ID, i.network)
 	i.server = peer.NewServer(hclog.NewNullLogger())
-	failover.ServeTestimony(i.server, clock.System{}, failover.DefaultSettings().Detect,
+	failover.ServeWitness(i.server, clock.System{}, failover.DefaultSettings().Detect,
 		func(string) (failover.View, bool) { return i.w, true })
 	claimer := failover.New(failover.Config{
 		Group: "g", Self: i.Instance, Instances: x.list, View: i.w, Platform: x.store, Dialer: dialer,
--- a/internal/failover/late_test.go
+++ b/internal/failover/late_test.go
@@ -52,7 +52,7 @@
 	a := &attempt{c: c, claim: won, term: 2, led: make(chan struct{})}
 	is.True(a.left() <= 0)
 	ctx, end := context.WithCancel(t.Context())
-	w := &ward{a: a, control: &orders{end: end}}
+	w := &memberAttempt{a: a, control: &orders{end: end}}
 	w.lead(ctx)
 	select {
 	case <-a.led:
--- a/internal/failover/ward.go
+++ b/internal/failover/memberattempt.go
@@ -8,8 +8,8 @@
 	"github.com/topazrock/topazrock/internal/member"
 )
 
-// ward is one member under an attempt, with one connection kept through it.
-type ward struct {
+// memberAttempt is one member under an attempt, with one connection kept through it.
+type memberAttempt struct {
 	a       *attempt
 	address string
 	// avoid says that the member should not lead if another may.
@@ -21,7 +21,7 @@
 type call func(ctx context.Context, c member.Control) (member.Status, error)
 
 // tend fences the member, and then lets it lead or follow.
-func (w *ward) tend(ctx context.Context) {
+func (w *memberAttempt) tend(ctx context.Context) {
 	defer w.disconnect()
 	s, err := w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
 		return c.EnterTerm(ctx, w.a.term)
@@ -29,7 +29,7 @@
 	if err != nil {
 		return
 	}
-	w.a.fenced <- fencing{ward: w, status: s}
+	w.a.fenced <- fencing{memberAttempt: w, status: s}
 	if !waitFor(ctx, w.a.chosen) {
 		return
 	}
@@ -40,7 +40,7 @@
 	}
 }
 
-func (w *ward) lead(ctx context.Context) {
+func (w *memberAttempt) lead(ctx context.Context) {
 	_, err := w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
 		// A process that was stopped may wake behind its time before its timers do.
 		if w.a.left() <= 0 {
@@ -53,7 +53,7 @@
 	}
 }
 
-func (w *ward) follow(ctx context.Context) {
+func (w *memberAttempt) follow(ctx context.Context) {
 	// A member that cannot follow now is left to the attacher.
 	_, _ = w.persist(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
 		return c.Follow(ctx, w.a.term, w.a.target)
@@ -62,7 +62,7 @@
 
 // persist calls until the member answers, the term has passed, or ctx ends. All
 // calls are idempotent within their term.
-func (w *ward) persist(ctx context.Context, f call) (member.Status, error) {
+func (w *memberAttempt) persist(ctx context.Context, f call) (member.Status, error) {
 	for tries := 0; ; tries++ {
 		s, err := w.try(ctx, f, callTimeout(w.a.c.Settings.Call, tries))
 		if err == nil {
@@ -89,7 +89,7 @@
 	return least << min(tries, maxCallDoublings)
 }
 
-func (w *ward) try(ctx context.Context, f call, bound time.Duration) (member.Status, error) {
+func (w *memberAttempt) try(ctx context.Context, f call, bound time.Duration) (member.Status, error) {
 	c := w.a.c
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
@@ -108,7 +108,7 @@
 	return s, err
 }
 
-func (w *ward) disconnect() {
+func (w *memberAttempt) disconnect() {
 	if w.control != nil {
 		_ = w.control.Close()
 		w.control = nil
--- a/internal/failover/peerwitness.go
+++ b/internal/failover/peerwitness.go
@@ -13,8 +13,8 @@
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-// MethodTestify is the peer method that answers a Question with a Testimony.
-const MethodTestify = "failover.testify"
+// MethodWitness is the peer method that answers a Question with a WitnessReport.
+const MethodWitness = "failover.testify"
 
 // askedPerDomain is how many instances of each failure domain are asked. Two,
 // because one of them may be dead and still in the list.
@@ -39,13 +39,13 @@
 // Ask implements Witness. It returns when ctx ends even if a call does not: a
 // call may queue behind another one's dial to a peer that is cut off, and the
 // failover must not wait for that.
-func (w *PeerWitness) Ask(ctx context.Context, q Question) []Testimony {
+func (w *PeerWitness) Ask(ctx context.Context, q Question) []WitnessReport {
 	asked := w.choose()
-	answers := make(chan Testimony, len(asked))
+	answers := make(chan WitnessReport, len(asked))
 	for _, i := range asked {
 		go func() { answers <- w.askOne(ctx, i, q) }()
 	}
-	var all []Testimony
+	var all []WitnessReport
 	for range asked {
 		select {
 		case t := <-answers:
@@ -58,10 +58,10 @@
 }
 
 // askOne returns no opinion for a peer that does not answer.
-func (w *PeerWitness) askOne(ctx context.Context, i platform.Instance, q Question) Testimony {
-	var t Testimony
-	if err := w.caller.Call(ctx, i.PeerAddress, MethodTestify, q, &t); err != nil {
-		return Testimony{FailureDomain: i.FailureDomain, Opinion: OpinionNone}
+func (w *PeerWitness) askOne(ctx context.Context, i platform.Instance, q Question) WitnessReport {
+	var t WitnessReport
+	if err := w.caller.Call(ctx, i.PeerAddress, MethodWitness, q, &t); err != nil {
+		return WitnessReport{FailureDomain: i.FailureDomain, Opinion: OpinionNone}
 	}
 	t.FailureDomain = i.FailureDomain
 	return t
@@ -85,18 +85,18 @@
 	return chosen
 }
 
-// ServeTestimony answers the questions of peers from the views of this
+// ServeWitness answers the questions of peers from the views of this
 // instance; views returns false for a group that it does not follow.
-func ServeTestimony(r peer.Registry, c clock.Clock, detect time.Duration, views func(group string) (View, bool)) {
-	r.Handle(MethodTestify, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+func ServeWitness(r peer.Registry, c clock.Clock, detect time.Duration, views func(group string) (View, bool)) {
+	r.Handle(MethodWitness, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 		var q Question
 		if err := json.Unmarshal(params, &q); err != nil {
 			return nil, fmt.Errorf("failover: question: %w", err)
 		}
 		v, ok := views(q.Group)
 		if !ok {
-			return Testimony{Opinion: OpinionNone}, nil
+			return WitnessReport{Opinion: OpinionNone}, nil
 		}
-		return Testimony{Opinion: testify(ctx, c, v, q, detect)}, nil
+		return WitnessReport{Opinion: witnessOpinion(ctx, c, v, q, detect)}, nil
 	})
 }
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -162,9 +162,9 @@
 			return -1
 		case y.Less(x):
 			return 1
-		case a.ward.avoid && !b.ward.avoid:
+		case a.memberAttempt.avoid && !b.memberAttempt.avoid:
 			return -1
-		case b.ward.avoid && !a.ward.avoid:
+		case b.memberAttempt.avoid && !a.memberAttempt.avoid:
 			return 1
 		default:
 			return 0
--- a/internal/failover/testimony.go
+++ b/internal/failover/witnessreport.go
@@ -29,26 +29,26 @@
 	Term  logpos.Term `json:"term"`
 }
 
-// Testimony is the answer of one instance.
-type Testimony struct {
+// WitnessReport is the answer of one instance.
+type WitnessReport struct {
 	FailureDomain string  `json:"failure_domain"`
 	Opinion       Opinion `json:"opinion"`
 }
 
 const (
-	// testimonyWait bounds the time that a witness takes to look for itself: a few
+	// witnessReportWait bounds the time that a witness takes to look for itself: a few
 	// round trips and reports, and less than a claimer waits for its witnesses.
-	testimonyWait = 30 * time.Millisecond
-	// testimonyPause is the time between two looks at what has come.
-	testimonyPause = 3 * time.Millisecond
+	witnessReportWait = 30 * time.Millisecond
+	// witnessReportPause is the time between two looks at what has come.
+	witnessReportPause = 3 * time.Millisecond
 )
 
-// testify answers a question from what this instance sees, and has members asked where
+// witnessOpinion answers a question from what this instance sees, and has members asked where
 // that is too old to tell. Where answers to statements stand for reports, and in a
 // group that has little to do, nothing may have come from the primary for seconds: a
 // claimer whose own link was cut then heard of nobody who reached it, and replaced a
 // primary that served everybody else.
-func testify(ctx context.Context, k clock.Clock, v View, q Question, detect time.Duration) Opinion {
+func witnessOpinion(ctx context.Context, k clock.Clock, v View, q Question, detect time.Duration) Opinion {
 	asked := k.Now()
 	rechecked := false
 	for {
@@ -61,7 +61,7 @@
 			rechecked = true
 			recheck(v, s)
 		}
-		if k.Now().Sub(asked) >= testimonyWait || clock.Sleep(ctx, k, testimonyPause) != nil {
+		if k.Now().Sub(asked) >= witnessReportWait || clock.Sleep(ctx, k, witnessReportPause) != nil {
 			return OpinionNone
 		}
 	}
@@ -99,7 +99,7 @@
 // agreed reports whether more failure domains call the primary lost than alive.
 // The own domain counts as lost. Of several answers of one domain an alive one
 // stands: the primary is reached from there.
-func agreed(own string, answers []Testimony) bool {
+func agreed(own string, answers []WitnessReport) bool {
 	domains := map[string]Opinion{own: OpinionLost}
 	for _, a := range answers {
 		if a.Opinion == OpinionNone || domains[a.FailureDomain] == OpinionAlive {
--- a/internal/failover/testimony_test.go
+++ b/internal/failover/witnessreport_test.go
@@ -16,22 +16,22 @@
 )
 
 func TestAgreementCountsDomainsAndNotInstances(t *testing.T) {
-	lost := func(d string) Testimony { return Testimony{d, OpinionLost} }
-	alive := func(d string) Testimony { return Testimony{d, OpinionAlive} }
-	none := func(d string) Testimony { return Testimony{d, OpinionNone} }
+	lost := func(d string) WitnessReport { return WitnessReport{d, OpinionLost} }
+	alive := func(d string) WitnessReport { return WitnessReport{d, OpinionAlive} }
+	none := func(d string) WitnessReport { return WitnessReport{d, OpinionNone} }
 	for _, c := range []struct {
 		name    string
-		answers []Testimony
+		answers []WitnessReport
 		want    bool
 	}{
 		{"nobody answers", nil, true},
-		{"nobody can tell", []Testimony{none("b"), none("c")}, true},
-		{"all agree", []Testimony{lost("b"), lost("c")}, true},
-		{"one cut link", []Testimony{alive("b"), alive("c")}, false},
-		{"one against one", []Testimony{alive("b")}, false},
-		{"two against one", []Testimony{alive("b"), lost("c")}, true},
-		{"many of one domain", []Testimony{lost("b"), alive("b"), lost("b")}, false},
-		{"own domain reaches it", []Testimony{alive("a"), lost("b")}, false},
+		{"nobody can tell", []WitnessReport{none("b"), none("c")}, true},
+		{"all agree", []WitnessReport{lost("b"), lost("c")}, true},
+		{"one cut link", []WitnessReport{alive("b"), alive("c")}, false},
+		{"one against one", []WitnessReport{alive("b")}, false},
+		{"two against one", []WitnessReport{alive("b"), lost("c")}, true},
+		{"many of one domain", []WitnessReport{lost("b"), alive("b"), lost("b")}, false},
+		{"own domain reaches it", []WitnessReport{alive("a"), lost("b")}, false},
 	} {
 		if got := agreed("a", c.answers); got != c.want {
 			t.Errorf("%s: got %v", c.name, got)
@@ -121,7 +121,7 @@
 			v := &quietView{after: after, heard: make(map[string]time.Time), snapshot: group.Snapshot{Term: 2, Primary: "p", Size: 3,
 				Members: []group.MemberView{{Address: "p"}, {Address: "r"}, {Address: "q"}}}}
 			began := time.Now()
-			is.Equal(testify(t.Context(), clock.System{}, v, Question{Term: 2}, 150*time.Millisecond), want)
+			is.Equal(witnessOpinion(t.Context(), clock.System{}, v, Question{Term: 2}, 150*time.Millisecond), want)
 			is.True(time.Since(began) < DefaultSettings().Witness)
 		}
 	})
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -95,7 +95,7 @@
 	s.Cancel(m.ProcessID, secret)
 }
 
-// admit checks who the caller is and what it wants, and greets it.
+// admit checks who the caller is and what it wants, and tells it the initial settings.
 func (n *session) admit(backend *pgproto3.Backend, m *pgproto3.StartupMessage) bool {
 	n.state.Group = m.Parameters["database"]
 	err := n.authenticate(backend, m)
@@ -113,9 +113,9 @@
 	welcome := encode(
 		&pgproto3.AuthenticationOk{},
 		&pgproto3.ParameterStatus{Name: "server_version", Value: serverVersion},
-		&pgproto3.ParameterStatus{Name: "client_encoding", Value: greeting["client_encoding"]},
+		&pgproto3.ParameterStatus{Name: "client_encoding", Value: initialSettings["client_encoding"]},
 		&pgproto3.ParameterStatus{Name: "server_encoding", Value: "UTF8"},
-		&pgproto3.ParameterStatus{Name: "DateStyle", Value: greeting["datestyle"]},
+		&pgproto3.ParameterStatus{Name: "DateStyle", Value: initialSettings["datestyle"]},
 		&pgproto3.ParameterStatus{Name: "integer_datetimes", Value: "on"},
 		&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"},
 		n.tokenStatus(),
@@ -134,9 +134,9 @@
 	return true
 }
 
-// greeting holds the values that a session is told to begin with, by setting. A
+// initialSettings holds the values that a session is told to begin with, by setting. A
 // caller that asks for one of them needs nothing.
-var greeting = map[string]string{
+var initialSettings = map[string]string{
 	"client_encoding": "UTF8",
 	"datestyle":       "ISO, MDY",
 }
--- a/internal/frontend/startvalues.go
+++ b/internal/frontend/startvalues.go
@@ -39,7 +39,7 @@
 	maps.DeleteFunc(values, func(name, _ string) bool { return strings.HasPrefix(name, protocolOption) })
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		value := values[name]
-		if greeted, ok := greeting[name]; ok && strings.EqualFold(greeted, value) {
+		if initial, ok := initialSettings[name]; ok && strings.EqualFold(initial, value) {
 			continue
 		}
 		if !isSettingName(name) || slices.Contains(unkeptSettings, name) || strings.ContainsAny(value, "\\\x00") {
--- a/internal/group/follower.go
+++ b/internal/group/follower.go
@@ -31,16 +31,16 @@
 	view MemberView
 	// newest is the ticket number of the report that view shows.
 	newest uint64
-	// askedAt is when the last question was sent, sightedAt when the last
+	// askedAt is when the last question was sent, observedAt when the last
 	// statement was that the member answered. idle says that the last wait for a
 	// position ended early without it, and misses how many answers in a row did
 	// not bring what somebody waits for. connected says that the kept connection
 	// answered last time.
-	askedAt   time.Time
-	sightedAt time.Time
-	idle      bool
-	misses    int
-	connected bool
+	askedAt    time.Time
+	observedAt time.Time
+	idle       bool
+	misses     int
+	connected  bool
 	// busy says that the last probe found the member full, and busySince since when
 	// probes have.
 	busy      bool
@@ -161,7 +161,7 @@
 func (f *follower) answeredSince(moment time.Time) bool {
 	f.w.mu.Lock()
 	defer f.w.mu.Unlock()
-	return f.sightedAt.After(moment)
+	return f.observedAt.After(moment)
 }
 
 // noteSilence tells of a kept connection that never answered while a new one
--- a/internal/group/health.go
+++ b/internal/group/health.go
@@ -20,8 +20,8 @@
 		f.busySince = now
 	}
 	since := f.busySince
-	if f.sightedAt.After(since) {
-		since = f.sightedAt
+	if f.observedAt.After(since) {
+		since = f.observedAt
 	}
 	return now.Sub(since) > busyTimeout
 }
--- a/internal/group/sighting.go
+++ b/internal/group/observation.go
@@ -6,10 +6,10 @@
 	"github.com/topazrock/topazrock/internal/logpos"
 )
 
-// Sighting is what the answer to a caller's statement shows of a member. It
+// Observation is what the answer to a caller's statement shows of a member. It
 // costs nothing, so where answers tell it, members that serve statements need
 // not be polled.
-type Sighting struct {
+type Observation struct {
 	// Log is the end of the member's log.
 	Log logpos.Mark
 	// Committed says that the member committed a write of the statement, which
@@ -17,15 +17,15 @@
 	Committed bool
 }
 
-// Sighted implements Tracker.
-func (w *Watcher) Sighted(address string, t Ticket, s Sighting) {
+// Observed implements Tracker.
+func (w *Watcher) Observed(address string, t Ticket, s Observation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := w.find(address)
 	if f == nil {
 		return
 	}
-	f.sightedAt = t.at
+	f.observedAt = t.at
 	f.recovered()
 	if s.Committed {
 		w.raise(s.Log.Term)
@@ -39,15 +39,15 @@
 		w.head = max(w.head, s.Log.Position)
 		w.samples.add(f.index, t, s.Log)
 	case address != w.primary && f.led != w.term:
-		w.sightedReplica(f, t, s.Log)
+		w.observedReplica(f, t, s.Log)
 	}
 }
 
-// sightedReplica notes how far a replica's log reaches at least. A log that
+// observedReplica notes how far a replica's log reaches at least. A log that
 // holds a commit of the term proves that the commit came before any fence of the
 // replica, but not that no fence came since, so that only waiters for a commit
 // count it.
-func (w *Watcher) sightedReplica(f *follower, t Ticket, log logpos.Mark) {
+func (w *Watcher) observedReplica(f *follower, t Ticket, log logpos.Mark) {
 	if t.number > f.newest && attached(f.view.Status, w.term) {
 		f.attachedAt = t.at
 		f.view.Status.Last = log
--- a/internal/group/protocol_sim_floors_test.go
+++ b/internal/group/protocol_sim_floors_test.go
@@ -67,7 +67,7 @@
 // noteReport keeps the highest pair that an instance hears.
 func (x *sim) noteReport(i *simInstance, r simReport) {
 	for _, f := range x.floors {
-		if f.by == i && r.sighting == nil && r.ticket.After(f.waiter.ticket) && f.pair.Less(r.status.Last) {
+		if f.by == i && r.observation == nil && r.ticket.After(f.waiter.ticket) && f.pair.Less(r.status.Last) {
 			f.pair = r.status.Last
 		}
 	}
--- a/internal/group/protocol_sim_members_test.go
+++ b/internal/group/protocol_sim_members_test.go
@@ -86,7 +86,7 @@
 	r := simReport{address: m.address, ticket: i.w.Ask(), status: m.status()}
 	r.status.Last = x.told(m)
 	if x.rand.IntN(3) == 0 {
-		r.sighting = &Sighting{Log: m.mark()}
+		r.observation = &Observation{Log: m.mark()}
 	}
 	i.reports = append(i.reports, r)
 	x.say("%s asks %s: %+v", i.name, m.address, r.status)
--- a/internal/group/protocol_sim_test.go
+++ b/internal/group/protocol_sim_test.go
@@ -15,9 +15,9 @@
 	address string
 	ticket  Ticket
 	status  member.Status
-	// sighting is set for the answer to a statement.
-	sighting *Sighting
-	write    *simWrite
+	// observation is set for the answer to a statement.
+	observation *Observation
+	write       *simWrite
 }
 
 // simInstance is one instance.
@@ -170,15 +170,15 @@
 	if x.fault == faultOldReport {
 		r.ticket = i.w.Ask()
 	}
-	if r.sighting != nil {
-		i.w.Sighted(r.address, r.ticket, *r.sighting)
+	if r.observation != nil {
+		i.w.Observed(r.address, r.ticket, *r.observation)
 	} else {
 		i.w.Observe(r.address, r.ticket, r.status)
 	}
 	if r.write == nil {
 		return
 	}
-	waiter, err := i.w.joinConfirm(r.sighting.Log, true)
+	waiter, err := i.w.joinConfirm(r.observation.Log, true)
 	if err == nil {
 		r.write.waiter = waiter
 	}
--- a/internal/group/question.go
+++ b/internal/group/question.go
@@ -166,8 +166,8 @@
 // answer to a statement tells as much as a poll, so that it counts as one.
 func (f *follower) untilPoll(interval time.Duration) time.Duration {
 	last := f.askedAt
-	if f.sightedAt.After(last) {
-		last = f.sightedAt
+	if f.observedAt.After(last) {
+		last = f.observedAt
 	}
 	return f.spread(interval) - f.w.clock.Now().Sub(last)
 }
--- a/internal/group/sparse_test.go
+++ b/internal/group/sparse_test.go
@@ -171,7 +171,7 @@
 func TestStallEndsWhenTheReplicaGetsOn(t *testing.T) {
 	sparse(t, func(w *Watcher, members trio) {
 		is := is.New(t)
-		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		w.Observed("p", w.Ask(), Observation{Log: at(200), Committed: true})
 		for _, name := range []string{"r", "q"} {
 			w.Observe(name, w.Ask(), member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(100)})
 		}
@@ -197,7 +197,7 @@
 		q, _ := w.Snapshot().Find("q")
 		is.True(!q.Failing.IsZero())
 		is.True(w.Snapshot().StalledSince.IsZero())
-		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		w.Observed("p", w.Ask(), Observation{Log: at(200), Committed: true})
 		w.Observe("r", w.Ask(), member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(100)})
 		is.True(!w.Snapshot().StalledSince.IsZero())
 		members["r"].set(member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(200)})
@@ -238,7 +238,7 @@
 		members["p"].mu.Lock()
 		members["p"].delay = time.Hour
 		members["p"].mu.Unlock()
-		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		w.Observed("p", w.Ask(), Observation{Log: at(200), Committed: true})
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		go func() { _ = w.ConfirmCommit(ctx, at(200)) }()
@@ -260,7 +260,7 @@
 			members[name].delay = time.Hour
 			members[name].mu.Unlock()
 		}
-		w.Sighted("p", w.Ask(), Sighting{Log: at(200), Committed: true})
+		w.Observed("p", w.Ask(), Observation{Log: at(200), Committed: true})
 		v, err := w.Verify()
 		is.NoErr(err)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -272,7 +272,7 @@
 		members["p"].set(member.Status{Role: member.RoleReplica, Entered: 1, Attached: 1, Last: at(200)})
 		w.Recheck("p")
 		time.Sleep(100 * time.Millisecond)
-		w.Sighted("p", w.Ask(), Sighting{Log: at(200)})
+		w.Observed("p", w.Ask(), Observation{Log: at(200)})
 		is.True(<-confirmed != nil)
 		is.True(<-verified != nil)
 	})
@@ -284,7 +284,7 @@
 		is := is.New(t)
 		before := members["r"].asked()
 		for range 100 {
-			w.Sighted("r", w.Ask(), Sighting{Log: at(100)})
+			w.Observed("r", w.Ask(), Observation{Log: at(100)})
 			time.Sleep(100 * time.Millisecond)
 		}
 		is.Equal(members["r"].asked(), before)
@@ -301,7 +301,7 @@
 		members["p"].mu.Unlock()
 		w.Recheck("p")
 		for range 20 {
-			w.Sighted("p", w.Ask(), Sighting{Log: at(100)})
+			w.Observed("p", w.Ask(), Observation{Log: at(100)})
 			time.Sleep(50 * time.Millisecond)
 		}
 		v, _ := w.Snapshot().Find("p")
@@ -324,7 +324,7 @@
 		done := make(chan error, 1)
 		go func() { done <- w.ConfirmCommit(context.Background(), at(150)) }()
 		synctest.Wait()
-		w.Sighted("r", w.Ask(), Sighting{Log: at(150)})
+		w.Observed("r", w.Ask(), Observation{Log: at(150)})
 		is.NoErr(<-done)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/internal/group/tracker.go
+++ b/internal/group/tracker.go
@@ -38,10 +38,10 @@
 	// the most replicas have reached, and the last Floor where there is no other.
 	// False when no such mark is proved.
 	Proven(notBefore time.Time) (logpos.Mark, bool)
-	// Ask takes a ticket before a statement is sent, and Sighted hands in what
+	// Ask takes a ticket before a statement is sent, and Observed hands in what
 	// its answer showed of the member's log.
 	Ask() Ticket
-	Sighted(address string, t Ticket, s Sighting)
+	Observed(address string, t Ticket, s Observation)
 	// Recheck asks a member for its report soon: what it answered does not fit
 	// what is known of it.
 	Recheck(address string)
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -201,7 +201,7 @@
 	if f == nil || w.clock.Now().Sub(f.askedAt) < w.intervals.FastPoll {
 		return
 	}
-	f.askedAt, f.sightedAt = time.Time{}, time.Time{}
+	f.askedAt, f.observedAt = time.Time{}, time.Time{}
 	f.wake()
 }
 
@@ -214,8 +214,8 @@
 	switch {
 	case f == nil:
 		return time.Time{}
-	case f.sightedAt.After(f.view.SeenAt):
-		return f.sightedAt
+	case f.observedAt.After(f.view.SeenAt):
+		return f.observedAt
 	default:
 		return f.view.SeenAt
 	}
--- a/internal/instance/administration.go
+++ b/internal/instance/administration.go
@@ -137,7 +137,7 @@
 		all = append(all, adminapi.WorkspaceView{
 			Name:           w.Name,
 			Priority:       w.Priority,
-			RatePerSecond:  w.Limit.RatePerSecond,
+			Rate:           w.Limit.Rate,
 			Burst:          w.Limit.Burst,
 			BegunPerSecond: use.PerSecond,
 			Refused:        use.Refused,
--- a/internal/instance/failover.go
+++ b/internal/instance/failover.go
@@ -29,10 +29,10 @@
 	})
 }
 
-// serveTestimony answers peers that ask what this instance sees of a primary.
-func (n *Instance) serveTestimony() {
+// serveWitness answers peers that ask what this instance sees of a primary.
+func (n *Instance) serveWitness() {
 	detect := failover.DefaultSettings().Detect
-	failover.ServeTestimony(n.peers, n.options.Clock, detect, func(name string) (failover.View, bool) {
+	failover.ServeWitness(n.peers, n.options.Clock, detect, func(name string) (failover.View, bool) {
 		h := n.home(name)
 		if h == nil {
 			return nil, false
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -157,7 +157,7 @@
 		Registry:   o.Registry,
 		MaxCallers: s.Caller.MaxCallers,
 	})
-	n.serveTestimony()
+	n.serveWitness()
 	n.serveReach()
 	n.serveFar()
 	n.holder = n.newHolder()
--- a/internal/instance/aside.go
+++ b/internal/instance/separate.go
@@ -8,24 +8,24 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// asideTimeout bounds the reading of one probe and the writing of its answer.
-const asideTimeout = 5 * time.Second
+// separateTimeout bounds the reading of one probe and the writing of its answer.
+const separateTimeout = 5 * time.Second
 
 // serveReady answers the balancer's probe on a listener of its own, whatever path
 // it asks for, until ctx ends.
 func (n *Instance) serveReady(ctx context.Context) {
-	n.serveAside(ctx, n.options.Settings.Ready.Address, http.HandlerFunc(n.answerProbe))
+	n.serveSeparately(ctx, n.options.Settings.Ready.Address, http.HandlerFunc(n.answerProbe))
 }
 
 // serveMetrics serves the metrics on a listener of their own, whatever path is asked
 // for, until ctx ends.
 func (n *Instance) serveMetrics(ctx context.Context) {
-	n.serveAside(ctx, n.options.Settings.Metrics.Address, promhttp.HandlerFor(n.options.Registry, promhttp.HandlerOpts{}))
+	n.serveSeparately(ctx, n.options.Settings.Metrics.Address, promhttp.HandlerFor(n.options.Registry, promhttp.HandlerOpts{}))
 }
 
-// serveAside serves one handler at an address, if there is one. The instance goes on
+// serveSeparately serves one handler at an address, if there is one. The instance goes on
 // without it if the address is taken.
-func (n *Instance) serveAside(ctx context.Context, address string, h http.Handler) {
+func (n *Instance) serveSeparately(ctx context.Context, address string, h http.Handler) {
 	if address == "" {
 		return
 	}
@@ -34,7 +34,7 @@
 		n.options.Logger.Error("Listener was not opened.", "address", address, "error", err)
 		return
 	}
-	server := &http.Server{Handler: h, ReadTimeout: asideTimeout, WriteTimeout: asideTimeout}
+	server := &http.Server{Handler: h, ReadTimeout: separateTimeout, WriteTimeout: separateTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(listener)
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -74,7 +74,7 @@
 	if m.leaving {
 		return p.unreachable(m)
 	}
-	if err := p.hopeless(m, w); err != nil {
+	if err := p.unservable(m, w); err != nil {
 		return err
 	}
 	p.waiting.Add(w)
@@ -82,9 +82,9 @@
 	return nil
 }
 
-// hopeless returns the error for a wait that nothing can end in time: no
+// unservable returns the error for a wait that nothing can end in time: no
 // connection of the workspace exists and none will be opened before the deadline.
-func (p *Limited) hopeless(m *memberState, w *waiter) *result.Error {
+func (p *Limited) unservable(m *memberState, w *waiter) *result.Error {
 	if l := m.lanes[w.workspace]; l != nil && l.counted() > 0 {
 		return nil
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -17,19 +17,19 @@
 
 // size is what a bucket may hold and gain.
 type size struct {
-	ratePerSecond float64
-	depth         float64
+	rate  float64
+	depth float64
 }
 
 // sizeOf is the size of a bucket over a part of a limit.
 func sizeOf(part float64, l workspace.Limit, t Tolerance) size {
-	return size{ratePerSecond: part * l.RatePerSecond, depth: part * t.depth(l)}
+	return size{rate: part * l.Rate, depth: part * t.depth(l)}
 }
 
 // gain adds what came in since the last call.
 func (b *bucket) gain(now time.Time, s size) {
 	if elapsed := now.Sub(b.updatedAt); elapsed > 0 && !b.updatedAt.IsZero() {
-		b.level += s.ratePerSecond * elapsed.Seconds()
+		b.level += s.rate * elapsed.Seconds()
 	}
 	b.updatedAt = now
 	b.level = min(b.level, s.depth)
@@ -60,10 +60,10 @@
 	if b.returnAt.Before(now) {
 		b.returnAt = now
 	}
-	if s.ratePerSecond <= 0 {
+	if s.rate <= 0 {
 		return maxReturn
 	}
-	b.returnAt = b.returnAt.Add(time.Duration(float64(n) / s.ratePerSecond * float64(time.Second)))
+	b.returnAt = b.returnAt.Add(time.Duration(float64(n) / s.rate * float64(time.Second)))
 	if latest := now.Add(maxReturn); b.returnAt.After(latest) {
 		b.returnAt = latest
 	}
--- a/internal/quota/delegate.go
+++ b/internal/quota/delegate.go
@@ -110,7 +110,7 @@
 func (l *Limiter) credit(shard int, part float64, idle time.Duration, now time.Time) {
 	for _, w := range l.workspaces.Workspaces().All() {
 		if shardOf(w.Name) == shard {
-			l.bucket(w, now).add(part*w.Limit.RatePerSecond*idle.Seconds(), l.size(w))
+			l.bucket(w, now).add(part*w.Limit.Rate*idle.Seconds(), l.size(w))
 		}
 	}
 }
--- a/internal/quota/guard_test.go
+++ b/internal/quota/guard_test.go
@@ -40,7 +40,7 @@
 	inSystem(t, 3, 22, all, func(s *system) {
 		var loads []*sync.WaitGroup
 		for _, w := range all {
-			loads = append(loads, s.load(w.Name, w.Limit.RatePerSecond/1.6, 20*time.Second))
+			loads = append(loads, s.load(w.Name, w.Limit.Rate/1.6, 20*time.Second))
 		}
 		asked, refused := 0, 0
 		for i, w := range all {
@@ -179,7 +179,7 @@
 		time.Sleep(50 * time.Millisecond)
 		var loads []*sync.WaitGroup
 		for _, w := range all {
-			loads = append(loads, s.load(w.Name, w.Limit.RatePerSecond/1.6, time.Second))
+			loads = append(loads, s.load(w.Name, w.Limit.Rate/1.6, time.Second))
 		}
 		asked, refused := 0, 0
 		for i, w := range all {
--- a/internal/quota/harness_test.go
+++ b/internal/quota/harness_test.go
@@ -45,7 +45,7 @@
 }
 
 func limited(name string, rate, burst float64) workspace.Workspace {
-	return workspace.Workspace{Name: name, Limit: workspace.Limit{RatePerSecond: rate, Burst: burst}}
+	return workspace.Workspace{Name: name, Limit: workspace.Limit{Rate: rate, Burst: burst}}
 }
 
 // testFleet is the view of one instance.
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -32,7 +32,7 @@
 // modelLimits are those of the model's workspace. Without a tolerance, what is begun in any time t
 // is at most burst + rate x t. With a small burst a share that counts twice shows while tokens are
 // taken all the time, with a large one when they are taken behind a pause.
-var modelLimits = []workspace.Limit{{RatePerSecond: 40, Burst: 6}, {RatePerSecond: 100, Burst: 250}}
+var modelLimits = []workspace.Limit{{Rate: 40, Burst: 6}, {Rate: 100, Burst: 250}}
 
 // event is one thing that happens in the model.
 type event struct {
@@ -173,7 +173,7 @@
 		for to := from; to < len(m.taken); to++ {
 			sum += m.taken[to]
 			length := m.takenAt[to].Sub(m.takenAt[from])
-			allowed := m.limit.Burst + m.limit.RatePerSecond*length.Seconds()
+			allowed := m.limit.Burst + m.limit.Rate*length.Seconds()
 			if float64(sum) > allowed+1e-6 {
 				return fmt.Sprintf("%d taken in %v, allowed %.1f", sum, length, allowed)
 			}
--- a/internal/quota/tolerance.go
+++ b/internal/quota/tolerance.go
@@ -20,7 +20,7 @@
 
 // limited is what the limit itself allows in a Window.
 func (t Tolerance) limited(l workspace.Limit) float64 {
-	return l.RatePerSecond*t.Window.Seconds() + l.Burst
+	return l.Rate*t.Window.Seconds() + l.Burst
 }
 
 // spare is what the tolerance adds to it.
--- a/internal/workspace/table.go
+++ b/internal/workspace/table.go
@@ -84,7 +84,7 @@
 		return FaultName
 	case entriesOfName > 1:
 		return FaultDoubleName
-	case e.Limit.RatePerSecond < 0 || e.Limit.Burst < 0:
+	case e.Limit.Rate < 0 || e.Limit.Burst < 0:
 		return FaultLimit
 	default:
 		return ""
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -15,11 +15,11 @@
 	Limit Limit
 }
 
-// Limit is a token bucket over all instances: operations a second, and how many may come at
-// once behind a pause. The zero Limit bounds nothing.
+// Limit is a token bucket over all instances: Rate is in operations a second, and Burst is how
+// many may come at once behind a pause. The zero Limit bounds nothing.
 type Limit struct {
-	RatePerSecond float64
-	Burst         float64
+	Rate  float64
+	Burst float64
 }
 
 // Unlimited reports whether the limit bounds nothing.
