--- a/internal/objectwatch/copy.go
+++ b/internal/objectwatch/copy.go
@@ -58,12 +58,12 @@
 	c.revision = revision
 }
 
-// list returns the objects, their revision, and when that was all; false if nothing is known.
-func (c *listCopy) list() (objects []platform.Object, revision int64, provenAt time.Time, ok bool) {
+// list returns what is known.
+func (c *listCopy) list() knownList {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, o := range c.objects {
-		objects = append(objects, o)
+	if !c.known {
+		return knownList{}
 	}
-	return objects, c.revision, c.provenAt, c.known
+	return newKnownList(c.objects, c.revision, c.provenAt)
 }
--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -187,23 +187,18 @@
 	return f.revision, now.Sub(f.provenAt), f.known && f.inTouch
 }
 
-// list returns all objects and their revision; false while they are not known or the
-// platform does not answer.
-func (f *feed) list() ([]platform.Object, int64, bool) {
+// list returns all objects; none are known while the platform does not answer.
+func (f *feed) list() knownList {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.known || !f.inTouch {
-		return nil, 0, false
+		return knownList{}
 	}
-	all := make([]platform.Object, 0, len(f.objects))
-	for _, o := range f.objects {
-		all = append(all, o)
-	}
-	return all, f.revision, true
+	return newKnownList(f.objects, f.revision, f.provenAt)
 }
 
-// awaitKnown waits until the objects are known, for a time at most.
-func (f *feed) awaitKnown(ctx context.Context, k clock.Clock, limit time.Duration) {
+// awaitKnown waits until the objects are known here, or learned is closed, for a time at most.
+func (f *feed) awaitKnown(ctx context.Context, k clock.Clock, limit time.Duration, learned <-chan struct{}) {
 	f.mu.Lock()
 	known, changed := f.known, f.changed
 	f.mu.Unlock()
@@ -216,6 +211,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-changed:
+	case <-learned:
 	}
 }
 
--- a/internal/objectwatch/feed_test.go
+++ b/internal/objectwatch/feed_test.go
@@ -37,13 +37,12 @@
 	f := newFeed()
 	f.listed([]platform.Object{{Name: "a"}}, 10, time.Time{})
 	f.watched([]platform.Object{{Name: "c"}}, 12, 13)
-	_, _, ok := f.list()
-	is.True(!ok)
+	is.True(!f.list().known)
 	f.listed([]platform.Object{{Name: "a"}, {Name: "b"}, {Name: "c"}}, 13, time.Time{})
-	objects, revision, ok := f.list()
-	is.True(ok)
-	is.Equal(len(objects), 3)
-	is.Equal(revision, int64(13))
+	list := f.list()
+	is.True(list.known)
+	is.Equal(len(list.objects), 3)
+	is.Equal(list.revision, int64(13))
 }
 
 // A watch is deaf for a while, and a list shows what it missed: one object changed and one
@@ -77,8 +76,8 @@
 	f.listed([]platform.Object{{Name: "a", Revision: 3}}, 10, time.Time{})
 	f.listed([]platform.Object{{Name: "a", Revision: 12}}, 12, time.Time{})
 	f.watched([]platform.Object{{Name: "a", Revision: 12}, {Name: "b", Revision: 14}}, 10, 14)
-	objects, revision, ok := f.list()
-	is.True(ok)
-	is.Equal(revision, int64(14))
-	is.Equal(len(objects), 2)
+	list := f.list()
+	is.True(list.known)
+	is.Equal(list.revision, int64(14))
+	is.Equal(len(list.objects), 2)
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -212,47 +212,37 @@
 	if err != nil {
 		return nil, err
 	}
+	var list knownList
 	if q.Waits {
-		s.awaitEither(ctx, f, s.copyOf(q.Kind))
+		list = s.anyList(ctx, f, s.copyOf(q.Kind))
 	} else {
-		f.awaitKnown(ctx, s.Clock, firstWait)
+		list = s.ownList(ctx, f)
 	}
-	// The proof is read first: what is listed behind it is no older.
-	_, age, _ := f.proof(s.Clock.Now())
-	objects, revision, ok := f.list()
-	if !ok && q.Waits {
-		var provenAt time.Time
-		objects, revision, provenAt, ok = s.copyOf(q.Kind).list()
-		age = s.Clock.Now().Sub(provenAt)
-	}
-	if !ok {
+	if !list.known {
 		return nil, errNoFeed
 	}
-	got, err := f.packed(objects, wholeList, revision, q)
+	got, err := f.packed(list.objects, wholeList, list.revision, q)
 	if err != nil {
 		return nil, err
 	}
-	got.AgeMS = age.Milliseconds()
+	got.AgeMS = s.Clock.Now().Sub(list.provenAt).Milliseconds()
 	return got, nil
 }
 
-// awaitEither waits until a list is known by the instance's own calls or from others, for a time
-// at most.
-func (s *Sharing) awaitEither(ctx context.Context, f *feed, c *listCopy) {
-	f.mu.Lock()
-	known, changed := f.known, f.changed
-	f.mu.Unlock()
-	if known {
-		return
-	}
-	timer := s.Clock.NewTimer(parentWait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-changed:
-	case <-c.learned:
+// ownList returns what this instance has listed itself, and waits a little for its first list.
+func (s *Sharing) ownList(ctx context.Context, f *feed) knownList {
+	f.awaitKnown(ctx, s.Clock, firstWait, nil)
+	return f.list()
+}
+
+// anyList returns what this instance has listed itself or learned from others, and waits until
+// it has.
+func (s *Sharing) anyList(ctx context.Context, f *feed, c *listCopy) knownList {
+	f.awaitKnown(ctx, s.Clock, parentWait, c.learned)
+	if list := f.list(); list.known {
+		return list
 	}
+	return c.list()
 }
 
 func (s *Sharing) serveProof(_ context.Context, _ string, params json.RawMessage) (any, error) {
