--- a/internal/pool/workspaces_test.go
+++ b/internal/pool/workspaces_test.go
@@ -12,6 +12,18 @@
 	"github.com/topazrock/topazrock/internal/wire"
 )
 
+// inPool runs f in virtual time with a pool whose part of each member is bounded; zero bounds
+// nothing.
+func inPool(t *testing.T, perMember int, f func(t *testing.T, is *is.I, members *fakeMembers, p *Limited)) {
+	synctest.Test(t, func(t *testing.T) {
+		members := newFakeMembers()
+		p := members.newPool(100)
+		defer closePool(t, p)
+		p.SetMemberLimit(perMember)
+		f(t, is.New(t), members, p)
+	})
+}
+
 // acquireFor takes a connection of a workspace.
 func acquireFor(t *testing.T, p *Limited, workspace string) wire.Conn {
 	t.Helper()
@@ -24,11 +36,7 @@
 
 // Guards against a connection that serves another workspace than the one it was opened for.
 func TestConnectionServesItsWorkspaceAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		members := newFakeMembers()
-		p := members.newPool(100)
-		defer closePool(t, p)
+	inPool(t, 0, func(t *testing.T, is *is.I, members *fakeMembers, p *Limited) {
 		north := acquireFor(t, p, "north")
 		p.Release(north)
 		south := acquireFor(t, p, "south")
@@ -44,12 +52,7 @@
 // Guards against a workspace that waits for ever at a member whose whole part is idle in the
 // hands of others: the connection idle longest makes room, and no more than the part is held.
 func TestIdleLongestMakesRoomForAnotherWorkspace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		members := newFakeMembers()
-		p := members.newPool(100)
-		defer closePool(t, p)
-		p.SetMemberLimit(3)
+	inPool(t, 3, func(t *testing.T, is *is.I, members *fakeMembers, p *Limited) {
 		for _, workspace := range []string{"a", "b", "c"} {
 			p.Release(acquireFor(t, p, workspace))
 			_ = clock.Sleep(t.Context(), clock.System{}, time.Second)
@@ -68,12 +71,7 @@
 
 // Guards against room that is made from a workspace whose own statement waits for it.
 func TestConnectionWithAWaiterMakesNoRoom(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		members := newFakeMembers()
-		p := members.newPool(100)
-		defer closePool(t, p)
-		p.SetMemberLimit(1)
+	inPool(t, 1, func(t *testing.T, is *is.I, members *fakeMembers, p *Limited) {
 		held := acquireFor(t, p, "a")
 		got := make(chan string, 2)
 		wait := func(workspace string) {
@@ -120,12 +118,7 @@
 // Guards against callers of many workspaces who starve each other of a member's part: each is
 // served within a few openings.
 func TestManyWorkspacesTakeTurns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		members := newFakeMembers()
-		p := members.newPool(100)
-		defer closePool(t, p)
-		p.SetMemberLimit(6)
+	inPool(t, 6, func(t *testing.T, is *is.I, members *fakeMembers, p *Limited) {
 		done := make(chan error)
 		for n := range 75 {
 			go func() {
--- a/internal/quota/ownership_test.go
+++ b/internal/quota/ownership_test.go
@@ -25,12 +25,13 @@
 	o := NewOwnership("e0")
 	o.Observe(ids(10), now)
 	is.Equal(o.Parts(now), 10)
-	for at := time.Duration(0); at < goneAfter; at += time.Second {
+	for at := time.Duration(0); at < time.Minute; at += time.Second {
 		o.Observe(ids(6), now.Add(at))
 		is.Equal(o.Parts(now.Add(at)), 10)
 	}
-	o.Observe(ids(6), now.Add(goneAfter+time.Second))
-	is.Equal(o.Parts(now.Add(goneAfter+time.Second)), 6)
+	later := now.Add(2 * time.Minute)
+	o.Observe(ids(6), later)
+	is.Equal(o.Parts(later), 6)
 }
 
 // Guards against a new instance that owns a share before the others count it, and against one
