Do not let a stop take bytes of a PostgreSQL message that is half read

What callers saw: a message that was in pieces on the wire when its instance was stopped ended in FATAL protocol violation (TD018), also the start-up message and a batch whose Sync was still to come.

Cause: the same as on the line protocol. Wake's read deadline in the past struck readFrame and the start, and broken answered the timeout as a violation. Between limitRead and the read the wake was overwritten instead, which is harmless, as the session looks whether the server drains before each wait.

Evidence: a simple query and a batch of the extended protocol, cut behind each of their bytes with a stop between the pieces; the simple one was lost at every cut before (the test ended there).

Fix: callers.IdleWait, as on the line protocol; the first byte of the start-up message is waited for in the same way.

Red before, green now: TestMessageHalfReadAtAStopIsServed and TestStartHalfReadAtAStopIsTaken of internal/instance.

--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/callers"
 	"github.com/topazrock/topazrock/internal/result"
 	state "github.com/topazrock/topazrock/internal/session"
 )
@@ -18,6 +19,7 @@
 type session struct {
 	server    *Server
 	conn      net.Conn
+	wait      *callers.IdleWait
 	processID uint32
 	secret    uint32
 
@@ -42,6 +44,7 @@
 	return &session{
 		server: s,
 		conn:   conn,
+		wait:   callers.NewIdleWait(conn),
 		secret: binary.BigEndian.Uint32(secret[:]),
 		state:  state.State{Roaming: true},
 	}
@@ -77,28 +80,32 @@
 	}
 }
 
-// waitForMessage waits for the first byte of the next message.
+// waitForMessage waits for the first byte of the next message. An open transaction goes on
+// through a drain until the caller ends it.
 func (n *session) waitForMessage() (byte, error) {
-	var first [1]byte
 	for {
 		if n.server.Draining() && n.state.Transaction == "" {
 			return 0, errDraining
 		}
-		_, err := n.conn.Read(first[:])
-		if err == nil {
-			return first[0], nil
-		}
-		if !isTimeout(err) {
-			return 0, err
+		first, err := n.firstByte(time.Time{})
+		if !errors.Is(err, callers.ErrWoken) {
+			return first, err
 		}
-		// Drain wakes the read by a deadline that has passed. An open
-		// transaction goes on until the caller ends it.
-		_ = n.conn.SetReadDeadline(time.Time{})
 	}
 }
 
+// firstByte waits for the first byte of a message until a time; zero for no bound.
+func (n *session) firstByte(until time.Time) (byte, error) {
+	var first [1]byte
+	err := n.wait.Read(until, func() error {
+		_, err := n.conn.Read(first[:])
+		return err
+	})
+	return first[0], err
+}
+
 // Wake implements callers.Session: it interrupts the wait for a message.
-func (n *session) Wake() { _ = n.conn.SetReadDeadline(time.Unix(1, 0)) }
+func (n *session) Wake() { n.wait.Wake() }
 
 var errDraining = errors.New("instance is draining")
 
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -1,10 +1,13 @@
 package frontend
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/topazrock/topazrock/internal/callers"
 	"github.com/topazrock/topazrock/internal/result"
 )
 
@@ -46,10 +49,19 @@
 // start brings the session from accept to its first ReadyForQuery.
 func (n *session) start() bool {
 	deadline := n.server.config.Clock.Now().Add(n.server.config.StartupTimeout)
+	first, err := n.firstByte(deadline)
+	if errors.Is(err, callers.ErrWoken) {
+		n.leave(errDraining)
+		return false
+	}
+	if err != nil {
+		n.broken(err)
+		return false
+	}
 	if err := n.conn.SetDeadline(deadline); err != nil {
 		return false
 	}
-	backend := newBackend(n.conn)
+	backend := newBackend(begun{n.conn, io.MultiReader(bytes.NewReader([]byte{first}), n.conn)})
 	message, err := receiveStartup(n.conn, backend)
 	if err != nil {
 		n.broken(err)
@@ -65,6 +77,12 @@
 	return false
 }
 
+// begun is a connection of which the first bytes were read already.
+type begun struct {
+	io.Writer
+	io.Reader
+}
+
 // receiveStartup reads the start-up message, past requests for encryption.
 func receiveStartup(conn net.Conn, backend *pgproto3.Backend) (pgproto3.FrontendMessage, error) {
 	for {
@@ -125,13 +143,7 @@
 	if n.write(welcome) != nil {
 		return false
 	}
-	if n.conn.SetDeadline(noDeadline) != nil {
-		return false
-	}
-	if n.server.Draining() {
-		n.Wake()
-	}
-	return true
+	return n.conn.SetDeadline(noDeadline) == nil
 }
 
 // initialSettings holds the values that a session is told to begin with, by setting. A
--- /dev/null
+++ b/internal/instance/wake_test.go
@@ -0,0 +1,111 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// hijack opens a caller's connection at instance i and takes it from its driver.
+func (b *bed) hijack(i int) net.Conn {
+	b.t.Helper()
+	h, err := b.mustConnect(i, "").PgConn().Hijack()
+	b.is.NoErr(err)
+	return h.Conn
+}
+
+// answerTo reads one answer and returns the kind of its error, if it has one.
+func answerTo(conn net.Conn) (code string, err error) {
+	front := pgproto3.NewFrontend(conn, conn)
+	for {
+		m, err := front.Receive()
+		if err != nil {
+			return code, err
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			code = m.Code
+		case *pgproto3.ReadyForQuery:
+			return code, nil
+		}
+	}
+}
+
+// encodedBatch is one read in the messages of the extended protocol.
+func encodedBatch(sql string) []byte {
+	var bytes []byte
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{},
+	} {
+		bytes, _ = m.Encode(bytes)
+	}
+	return bytes
+}
+
+// Guards against a request that is lost because its instance stops when a part of it has been
+// read.
+func TestMessageHalfReadAtAStopIsServed(t *testing.T) {
+	for _, message := range [][]byte{encodedQuery("SELECT count(*) FROM kv"), encodedBatch("SELECT count(*) FROM kv")} {
+		serveInPieces(t, message)
+	}
+}
+
+// serveInPieces cuts a message behind each of its bytes, and stops the instance between the
+// pieces.
+func serveInPieces(t *testing.T, message []byte) {
+	inBed(t, func(b *bed) {
+		var all []net.Conn
+		for first := 1; first < len(message); first++ {
+			conn := b.hijack(0)
+			all = append(all, conn)
+			go func() {
+				_, _ = conn.Write(message[:first])
+				time.Sleep(time.Second)
+				_, _ = conn.Write(message[first:])
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		b.stop[0]()
+		for i, conn := range all {
+			if code, err := answerTo(conn); code != "" || err != nil {
+				t.Errorf("cut behind %d bytes: code %q, error %v", i+1, code, err)
+			}
+			conn.Close()
+		}
+	})
+}
+
+// Guards against a caller that is told it broke the protocol because its instance stops while
+// it starts.
+func TestStartHalfReadAtAStopIsTaken(t *testing.T) {
+	inBed(t, func(b *bed) {
+		c := b.config(0, "")
+		dial := c.DialFunc
+		c.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			return slowStart{conn}, err
+		}
+		time.AfterFunc(100*time.Millisecond, b.stop[0])
+		conn, err := pgx.ConnectConfig(ctx, c)
+		b.is.NoErr(err)
+		conn.Close(context.Background())
+	})
+}
+
+// slowStart writes each message in two pieces.
+type slowStart struct{ net.Conn }
+
+// Write implements net.Conn.
+func (s slowStart) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p[:len(p)/2])
+	if err != nil {
+		return n, err
+	}
+	time.Sleep(200 * time.Millisecond)
+	rest, err := s.Conn.Write(p[len(p)/2:])
+	return n + rest, err
+}
