Read what callers still send before a connection is closed

What callers saw: a refusal or the last word of a session that was lost to a reset: a START to an instance that is stopped got a broken connection in place of "connect again", a message past the bound got one in place of TOOBIG, and a PostgreSQL caller whose request crossed the end of its session got one in place of admin_shutdown.

Cause: TCP resets a connection that is closed with bytes unread, and what was not delivered of the last answer is lost. A refusal was written before START was read; the rest of a huge message was never read; an idle session ended on a wake with the caller's next request arriving.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -89,14 +89,15 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	defer conn.Close()
 	n, refusal := s.register(conn)
 	if refusal != nil {
 		s.config.Refuse(conn, refusal)
+		lingeringClose(conn, s.config.Clock.Now())
 		return
 	}
 	defer s.unregister(n)
 	n.Run()
+	lingeringClose(conn, s.config.Clock.Now())
 }
 
 // register adds a session, or refuses it when the instance is full or draining.
--- a/internal/instance/wake_test.go
+++ b/internal/instance/wake_test.go
@@ -109,3 +109,19 @@
 	rest, err := s.Conn.Write(p[len(p)/2:])
 	return n + rest, err
 }
+
+// Guards against a caller that sees a broken connection in place of the end it was told, because
+// its next request was on its way.
+func TestEndOfASessionIsReadWhenARequestCrossesIt(t *testing.T) {
+	inBed(t, func(b *bed) {
+		const delay = 2 * time.Millisecond
+		b.net.SetLatency(callerHost, instanceHost(0), delay)
+		conn := b.hijack(0)
+		time.AfterFunc(delay/2, b.stop[0])
+		_, err := conn.Write(encodedQuery("SELECT count(*) FROM kv"))
+		b.is.NoErr(err)
+		code, err := answerTo(conn)
+		b.is.Equal(code, "57P01") // admin_shutdown
+		b.is.True(err != nil)
+	})
+}
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -20,30 +20,56 @@
 // Write implements net.Conn. It blocks only when the pipe's bound is reached.
 func (c *conn) Write(b []byte) (int, error) { return c.out.write(b) }
 
-// Close implements net.Conn. The other end reads what was written, then EOF.
+// Close implements net.Conn. The other end reads what was written, then EOF. With bytes
+// unread it resets the connection, as TCP does: what is on its way to the other end is lost.
 func (c *conn) Close() error {
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
-	if c.out.writerGone {
+	if c.in.readerGone {
 		return opError("close", net.ErrClosed)
 	}
+	if c.in.size > 0 {
+		c.out.loseUndelivered()
+		c.end(syscall.ECONNRESET)
+		return nil
+	}
 	c.end(io.EOF)
 	return nil
 }
 
+// CloseWrite ends what this end sends, as that of a net.TCPConn does: the other end reads what
+// was written, then EOF, and may still send.
+func (c *conn) CloseWrite() error {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if c.out.writerGone {
+		return opError("close", net.ErrClosed)
+	}
+	c.endWrites(io.EOF)
+	return nil
+}
+
 // reset ends the connection as the death of this end's process does: what was
 // not delivered is lost. Caller holds the mutex.
 func (c *conn) reset() {
-	if c.out.writerGone {
+	if c.in.readerGone {
 		return
 	}
 	c.out.chunks, c.out.size = nil, 0
 	c.end(syscall.ECONNRESET)
 }
 
-func (c *conn) end(reason error) {
+// endWrites sends the end of the stream. Caller holds the mutex.
+func (c *conn) endWrites(reason error) {
 	c.out.send(chunk{end: reason})
 	c.out.writerGone = true
+	c.out.cond.Broadcast()
+}
+
+func (c *conn) end(reason error) {
+	if !c.out.writerGone || reason != io.EOF {
+		c.endWrites(reason)
+	}
 	c.in.readerGone = true
 	delete(c.net.conns, c)
 	c.in.cond.Broadcast()
--- a/internal/standin/memnet/network_test.go
+++ b/internal/standin/memnet/network_test.go
@@ -184,3 +184,36 @@
 		is.Equal(time.Since(start), time.Minute)
 	})
 }
+
+// A close with bytes unread resets the connection: the other end reads what has arrived and no
+// more. Behind a half-close it goes on sending.
+func TestCloseWithUnreadBytesResets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, a, b := pair(t)
+		_, err := a.Write([]byte("unread"))
+		is.NoErr(err)
+		_, err = b.Write([]byte("early"))
+		is.NoErr(err)
+		time.Sleep(latency)
+		_, err = b.Write([]byte("late"))
+		is.NoErr(err)
+		is.NoErr(b.Close())
+		s, err := read(a)
+		is.NoErr(err)
+		is.Equal(s, "early")
+		_, err = read(a)
+		is.True(errors.Is(err, syscall.ECONNRESET))
+
+		_, a, b = pair(t)
+		is.NoErr(b.(interface{ CloseWrite() error }).CloseWrite())
+		_, err = read(a)
+		is.Equal(err, io.EOF)
+		_, err = a.Write([]byte("x"))
+		is.NoErr(err)
+		s, err = read(b)
+		is.NoErr(err)
+		is.Equal(s, "x")
+		is.NoErr(b.Close())
+	})
+}
--- a/internal/standin/memnet/pipe.go
+++ b/internal/standin/memnet/pipe.go
@@ -52,6 +52,20 @@
 	p.cond.Broadcast()
 }
 
+// loseUndelivered drops what has not arrived. Caller holds the mutex.
+func (p *pipe) loseUndelivered() {
+	arrived := p.chunks[:0]
+	p.size = 0
+	for _, c := range p.chunks {
+		if time.Now().Before(c.arrives) || p.net.held(p.link) {
+			break
+		}
+		arrived = append(arrived, c)
+		p.size += len(c.data)
+	}
+	p.chunks = arrived
+}
+
 func (p *pipe) read(b []byte) (int, error) {
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
