Tell callers in a transaction that their instance may wait no longer

What callers saw: when an instance that is stopped reached the bound of its drain (5 s), the connections of callers that were in a transaction and thought about their next statement were closed without a word; a statement or COMMIT that was on its way got no answer.

Cause: the cut-off ended the units under way and closed what was left 250 ms later; sessions that waited for a message were not woken.

Fix: the cut-off wakes sessions that wait.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -21,10 +21,10 @@
 
 // Session serves one caller.
 type Session interface {
-	// Run serves until the caller leaves, or until the session is idle and the
-	// server drains.
+	// Run serves until the caller leaves, until the session is idle and the server
+	// drains, or until sessions are cut off.
 	Run()
-	// Wake makes an idle session look whether the server drains.
+	// Wake makes a session that waits for a message look whether it is to end.
 	Wake()
 }
 
@@ -165,7 +165,8 @@
 	return all
 }
 
-// Units is the context that sessions run their units in. It ends when they are cut off.
+// Units is the context that sessions run their units in. It ends when sessions are cut off, also
+// those that have a transaction open.
 func (s *Server) Units() context.Context { return s.units }
 
 // Drain refuses new callers, wakes idle sessions so that they end, and lets
@@ -198,12 +199,19 @@
 	return s.list()
 }
 
-// cutOff ends the units under way, gives their sessions the time to answer them, and closes
-// the connections that are left. Closed at once, a caller whose statement waits for its turn
-// or for a member would not learn whether it was taken.
+// cutOff ends the units under way and wakes the sessions that wait for a message, gives all of
+// them the time to tell their callers, and closes the connections that are left. Closed at
+// once, a caller whose statement waits for its turn or for a member would not learn whether it
+// was taken, nor one in a transaction that it is lost.
 func (s *Server) cutOff() {
 	s.endUnits()
 	s.config.EndUnits()
+	s.mu.Lock()
+	all := s.list()
+	s.mu.Unlock()
+	for _, n := range all {
+		n.Wake()
+	}
 	timer := s.config.Clock.NewTimer(answerWait)
 	defer timer.Stop()
 	select {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -81,10 +81,10 @@
 }
 
 // waitForMessage waits for the first byte of the next message. An open transaction goes on
-// through a drain until the caller ends it.
+// through a drain until the caller ends it or sessions are cut off.
 func (n *session) waitForMessage() (byte, error) {
 	for {
-		if n.server.Draining() && n.state.Transaction == "" {
+		if n.server.Draining() && n.state.Transaction == "" || n.server.Units().Err() != nil {
 			return 0, errDraining
 		}
 		first, err := n.firstByte(time.Time{})
--- a/internal/instance/wake_test.go
+++ b/internal/instance/wake_test.go
@@ -125,3 +125,20 @@
 		b.is.True(err != nil)
 	})
 }
+
+// Guards against a caller in a transaction whose connection is closed without a word when the
+// instance may wait no longer.
+func TestTransactionIsToldOfTheCutOff(t *testing.T) {
+	inBed(t, func(b *bed) {
+		conn := b.hijack(0)
+		_, err := conn.Write(encodedQuery("BEGIN"))
+		b.is.NoErr(err)
+		code, err := answerTo(conn)
+		b.is.NoErr(err)
+		b.is.Equal(code, "")
+		b.stop[0]()
+		code, err = answerTo(conn)
+		b.is.Equal(code, "57P01") // admin_shutdown
+		b.is.True(err != nil)
+	})
+}
