Send nothing to a member once units were ended for good

Cause: EndUnits interrupted the units in the table of those at work. A unit enters that table behind the wait for its slot and its connection; one that entered it a moment later was missed, and its exchange had the statement's whole timeout.

Fix: the table takes no unit any more once units were ended. Such a unit is refused with a code that says that it did not run, which is true, and no member is reported as broken for it.

Ruled out: the sessions' context, which ends first, does not stop it, as an exchange looks at its connection's deadline only.

Red before, green now: TestUnitIsNotSentWhenUnitsWereEnded.

--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -42,7 +42,9 @@
 	}
 	x.Steps = steps
 	x.ticket = g.Tracker.Ask()
-	g.running.start(x.Unit.ID, x.conn, g.Clock.Now())
+	if !g.running.start(x.Unit.ID, x.conn, g.Clock.Now()) {
+		return result.New(result.Draining, "units are ended").WithRetryAfter(retryAfterBusy)
+	}
 	err := x.conn.Run(&x.Exchange)
 	g.running.stop(x.Unit.ID, x.conn, g.Clock.Now(), err == nil)
 	if err == nil && x.Log != (logpos.Mark{}) {
@@ -51,8 +53,12 @@
 	return err
 }
 
-// unknown returns the error of a unit that was sent and whose end is not known.
+// unknown returns the error of a unit that was sent and whose end is not known; one that was
+// not sent keeps its own.
 func unknown(ctx context.Context, cause error) *result.Error {
+	if e, ok := result.As(cause); ok {
+		return e
+	}
 	if ctx.Err() != nil || isTimeout(cause) {
 		return result.New(result.StatementTimeout, "no whole answer in time").WithCause(cause)
 	}
@@ -68,8 +74,12 @@
 	}
 }
 
-// reportBroken tells pool and tracker of a connection that failed in the middle.
+// reportBroken tells pool and tracker of a connection that failed in the middle. Of one that
+// nothing was sent on there is nothing to tell.
 func (g *Group) reportBroken(c wire.Conn, err error) {
+	if _, ok := result.As(err); ok {
+		return
+	}
 	if isTimeout(err) {
 		g.Pool.Suspect(c.Address(), c.Opened())
 		g.Pool.ProbeIdle(g.Clock.Now().Add(-silenceWindow))
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -55,6 +55,8 @@
 	mu      sync.Mutex
 	members map[string]*scripted
 	failed  []string
+	// acquired is called when a connection was handed out; nil for nothing.
+	acquired func()
 	// full are members that take no connection, and metFull counts who tried.
 	full    map[string]bool
 	metFull int
@@ -110,6 +112,9 @@
 		s.metFull++
 		return nil, result.New(result.TooManyConnections, "member %s", address)
 	}
+	if s.acquired != nil {
+		s.acquired()
+	}
 	return scriptedConn{all: s, address: address}, nil
 }
 
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -213,14 +213,14 @@
 	}
 }
 
-// EndUnits ends the units that members work on. They are answered as those that were sent and
-// whose outcome is not known.
+// EndUnits ends the units that members work on, and lets no more be sent to members. The first
+// are answered as those whose outcome is not known, the others as those that did not run.
 func (r *Router) EndUnits() {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, groups := range []map[string]*Group{r.groups, r.retiring} {
 		for _, g := range groups {
-			g.running.interruptAll(func(*runningUnit) bool { return true })
+			g.running.end()
 		}
 	}
 }
--- a/internal/executor/running.go
+++ b/internal/executor/running.go
@@ -26,6 +26,8 @@
 	heard map[string]time.Time
 	// busy has room for one signal that the first unit is at work.
 	busy chan struct{}
+	// over says that units were ended for good and none begins any more.
+	over bool
 }
 
 func newRunning() *running {
@@ -33,18 +35,24 @@
 		busy: make(chan struct{}, 1)}
 }
 
-func (r *running) start(unitID string, c wire.Conn, now time.Time) {
+// start notes a unit that is about to be sent. It returns false, and the unit must not be sent,
+// when units were ended for good.
+func (r *running) start(unitID string, c wire.Conn, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.over {
+		return false
+	}
 	r.units[unitID] = &runningUnit{conn: c, since: now}
 	r.load[c.Address()]++
 	if len(r.units) > 1 {
-		return
+		return true
 	}
 	select {
 	case r.busy <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // any reports whether units are at work.
@@ -87,11 +95,25 @@
 	r.interruptAll(func(u *runningUnit) bool { return u.conn.Address() == address })
 }
 
-// interruptAll ends the reads and writes of the units that match. The units spoil their
-// connections, and the lock keeps one from being handed on before.
+// end ends all units for good. One that has a connection and was not sent yet is not sent: it
+// would be at a member when its caller's connection is closed.
+func (r *running) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	r.interruptMatching(func(*runningUnit) bool { return true })
+}
+
+// interruptAll ends the reads and writes of the units that match.
 func (r *running) interruptAll(matches func(*runningUnit) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.interruptMatching(matches)
+}
+
+// interruptMatching is interruptAll for a caller that holds r.mu. The units spoil their
+// connections, and the lock keeps one from being handed on before.
+func (r *running) interruptMatching(matches func(*runningUnit) bool) {
 	for _, u := range r.units {
 		if matches(u) {
 			u.cancelled = true
--- a/internal/executor/running_test.go
+++ b/internal/executor/running_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/execution"
+	"github.com/topazrock/topazrock/internal/result"
 	"github.com/topazrock/topazrock/internal/upstream"
 )
 
@@ -28,3 +33,24 @@
 	is.True(finished.Clean())
 	is.Equal(r.at("a"), 0)
 }
+
+// Guards against a statement that is sent to a member when its instance has ended all units: its
+// caller's connection is closed before the member answers.
+func TestUnitIsNotSentWhenUnitsWereEnded(t *testing.T) {
+	for _, class := range []string{"aged", ""} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			g, s := scriptedGroup(&scripted{}, &scripted{}, &scripted{})
+			r := NewRouter("i", "i:1", nil, nil, clock.System{}, NewMetrics(prometheus.NewRegistry()))
+			r.Add(g)
+			s.acquired = r.EndUnits
+			u := &execution.Unit{ID: "u", Group: "g", Class: class, Timeout: time.Second, ReadOnly: class != ""}
+			_, err := g.Execute(t.Context(), u, func([]byte) error { return nil })
+			e, ok := result.As(err)
+			is.True(ok)
+			is.Equal(e.Code, result.Draining)
+			is.Equal(s.asked("p")+s.asked("r1")+s.asked("r2"), 0)
+			is.Equal(len(s.failed), 0)
+		})
+	}
+}
