--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,6 +102,7 @@
 	s := o.Settings
 	n.peers = peer.NewServer(o.Logger)
 	n.client = peer.NewClient(s.Instance.ID, o.Network)
+	n.client.Metrics = n.metrics.peer
 	n.members = membership.New(membership.Options{
 		API:              o.Platform,
 		Clock:            o.Clock,
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/quota"
 	"github.com/topazrock/topazrock/internal/retry"
@@ -22,6 +23,7 @@
 	failover   *failover.Metrics
 	group      *group.Metrics
 	membership *membership.Metrics
+	peer       *peer.Metrics
 	pool       *pool.Metrics
 	quota      *quota.Metrics
 	retry      *retry.Metrics
@@ -36,6 +38,7 @@
 		failover:   failover.NewMetrics(r),
 		group:      group.NewMetrics(r),
 		membership: membership.NewMetrics(r),
+		peer:       peer.NewMetrics(r),
 		pool:       pool.NewMetrics(r),
 		quota:      quota.NewMetrics(r),
 		retry:      retry.NewMetrics(r),
--- a/internal/instance/pages_test.go
+++ b/internal/instance/pages_test.go
@@ -14,6 +14,7 @@
 	"github.com/topazrock/topazrock/internal/directory"
 	"github.com/topazrock/topazrock/internal/frontend"
 	"github.com/topazrock/topazrock/internal/logqueue"
+	"github.com/topazrock/topazrock/internal/platform"
 )
 
 var (
@@ -29,6 +30,7 @@
 	newMetrics(r)
 	frontend.NewMetrics(r)
 	directory.NewMetrics(r)
+	platform.NewCounted(nil, r)
 	logqueue.New(io.Discard, r).Close()
 	descriptions := make(chan *prometheus.Desc)
 	go func() {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -28,6 +28,9 @@
 //
 // Lock order: Client.mu, link.mu, channel.mu. None is held across I/O.
 type Client struct {
+	// Metrics counts the calls; nil for nothing. It is set before the first call.
+	Metrics *Metrics
+
 	self   string
 	dialer netio.Dialer
 	// life ends with Close, and every dial with it.
@@ -55,7 +58,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	err = send(ctx, channel.conn, method, envelope{From: c.self, Params: raw}, reply)
+	c.Metrics.sent(method, len(raw))
+	taken := answer{into: reply}
+	err = send(ctx, channel.conn, method, envelope{From: c.self, Params: raw}, &taken)
+	c.Metrics.received(method, taken.size)
 	// After a timeout the connection may have gone silent for good, so new calls
 	// get another one.
 	channel.end(errors.Is(err, context.DeadlineExceeded))
--- /dev/null
+++ b/internal/peer/metrics.go
@@ -0,0 +1,47 @@
+package peer
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Directions of bytes, as metric labels.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// Metrics counts what an instance's own calls to peers carry, by method. A nil Metrics counts
+// nothing.
+type Metrics struct {
+	calls *prometheus.CounterVec
+	bytes *prometheus.CounterVec
+}
+
+// NewMetrics makes the metrics and registers them.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_peer_calls_total",
+			Help: "Calls to peers that were sent.",
+		}, []string{"method"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_peer_bytes_total",
+			Help: "Bytes of the parameters and answers of calls to peers.",
+		}, []string{"method", "direction"}),
+	}
+	r.MustRegister(m.calls, m.bytes)
+	return m
+}
+
+func (m *Metrics) sent(method string, bytes int) {
+	if m == nil {
+		return
+	}
+	m.calls.WithLabelValues(method).Inc()
+	m.bytes.WithLabelValues(method, directionSent).Add(float64(bytes))
+}
+
+func (m *Metrics) received(method string, bytes int) {
+	if m == nil {
+		return
+	}
+	m.bytes.WithLabelValues(method, directionReceived).Add(float64(bytes))
+}
--- /dev/null
+++ b/internal/platform/counted.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Verbs of calls, as metric labels.
+const (
+	verbGet       = "get"
+	verbList      = "list"
+	verbListStale = "list_stale"
+	verbPut       = "put"
+	verbDelete    = "delete"
+	verbWatch     = "watch"
+)
+
+// Directions of bytes, as metric labels.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// Counted is an API that counts the calls and the bytes of the values that they carry, by kind
+// of object and verb.
+type Counted struct {
+	API
+	calls *prometheus.CounterVec
+	bytes *prometheus.CounterVec
+}
+
+// NewCounted returns an API that counts, and registers its metrics.
+func NewCounted(a API, r prometheus.Registerer) *Counted {
+	c := &Counted{
+		API: a,
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_platform_calls_total",
+			Help: "Calls to the platform's object API.",
+		}, []string{"kind", "verb"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_platform_bytes_total",
+			Help: "Bytes of the values of objects that went to the platform's object API and came from it.",
+		}, []string{"kind", "verb", "direction"}),
+	}
+	r.MustRegister(c.calls, c.bytes)
+	return c
+}
+
+func (c *Counted) call(kind Kind, verb string) { c.calls.WithLabelValues(string(kind), verb).Inc() }
+
+func (c *Counted) received(kind Kind, verb string, objects ...Object) {
+	size := 0
+	for _, o := range objects {
+		size += len(o.Name) + len(o.Value)
+	}
+	c.bytes.WithLabelValues(string(kind), verb, directionReceived).Add(float64(size))
+}
+
+// Get implements API.
+func (c *Counted) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	c.call(kind, verbGet)
+	o, err := c.API.Get(ctx, kind, name)
+	c.received(kind, verbGet, o)
+	return o, err
+}
+
+// List implements API.
+func (c *Counted) List(ctx context.Context, kind Kind) ([]Object, int64, error) {
+	c.call(kind, verbList)
+	all, revision, err := c.API.List(ctx, kind)
+	c.received(kind, verbList, all...)
+	return all, revision, err
+}
+
+// ListStale implements API.
+func (c *Counted) ListStale(ctx context.Context, kind Kind) ([]Object, int64, error) {
+	c.call(kind, verbListStale)
+	all, revision, err := c.API.ListStale(ctx, kind)
+	c.received(kind, verbListStale, all...)
+	return all, revision, err
+}
+
+// Put implements API.
+func (c *Counted) Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion int64) (Object, error) {
+	c.call(kind, verbPut)
+	c.bytes.WithLabelValues(string(kind), verbPut, directionSent).Add(float64(len(value)))
+	return c.API.Put(ctx, kind, name, value, ifVersion)
+}
+
+// Delete implements API.
+func (c *Counted) Delete(ctx context.Context, kind Kind, name string, ifVersion int64) error {
+	c.call(kind, verbDelete)
+	return c.API.Delete(ctx, kind, name, ifVersion)
+}
+
+// Watch implements API.
+func (c *Counted) Watch(ctx context.Context, kind Kind, after int64) ([]Object, int64, error) {
+	c.call(kind, verbWatch)
+	changed, revision, err := c.API.Watch(ctx, kind, after)
+	c.received(kind, verbWatch, changed...)
+	return changed, revision, err
+}
