Close a peer's connection behind a write that was given up

A write has a bound of 2 s, and part of a message may be on the wire when it ends. The stream's writer keeps the error and refuses all that follows, but the connection was neither closed nor retired: only a call that runs out of its own time retires it, and a failed write is told at once.

Fix: a failed write closes the connection. The calls in flight end, their outcome unknown, and the next call dials.

Looked for elsewhere: connections to members are marked dirty by any error of an exchange and closed; those of the platform's client are closed by the transport; callers' are closed when an answer cannot be written.

Red before, green now: TestPeerThatStoodStillIsCalledAgain.

--- a/internal/peer/channel.go
+++ b/internal/peer/channel.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// boundedWrites gives every write a deadline.
+// boundedWrites gives every write a deadline, and closes the connection behind one that failed:
+// part of a message may have gone out, and what is written behind it would be read as the rest.
 type boundedWrites struct{ net.Conn }
 
 // Write implements net.Conn.
@@ -63,5 +64,9 @@
 	if err := b.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return b.Conn.Write(p)
+	n, err := b.Conn.Write(p)
+	if err != nil {
+		b.Conn.Close()
+	}
+	return n, err
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -124,3 +124,18 @@
 		is.True(!errors.Is(err, ErrNotSent))
 	})
 }
+
+// Guards against a peer that cannot be called any more because a write to it was given up while
+// its process stood still: half a message is in the stream, and nothing can follow it.
+func TestPeerThatStoodStillIsCalledAgain(t *testing.T) {
+	inPair(t, func(is *is.I, n *memnet.Network, c *Client) {
+		is.NoErr(call(c, time.Second, 0))
+		n.Freeze(farHost)
+		large := make([]byte, 4<<20)
+		err := c.Call(context.Background(), farAddr, "slow", large, nil)
+		is.True(errors.Is(err, ErrNotSent))
+		n.Thaw(farHost)
+		time.Sleep(time.Second)
+		is.NoErr(call(c, time.Second, 0))
+	})
+}
