Do not take a member's refusals for the time of its answers

Cause: a home bounds what it has at work at a member by how long answers take against the least they took. A slot that was given back counted its time as that of an answer, also where the member refused at once (LAGGING, BUSY, READONLY) or nothing was sent. Replicas that lag refuse in a millisecond; the least time fell with them, each usual answer looked many times too slow, and the bound went to one. The least time rises by half a thousandth an answer, so it would have stayed for minutes.

Ruled out: a leak of slots or connections; the lagging replicas themselves, which had caught up by 9 s; the hung member, which answered from 12.9 s on.

The slot of a request that was not sent, or that the member refused without work, now tells nothing of its answers.

--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -83,12 +83,23 @@
 	c.dispatch()
 }
 
+// refused notes that a slot's request has ended without work at the member.
+func (c *Controller) refused(s *Slot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.refused = true
+}
+
 // note takes in the time of an answer, once.
 func (c *Controller) note(s *Slot) {
 	if s.answered {
 		return
 	}
 	s.answered = true
+	if s.refused {
+		c.working--
+		return
+	}
 	took := max(c.cfg.Clock.Now().Sub(s.since), time.Microsecond)
 	c.limit.observe(s.class, took, c.working)
 	s.class.service = average(s.class.service, took)
--- a/internal/admission/slot.go
+++ b/internal/admission/slot.go
@@ -13,7 +13,9 @@
 	// answered says that the request has its answer. The slot may be held on, by the
 	// transaction that the request has opened. Guarded by Controller.mu.
 	answered bool
-	release  func()
+	// refused says that the member did no work for the request. Guarded by Controller.mu.
+	refused bool
+	release func()
 }
 
 func newSlot(c *Controller, k *class, now time.Time) *Slot {
@@ -26,6 +28,11 @@
 // at the member, so that another request may be sent.
 func (s *Slot) Answered() { s.controller.answered(s) }
 
+// Refused notes that the request was not sent, or that the member refused it without working on
+// it. How long that took is no measure of the member: taken for one, the refusals of replicas
+// that were behind made each usual answer look slow for minutes.
+func (s *Slot) Refused() { s.controller.refused(s) }
+
 // Release gives the slot back. A second call does nothing.
 func (s *Slot) Release() { s.release() }
 
--- a/internal/executor/admit.go
+++ b/internal/executor/admit.go
@@ -26,6 +26,12 @@
 	return slot.Release, nil
 }
 
+// leaveUnserved gives back the slot of a unit that was not sent.
+func leaveUnserved(slot *admission.Slot) {
+	slot.Refused()
+	slot.Release()
+}
+
 // freeSlot gives back a slot that is still held.
 func freeSlot(slot *admission.Slot) {
 	if slot != nil {
--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -35,6 +35,19 @@
 	}
 }
 
+// refused reports whether the member answered without working on the unit.
+func (x *exchange) refused() bool {
+	if x.Failure == nil || x.Completed > 0 {
+		return false
+	}
+	switch x.Failure.Kind {
+	case wire.FailureBehind, wire.FailureBusy, wire.FailureReadOnly:
+		return true
+	default:
+		return false
+	}
+}
+
 // converse runs the exchange within the statement's time.
 func (g *Group) converse(ctx context.Context, p plan, x *exchange, steps ...wire.Step) error {
 	if err := x.conn.SetDeadline(g.statementDeadline(ctx, p, x.keyed)); err != nil {
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -42,12 +42,12 @@
 	}
 	// The wait may have outlived the primary.
 	if s, err = g.writablePrimary(); err != nil {
-		slot.Release()
+		leaveUnserved(slot)
 		return nil, err
 	}
 	c, err := g.Pool.Acquire(ctx, s.Primary, u.Owner)
 	if err != nil {
-		slot.Release()
+		leaveUnserved(slot)
 		g.reportRefused(s.Primary, err)
 		return nil, err
 	}
@@ -55,11 +55,14 @@
 	x.term = s.Term
 	x.keyed = p.keyed(u)
 	if err := g.proveReads(ctx, u, p, x); err != nil {
-		slot.Release()
+		leaveUnserved(slot)
 		g.Pool.Release(c)
 		return nil, err
 	}
 	err = g.converse(ctx, p, x, g.primarySteps(u, p)...)
+	if err == nil && x.refused() {
+		slot.Refused()
+	}
 	slot.Answered()
 	if err != nil || x.Final == wire.Idle || !g.Wire.SlotIsConnection {
 		slot.Release()
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -91,11 +91,13 @@
 	}()
 	c, err := g.Pool.Acquire(ctx, m.Address, u.Owner)
 	if err != nil {
+		slot.Refused()
 		g.reportRefused(m.Address, err)
 		return nil, false, err
 	}
 	// The wait for a slot and a connection has aged what was needed before it.
 	if n, err = g.renew(ctx, u, p, n); err != nil {
+		slot.Refused()
 		g.Pool.Release(c)
 		return nil, false, err
 	}
@@ -106,6 +108,9 @@
 		g.reportBroken(c, err)
 		return nil, x.Streamed, unknown(ctx, err)
 	}
+	if x.refused() {
+		slot.Refused()
+	}
 	if err := g.refusedByMember(x); err != nil {
 		g.giveBack(x)
 		return nil, false, err
