Ask peers for what changed in place of all objects

Cause: a follower's check asks a reader up to which revision it knows all, and listed everything where that was later than what it knew itself. With entries that change many times a second that is each check of each follower; a hundred lists in three seconds are several times what a reader's link carries, proofs come too late, and everybody asks the platform for 680 KB. And a reader whose watch ends without a change rises to the store's revision, which its followers did not note: the same each check, from 25 s after the start on.

Fix: a follower waits 200 ms for its watch to tell what the proof knows, then asks a peer for the changes since; it lists only where that fails. An answer of the watch without changes counts as knowledge. Changes that come late, behind later ones, are dropped: they have been told.

The rows of TestPeersSpareThePlatform assert the proof and its revision now, which they asserted by its comparison before; what follows from a later revision is TestPeersTellWhatTheWatchMissed's.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -123,7 +123,7 @@
 func (d *Directory) shared(c objectwatch.Config) *objectwatch.Follower {
 	if d.sharing != nil {
 		api := d.sharing.API(c.Kind, c.Check+checkGrace)
-		c.API, c.Current = api, api.Current
+		c.API, c.Peers = api, api
 	}
 	return objectwatch.New(c)
 }
--- a/internal/objectwatch/current_test.go
+++ b/internal/objectwatch/current_test.go
@@ -62,25 +62,28 @@
 	near, far := platform.Instance{ID: "n", FailureDomain: "a"}, platform.Instance{ID: "f", FailureDomain: "b"}
 	self := platform.Instance{ID: "s", FailureDomain: "a"}
 	const maxAge = 2300 * time.Millisecond
+	// none stands for no proof.
+	const none = int64(-1)
 	for name, c := range map[string]struct {
 		self    platform.Instance
 		readers []platform.Instance
 		peer    answering
-		want    bool
+		want    int64
 	}{
-		"same revision, fresh":   {self, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 900}}, true},
-		"later revision":         {self, []platform.Instance{near}, answering{told: answer{Revision: 6, AgeMS: 900}}, false},
-		"old look":               {self, []platform.Instance{near}, answering{told: answer{Revision: 5, AgeMS: 9000}}, false},
-		"cannot tell":            {self, []platform.Instance{near}, answering{err: errNoFeed}, false},
-		"no answer":              {self, []platform.Instance{near}, answering{err: peer.ErrNotSent}, false},
-		"reader itself":          {near, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
-		"none in the own domain": {self, []platform.Instance{far}, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
-		"no readers are known":   {self, nil, answering{told: answer{Revision: 5, AgeMS: 1}}, false},
-		"peer has an older one":  {self, []platform.Instance{near}, answering{told: answer{Revision: 4, AgeMS: 1}}, true},
+		"same revision, fresh":   {self, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 900}}, 5},
+		"later revision":         {self, []platform.Instance{near}, answering{told: answer{Revision: 6, AgeMS: 900}}, 6},
+		"old look":               {self, []platform.Instance{near}, answering{told: answer{Revision: 5, AgeMS: 9000}}, none},
+		"cannot tell":            {self, []platform.Instance{near}, answering{err: errNoFeed}, none},
+		"no answer":              {self, []platform.Instance{near}, answering{err: peer.ErrNotSent}, none},
+		"reader itself":          {near, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 1}}, none},
+		"none in the own domain": {self, []platform.Instance{far}, answering{told: answer{Revision: 5, AgeMS: 1}}, none},
+		"no readers are known":   {self, nil, answering{told: answer{Revision: 5, AgeMS: 1}}, none},
+		"peer has an older one":  {self, []platform.Instance{near}, answering{told: answer{Revision: 4, AgeMS: 1}}, 4},
 	} {
 		s := NewSharing(SharingConfig{Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
-		if got := s.API(platform.KindManifest, maxAge).Current(context.Background(), 5); got != c.want {
-			t.Errorf("%s: %v", name, got)
+		got, ok := s.API(platform.KindManifest, maxAge).Proof(context.Background())
+		if ok != (c.want != none) || ok && got != c.want {
+			t.Errorf("%s: %v, %v", name, got, ok)
 		}
 	}
 
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -16,6 +16,7 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
+	"github.com/topazrock/topazrock/internal/waitlist"
 )
 
 const (
@@ -35,6 +36,16 @@
 	Touch(inTouch bool)
 }
 
+// Peers are other instances that follow the kind.
+type Peers interface {
+	// Proof returns a revision up to which all changes were known to a peer lately. It is
+	// false where no peer has proved anything.
+	Proof(ctx context.Context) (revision int64, ok bool)
+	// Changes returns what a peer knows to have changed after a revision, and the revision up
+	// to which that goes. It waits a little where nothing has.
+	Changes(ctx context.Context, after int64) ([]platform.Object, int64, error)
+}
+
 // Config is what a Follower is made of.
 type Config struct {
 	API   platform.API
@@ -54,9 +65,8 @@
 	// Stale says that such a list may be some seconds old, which the platform charges
 	// less for.
 	Stale bool
-	// Current, if set, is asked before each such list whether nothing came after a
-	// revision; true spares the list.
-	Current func(ctx context.Context, revision int64) bool
+	// Peers, if set, are asked before each such list and may spare it.
+	Peers Peers
 }
 
 // Follower follows one kind.
@@ -68,8 +78,10 @@
 	// mu serialises the calls of Sink and guards the fields below.
 	mu      sync.Mutex
 	inTouch bool
-	// revision is the last one up to which the sink was told.
-	revision int64
+	// revision is the last one up to which the sink was told, and heard the one up to which
+	// it is said that there is no more. told is notified when heard rises.
+	revision, heard int64
+	told            *waitlist.Signal
 	// failingSince is when the first of the present failures was met.
 	failingSince time.Time
 }
@@ -77,7 +89,7 @@
 // New returns a Follower; Run makes it work.
 func New(c Config) *Follower {
 	c.Log = c.Log.Named("objectwatch").With("kind", c.Kind)
-	return &Follower{Config: c}
+	return &Follower{Config: c, told: waitlist.NewSignal()}
 }
 
 // Run follows the kind until ctx ends.
@@ -94,7 +106,7 @@
 // which finds out as well.
 func (f *Follower) check(ctx context.Context) {
 	for clock.Sleep(ctx, f.Clock, f.Check) == nil {
-		if f.Current != nil && f.Current(ctx, f.toldUpTo()) {
+		if f.caughtUp(ctx) {
 			continue
 		}
 		objects, revision, err := f.list(ctx)
@@ -107,6 +119,41 @@
 	}
 }
 
+// changeWait is how long the watch may take to tell a change that peers know of: several times a
+// usual answer, and short against the time in which a change has to be known.
+const changeWait = 200 * time.Millisecond
+
+// caughtUp reports whether the sink has been told of all that peers prove. A change that they
+// know of is on its way to the watch as a rule, and else they are asked for what is missing.
+// Where changes come many times a second, hardly anybody knows as much as a proof at the moment
+// that it arrives; listing all for that took the links of those who read for a hundred others.
+func (f *Follower) caughtUp(ctx context.Context) bool {
+	if f.Peers == nil {
+		return false
+	}
+	proved, ok := f.Peers.Proof(ctx)
+	if !ok {
+		return false
+	}
+	if f.awaitTold(ctx, proved) {
+		return true
+	}
+	objects, revision, err := f.Peers.Changes(ctx, f.toldUpTo())
+	if err != nil || revision < proved {
+		f.Log.Debug("Peers did not tell what is missing.", "proved", proved, "revision", revision, "error", err)
+		return false
+	}
+	f.tellChanges(objects, revision)
+	return true
+}
+
+// awaitTold waits a little until the sink has been told up to a revision.
+func (f *Follower) awaitTold(ctx context.Context, revision int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, changeWait)
+	defer cancel()
+	return f.told.Wait(ctx, &f.mu, func() bool { return f.heard >= revision }) == nil
+}
+
 // list lists the objects for a check.
 func (f *Follower) list(ctx context.Context) ([]platform.Object, int64, error) {
 	if f.Stale {
@@ -127,17 +174,31 @@
 		return
 	}
 	f.revision = revision
+	f.hear(revision)
 	f.Sink.Listed(objects)
 }
 
-// tellChanges passes on changes up to a revision.
+// tellChanges passes on changes up to a revision, unless the sink knows of later ones. What
+// came late has been told with those, and would take them back.
 func (f *Follower) tellChanges(objects []platform.Object, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = max(f.revision, revision)
+	f.hear(revision)
+	if len(objects) == 0 || revision <= f.revision {
+		return
+	}
+	f.revision = revision
 	f.Sink.Changed(objects)
 }
 
+// hear notes up to which revision all is known. The caller holds f.mu.
+func (f *Follower) hear(revision int64) {
+	if revision > f.heard {
+		f.heard = revision
+		f.told.Notify()
+	}
+}
+
 // toldUpTo returns the revision up to which the sink was told.
 func (f *Follower) toldUpTo() int64 {
 	f.mu.Lock()
@@ -175,8 +236,8 @@
 		f.backoff = 0
 		f.answered()
 		revision = next
+		f.tellChanges(objects, revision)
 		if len(objects) > 0 {
-			f.tellChanges(objects, revision)
 			_ = clock.Sleep(ctx, f.Clock, f.Settle)
 		}
 	}
--- a/internal/objectwatch/follower_test.go
+++ b/internal/objectwatch/follower_test.go
@@ -160,3 +160,66 @@
 	time.Sleep(d)
 	synctest.Wait()
 }
+
+// knowing are peers that have proved a revision and know of some changes.
+type knowing struct {
+	proved  int64
+	changes []platform.Object
+	err     error
+	asked   int
+}
+
+// Proof implements Peers.
+func (k *knowing) Proof(context.Context) (int64, bool) { return k.proved, k.proved > 0 }
+
+// Changes implements Peers.
+func (k *knowing) Changes(context.Context, int64) ([]platform.Object, int64, error) {
+	k.asked++
+	return k.changes, k.proved, k.err
+}
+
+// deafAPI is a platform whose watches hear nothing.
+type deafAPI struct{ platform.API }
+
+// Watch implements platform.API.
+func (deafAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+// Guards against a change that stays unknown to a watch that hears nothing, and against a list of
+// all objects for each change that peers heard of first.
+func TestPeersTellWhatTheWatchMissed(t *testing.T) {
+	for name, c := range map[string]struct {
+		peers knowing
+		lists int
+	}{
+		"they know of a change":    {knowing{proved: 50, changes: []platform.Object{{Name: "a", Value: []byte("2"), Revision: 50}}}, 1},
+		"they cannot tell which":   {knowing{proved: 50, err: platform.ErrCompacted}, 2},
+		"they know less":           {knowing{proved: 1}, 1},
+		"they have proved nothing": {knowing{}, 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store, n := standin.NewStore(), &noted{values: make(map[string]string)}
+			put(is, store, "a", "1")
+			w := New(Config{API: deafAPI{store}, Kind: platform.KindGroup, Sink: n, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)),
+				Log: hclog.NewNullLogger(), Check: 2 * time.Second, Peers: &c.peers})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				w.Run(ctx)
+			}()
+			time.Sleep(3 * time.Second)
+			if n.lists != c.lists {
+				t.Errorf("%s: listed %d times", name, n.lists)
+			}
+			if len(c.peers.changes) > 0 {
+				is.Equal(n.values["a"], "2")
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/objectwatch/narrow_test.go
+++ b/internal/objectwatch/narrow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,9 +39,13 @@
 // narrowCaller has answers take the time of a narrow link.
 type narrowCaller struct {
 	peer.Caller
-	links *links
+	links    *links
+	received *receivedBytes
 }
 
+// receivedBytes counts what an instance was sent.
+type receivedBytes struct{ n atomic.Int64 }
+
 // Call implements peer.Caller.
 func (c narrowCaller) Call(ctx context.Context, address, method string, params, reply any) error {
 	if err := c.Caller.Call(ctx, address, method, params, reply); err != nil {
@@ -50,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	c.received.n.Add(int64(len(text)))
 	timer := time.NewTimer(time.Until(c.links.take(address, len(text))))
 	defer timer.Stop()
 	select {
@@ -77,7 +83,7 @@
 		for k, i := range d.instances {
 			f := d.follower(k, i.view, 0, 0)
 			s := f.API.(*SharedAPI).sharing
-			s.Caller = narrowCaller{s.Caller, l}
+			s.Caller = narrowCaller{s.Caller, l, &receivedBytes{}}
 			running.Go(func() { f.Run(ctx) })
 		}
 		for known := 0; known < len(d.instances); {
--- a/internal/objectwatch/rescue_test.go
+++ b/internal/objectwatch/rescue_test.go
@@ -113,7 +113,7 @@
 					Rand: rand.New(rand.NewPCG(seed, 1)), Log: hclog.NewNullLogger()}, net.At(self.ID))
 				api := s.API(platform.KindManifest, 2300*time.Millisecond)
 				f := New(Config{API: api, Kind: platform.KindManifest, Sink: sink, Clock: clock.System{}, Check: 2 * time.Second,
-					Current: api.Current, Rand: rand.New(rand.NewPCG(seed, 2)), Log: hclog.NewNullLogger()})
+					Peers: api, Rand: rand.New(rand.NewPCG(seed, 2)), Log: hclog.NewNullLogger()})
 				go f.Run(ctx)
 			}
 			cut := new(atomic.Bool)
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -174,17 +174,26 @@
 	return got.objects, max(after, got.Revision), nil
 }
 
-// Current reports whether a reader has proved lately that nothing came after a revision.
-// False says that the objects have to be listed: this instance reads for itself, no reader
-// answers, its proof is old, or it knows of a later change.
-func (a *SharedAPI) Current(ctx context.Context, revision int64) bool {
+// Proof implements Peers. It is false where this instance reads for itself, no reader answers, or
+// its proof is old.
+func (a *SharedAPI) Proof(ctx context.Context) (revision int64, ok bool) {
 	for _, reader := range a.sharing.answering(a.sharing.readers()) {
 		got, ok := a.ask(ctx, reader, methodProof, question{Kind: a.kind}, proofTimeout)
 		if ok {
-			return a.young(got) && got.Revision <= revision
+			return got.Revision, a.young(got)
 		}
 	}
-	return false
+	return 0, false
+}
+
+// Changes implements Peers.
+func (a *SharedAPI) Changes(ctx context.Context, after int64) ([]platform.Object, int64, error) {
+	for _, reader := range a.sharing.answering(a.sharing.readers()) {
+		if got, ok := a.ask(ctx, reader, methodAfter, question{Kind: a.kind, After: after}, listTimeout); ok {
+			return told(got, after)
+		}
+	}
+	return nil, after, errNoFeed
 }
 
 // young reports whether the platform has shown an answer lately enough.
--- a/internal/objectwatch/shareddomain_test.go
+++ b/internal/objectwatch/shareddomain_test.go
@@ -128,7 +128,7 @@
 	c := Config{API: shared, Kind: platform.KindUpstreams, Sink: i, Clock: clock.System{}, Check: check,
 		Rand: rand.New(rand.NewPCG(uint64(k), 1)), Log: hclog.NewNullLogger()}
 	if check > 0 {
-		c.Current = shared.Current
+		c.Peers = shared
 	}
 	return New(c)
 }
