Serve a repetition by its caller's first try

What callers saw: behind a burst new requests came late for two seconds and more, after the members had room for all of them again.

Cause: a caller that is refused sends the same again, and an instance took that for a new request, whose objective had just begun. Each repetition, late for its caller already, went before those that could still be in time.

Sessions of both protocols now recognise the first statement of an operation that was refused, and units carry how long their caller has asked.

--- a/internal/admission/burst_test.go
+++ b/internal/admission/burst_test.go
@@ -105,3 +105,19 @@
 		is.True(after[1].part(after[1].inTime) >= before[1].part(before[1].inTime)-0.02)
 	})
 }
+
+// The same bursts where homes know which requests are repetitions: a second behind each of them
+// nineteen in twenty are in time again. Guards against repetitions that are served before those
+// that can still be in time.
+func TestBurstIsOverASecondLaterWhereRepetitionsAreKnown(t *testing.T) {
+	for seed := range uint64(16) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			before, after := replay(seed, true, burstPhases), replayKnown(seed, burstPhases)
+			report(t, "known", after)
+			is.True(after[3].part(after[3].inTime) >= 0.95)
+			is.True(after[1].inTime >= before[1].inTime)
+			is.True(after[2].inTime >= before[2].inTime)
+		})
+	}
+}
--- a/internal/admission/burstload_test.go
+++ b/internal/admission/burstload_test.go
@@ -48,6 +48,8 @@
 type burst struct {
 	homes  []*PerMember
 	member chan struct{}
+	// known says that homes are told when a caller tried first.
+	known bool
 
 	mu      sync.Mutex
 	tallies []tally
@@ -74,7 +76,16 @@
 // replay runs phases. Without objectives, and with all connections at work, the homes
 // decide as if they knew no more than deadlines.
 func replay(seed uint64, objectives bool, phases []phase) []tally {
-	b := &burst{member: make(chan struct{}, burstSlots), tallies: make([]tally, len(phases))}
+	return replayOn(&burst{}, seed, objectives, phases)
+}
+
+// replayKnown is replay with objectives where homes are told when a caller tried first.
+func replayKnown(seed uint64, phases []phase) []tally {
+	return replayOn(&burst{known: true}, seed, true, phases)
+}
+
+func replayOn(b *burst, seed uint64, objectives bool, phases []phase) []tally {
+	b.member, b.tallies = make(chan struct{}, burstSlots), make([]tally, len(phases))
 	for k := range burstHomes {
 		p := NewPerMember(Config{Group: "g", Clock: clock.System{}, Rand: rand.New(rand.NewPCG(seed, uint64(k))), Slots: burstHomes})
 		if !objectives {
@@ -118,7 +129,7 @@
 	began := time.Now()
 	served := false
 	for _, v := range mine {
-		after, ok := b.try(v, objectives)
+		after, ok := b.try(v, objectives, began)
 		if ok {
 			served = true
 			break
@@ -139,12 +150,16 @@
 	}
 }
 
-// try asks a home once. A refusal tells when to come back.
-func (b *burst) try(v visit, objectives bool) (time.Duration, bool) {
+// try asks a home once for a caller that tried first when it began. A refusal tells when to come
+// back.
+func (b *burst) try(v visit, objectives bool, began time.Time) (time.Duration, bool) {
 	r := Request{Class: "read", Priority: 2, MaxQueue: 500, Member: "m", Deadline: time.Now().Add(burstTimeout)}
 	if objectives {
 		r.WantedBy = time.Now().Add(burstObjective)
 	}
+	if b.known {
+		r.WantedBy = began.Add(burstObjective)
+	}
 	slot, err := b.homes[v.home].Enter(context.Background(), r)
 	if err != nil {
 		e, _ := result.As(err)
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -74,6 +74,9 @@
 	Roaming bool `json:"roaming,omitempty"`
 	// Timeout is the time left to the caller's deadline when the unit was sent.
 	Timeout time.Duration `json:"timeout"`
+	// Waited is how long the caller has asked for this before: the time since its first try
+	// where the unit repeats one that was refused.
+	Waited time.Duration `json:"waited,omitempty"`
 	// Messages are encoded messages of the caller. Named statements go by names
 	// made of their content, and what defines or drops them is left out: they
 	// are shared between sessions.
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -14,7 +14,7 @@
 	}
 	arrived := g.Clock.Now()
 	if p.objective > 0 {
-		p.wantedBy = arrived.Add(p.objective)
+		p.wantedBy = arrived.Add(p.objective - u.Waited)
 	}
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(min(u.Timeout, p.timeout)))
 	defer cancel()
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -62,7 +62,9 @@
 		passed := *u
 		passed.Relayed = true
 		passed.ID = u.ID + relaySeparator + strconv.Itoa(attempt)
-		passed.Timeout = u.Timeout - r.clock.Now().Sub(began)
+		elapsed := r.clock.Now().Sub(began)
+		passed.Timeout = u.Timeout - elapsed
+		passed.Waited = u.Waited + elapsed
 		if passed.Timeout < leastRelayTime {
 			return nil, refusal
 		}
--- a/internal/frontend/units.go
+++ b/internal/frontend/units.go
@@ -63,6 +63,9 @@
 	if err := n.announceValues(r); err != nil {
 		return nil, err
 	}
+	if n.state.Transaction == "" {
+		u.Waited = n.state.Repeats.Begin(u.Messages, n.server.config.Clock.Now(), u.Timeout)
+	}
 	ctx, cancel := context.WithCancel(n.server.Units())
 	defer cancel()
 	n.setRunning(u.ID)
@@ -71,6 +74,9 @@
 	if r.batch != nil && (err != nil || reply.Failed) {
 		n.forget(r.batch.defined)
 	}
+	if err != nil {
+		n.state.Repeats.Refused(n.server.config.Clock.Now())
+	}
 	if err != nil && u.Ends {
 		// Whatever became of it, the transaction is over; its home may not know.
 		n.state.Abandon(n.server.config.Executor)
--- /dev/null
+++ b/internal/session/repeats_test.go
@@ -0,0 +1,40 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against repetitions that are served before what can still be in time, and against new
+// operations that are taken for repetitions.
+func TestRepeatsCountFromTheFirstTry(t *testing.T) {
+	is := is.New(t)
+	var r Repeats
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	begin := func(statement string, ms int) time.Duration { return r.Begin([]byte(statement), at(ms), time.Second) }
+
+	is.Equal(begin("a", 0), time.Duration(0))
+	r.Refused(at(100))
+	is.Equal(begin("a", 180), 180*time.Millisecond)
+	r.Refused(at(400))
+	is.Equal(begin("a", 500), 500*time.Millisecond)
+	// It went well; the same is new now.
+	is.Equal(begin("a", 600), time.Duration(0))
+	r.Refused(at(700))
+	is.Equal(begin("b", 800), time.Duration(0))
+	// Another operation was asked for in between.
+	is.Equal(begin("a", 900), time.Duration(0))
+	r.Refused(at(1000))
+	// The pause is too long for a repetition.
+	is.Equal(begin("a", 3100), time.Duration(0))
+	for ms := 3200; ms <= 7000; ms += 100 {
+		r.Refused(at(ms))
+		is.Equal(begin("a", ms+50), time.Duration(ms+50-3100)*time.Millisecond)
+	}
+	// No caller asks for so long.
+	r.Refused(at(7100))
+	is.Equal(begin("a", 7150), time.Duration(0))
+}
--- a/internal/session/state.go
+++ b/internal/session/state.go
@@ -35,6 +35,8 @@
 	// values are the session's values by name, in order. The slice is replaced
 	// with every change, so that a unit may keep it.
 	values []execution.Value
+	// Repeats recognises what the caller sends again.
+	Repeats Repeats
 }
 
 // Fill sets what a unit takes from the session.
