Tell followers what came since, spread them over both readers, and bring them back

Cause, from a trial that logged who asks whom: all followers of a failure domain asked the same reader first. At the start it tells 98 others each entry that comes, and its link of 10 Mbit/s is full: it did not get the manifest itself (410 KB, given up after 1 s), connections to it were not opened within 250 ms, and questions for a proof were late. Each follower then listed everything, first from the readers, whose links that filled again, then from the platform, and watched there for 25 s, which tells it each manifest in full.

Now one short question brings what came since a revision, with the age of the reader's list: a check needs no list and no second question. Each instance has its own order of the readers. A first list that the parent in the tree does not give comes from the platform, not from the readers. An instance that has readers watches the platform itself for 2 s at a time.

The row "peer has an older one" of TestPeersSpareThePlatform expects the own revision back, which is what a follower goes on from. TestFollowersOutliveACongestedReader is green before as well: its links are taken for a time only.

Red before, green now: TestFollowersReturnToTheirReaders (watches of followers six seconds behind their readers' return: 5 before, 0 now).

--- a/internal/objectwatch/current_test.go
+++ b/internal/objectwatch/current_test.go
@@ -62,7 +62,7 @@
 	near, far := platform.Instance{ID: "n", FailureDomain: "a"}, platform.Instance{ID: "f", FailureDomain: "b"}
 	self := platform.Instance{ID: "s", FailureDomain: "a"}
 	const maxAge = 2300 * time.Millisecond
-	// none stands for no proof.
+	// none stands for no answer that proves anything.
 	const none = int64(-1)
 	for name, c := range map[string]struct {
 		self    platform.Instance
@@ -78,12 +78,12 @@
 		"reader itself":          {near, []platform.Instance{near, far}, answering{told: answer{Revision: 5, AgeMS: 1}}, none},
 		"none in the own domain": {self, []platform.Instance{far}, answering{told: answer{Revision: 5, AgeMS: 1}}, none},
 		"no readers are known":   {self, nil, answering{told: answer{Revision: 5, AgeMS: 1}}, none},
-		"peer has an older one":  {self, []platform.Instance{near}, answering{told: answer{Revision: 4, AgeMS: 1}}, 4},
+		"peer has an older one":  {self, []platform.Instance{near}, answering{told: answer{Revision: 4, AgeMS: 1}}, 5},
 	} {
 		s := NewSharing(SharingConfig{Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
-		got, ok := s.API(platform.KindManifest, maxAge).Proof(context.Background())
-		if ok != (c.want != none) || ok && got != c.want {
-			t.Errorf("%s: %v, %v", name, got, ok)
+		_, got, err := s.API(platform.KindManifest, maxAge).Since(context.Background(), 5)
+		if (err == nil) != (c.want != none) || err == nil && got != c.want {
+			t.Errorf("%s: %v, %v", name, got, err)
 		}
 	}
 
--- a/internal/objectwatch/exchange.go
+++ b/internal/objectwatch/exchange.go
@@ -9,10 +9,11 @@
 
 const (
 	// methodList and methodAfter ask an instance for what its feed of a kind holds, and
-	// for what came after a revision; methodProof for how far it goes, and since when.
+	// for what came after a revision once there is something; methodSince for what came
+	// after a revision until now, and how lately the platform showed that this is all.
 	methodList  = "objectwatch.list"
 	methodAfter = "objectwatch.after"
-	methodProof = "objectwatch.proof"
+	methodSince = "objectwatch.since"
 )
 
 // question asks for a kind, from a revision on.
--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -179,12 +179,11 @@
 	f.inTouch = false
 }
 
-// proof returns the revision of the last known change and how long ago the platform showed
-// that there was no later one; false while it does not answer.
-func (f *feed) proof(now time.Time) (revision int64, age time.Duration, ok bool) {
+// age returns how long ago the platform showed that there is no more than what is known.
+func (f *feed) age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision, now.Sub(f.provenAt), f.known && f.inTouch
+	return now.Sub(f.provenAt)
 }
 
 // list returns all objects; none are known while the platform does not answer.
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -16,7 +16,6 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
-	"github.com/topazrock/topazrock/internal/waitlist"
 )
 
 const (
@@ -38,12 +37,9 @@
 
 // Peers are other instances that follow the kind.
 type Peers interface {
-	// Proof returns a revision up to which all changes were known to a peer lately. It is
-	// false where no peer has proved anything.
-	Proof(ctx context.Context) (revision int64, ok bool)
-	// Changes returns what a peer knows to have changed after a revision, and the revision up
-	// to which that goes. It waits a little where nothing has.
-	Changes(ctx context.Context, after int64) ([]platform.Object, int64, error)
+	// Since returns what changed after a revision until now, and the revision up to which that
+	// goes. An error says that no peer could prove lately that it knows all.
+	Since(ctx context.Context, after int64) ([]platform.Object, int64, error)
 }
 
 // Config is what a Follower is made of.
@@ -78,10 +74,8 @@
 	// mu serialises the calls of Sink and guards the fields below.
 	mu      sync.Mutex
 	inTouch bool
-	// revision is the last one up to which the sink was told, and heard the one up to which
-	// it is said that there is no more. told is notified when heard rises.
-	revision, heard int64
-	told            *waitlist.Signal
+	// revision is the last one up to which the sink was told.
+	revision int64
 	// failingSince is when the first of the present failures was met.
 	failingSince time.Time
 }
@@ -89,7 +83,7 @@
 // New returns a Follower; Run makes it work.
 func New(c Config) *Follower {
 	c.Log = c.Log.Named("objectwatch").With("kind", c.Kind)
-	return &Follower{Config: c, told: waitlist.NewSignal()}
+	return &Follower{Config: c}
 }
 
 // Run follows the kind until ctx ends.
@@ -119,41 +113,22 @@
 	}
 }
 
-// changeWait is how long the watch may take to tell a change that peers know of: several times a
-// usual answer, and short against the time in which a change has to be known.
-const changeWait = 200 * time.Millisecond
-
-// caughtUp reports whether the sink has been told of all that peers prove. A change that they
-// know of is on its way to the watch as a rule, and else they are asked for what is missing.
-// Where changes come many times a second, hardly anybody knows as much as a proof at the moment
-// that it arrives; listing all for that took the links of those who read for a hundred others.
+// caughtUp has peers tell what the watch may have missed, and reports whether they could. A list
+// of all objects in its place, from each of a hundred followers, takes the links of those who
+// read for them, and then their answers come too late for all.
 func (f *Follower) caughtUp(ctx context.Context) bool {
 	if f.Peers == nil {
 		return false
 	}
-	proved, ok := f.Peers.Proof(ctx)
-	if !ok {
-		return false
-	}
-	if f.awaitTold(ctx, proved) {
-		return true
-	}
-	objects, revision, err := f.Peers.Changes(ctx, f.toldUpTo())
-	if err != nil || revision < proved {
-		f.Log.Debug("Peers did not tell what is missing.", "proved", proved, "revision", revision, "error", err)
+	objects, revision, err := f.Peers.Since(ctx, f.toldUpTo())
+	if err != nil {
+		f.Log.Debug("Peers did not tell what changed.", "error", err)
 		return false
 	}
 	f.tellChanges(objects, revision)
 	return true
 }
 
-// awaitTold waits a little until the sink has been told up to a revision.
-func (f *Follower) awaitTold(ctx context.Context, revision int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, changeWait)
-	defer cancel()
-	return f.told.Wait(ctx, &f.mu, func() bool { return f.heard >= revision }) == nil
-}
-
 // list lists the objects for a check.
 func (f *Follower) list(ctx context.Context) ([]platform.Object, int64, error) {
 	if f.Stale {
@@ -174,7 +149,6 @@
 		return
 	}
 	f.revision = revision
-	f.hear(revision)
 	f.Sink.Listed(objects)
 }
 
@@ -183,7 +157,6 @@
 func (f *Follower) tellChanges(objects []platform.Object, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hear(revision)
 	if len(objects) == 0 || revision <= f.revision {
 		return
 	}
@@ -191,14 +164,6 @@
 	f.Sink.Changed(objects)
 }
 
-// hear notes up to which revision all is known. The caller holds f.mu.
-func (f *Follower) hear(revision int64) {
-	if revision > f.heard {
-		f.heard = revision
-		f.told.Notify()
-	}
-}
-
 // toldUpTo returns the revision up to which the sink was told.
 func (f *Follower) toldUpTo() int64 {
 	f.mu.Lock()
@@ -236,8 +201,8 @@
 		f.backoff = 0
 		f.answered()
 		revision = next
-		f.tellChanges(objects, revision)
 		if len(objects) > 0 {
+			f.tellChanges(objects, revision)
 			_ = clock.Sleep(ctx, f.Clock, f.Settle)
 		}
 	}
--- a/internal/objectwatch/follower_test.go
+++ b/internal/objectwatch/follower_test.go
@@ -161,21 +161,16 @@
 	synctest.Wait()
 }
 
-// knowing are peers that have proved a revision and know of some changes.
+// knowing are peers that know of some changes up to a revision, or cannot tell.
 type knowing struct {
-	proved  int64
 	changes []platform.Object
+	upTo    int64
 	err     error
-	asked   int
 }
 
-// Proof implements Peers.
-func (k *knowing) Proof(context.Context) (int64, bool) { return k.proved, k.proved > 0 }
-
-// Changes implements Peers.
-func (k *knowing) Changes(context.Context, int64) ([]platform.Object, int64, error) {
-	k.asked++
-	return k.changes, k.proved, k.err
+// Since implements Peers.
+func (k *knowing) Since(context.Context, int64) ([]platform.Object, int64, error) {
+	return k.changes, k.upTo, k.err
 }
 
 // deafAPI is a platform whose watches hear nothing.
@@ -194,10 +189,10 @@
 		peers knowing
 		lists int
 	}{
-		"they know of a change":    {knowing{proved: 50, changes: []platform.Object{{Name: "a", Value: []byte("2"), Revision: 50}}}, 1},
-		"they cannot tell which":   {knowing{proved: 50, err: platform.ErrCompacted}, 2},
-		"they know less":           {knowing{proved: 1}, 1},
-		"they have proved nothing": {knowing{}, 2},
+		"they know of a change": {knowing{changes: []platform.Object{{Name: "a", Value: []byte("2"), Revision: 50}}, upTo: 50}, 1},
+		"they know of none":     {knowing{upTo: 1}, 1},
+		"they go back less far": {knowing{err: platform.ErrCompacted}, 2},
+		"they cannot tell":      {knowing{err: errNoFeed}, 2},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/objectwatch/growth_test.go
+++ b/internal/objectwatch/growth_test.go
@@ -56,6 +56,7 @@
 	*sharedDomain
 	is       *is.I
 	random   *rand.Rand
+	links    *links
 	own      []*ownCalls
 	received []*receivedBytes
 }
@@ -83,13 +84,13 @@
 
 // start has every instance follow until ctx ends.
 func (d *growingDomain) start(ctx context.Context, running *sync.WaitGroup) {
-	l := &links{busy: make(map[string]time.Time), sent: make(map[string]int)}
+	d.links = &links{busy: make(map[string]time.Time), sent: make(map[string]int)}
 	for k, i := range d.instances {
 		own, received := &ownCalls{API: i.view}, &receivedBytes{}
 		d.own, d.received = append(d.own, own), append(d.received, received)
 		f := d.follower(k, own, 3*time.Second, 3300*time.Millisecond)
 		s := f.API.(*SharedAPI).sharing
-		s.Caller = narrowCaller{s.Caller, l, received}
+		s.Caller = narrowCaller{s.Caller, d.links, received}
 		running.Go(func() { f.Run(ctx) })
 	}
 }
@@ -145,3 +146,33 @@
 		})
 	}
 }
+
+// The load pattern is a failure domain of a hundred instances that follow one large manifest, and
+// two readers whose links are taken by something else for three seconds. Guards against followers
+// that list everything because the readers are slow, which keeps them slow for good.
+func TestFollowersOutliveACongestedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, taken, settled, steady = 100, 3 * time.Second, 15 * time.Second, 20 * time.Second
+		d := &growingDomain{sharedDomain: newSharedDomain(n), is: is.New(t), random: rand.New(rand.NewPCG(1, n))}
+		d.knownFrom = time.Now().Add(freshFleetWait)
+		_, err := d.store.Put(context.Background(), platform.KindUpstreams, "m", largeValue(1), 0)
+		d.is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		d.start(ctx, &running)
+		time.Sleep(settled)
+		for _, reader := range []string{"i0", "i1"} {
+			d.links.take(reader, int(taken.Seconds()*narrowLink))
+		}
+		time.Sleep(settled)
+		before, ownBefore := d.cost()
+		time.Sleep(steady)
+		after, own := d.cost()
+		rate := float64(after-before) / steady.Seconds()
+		t.Logf("%.0f bytes a second in the middle, %d calls of followers", rate, own-ownBefore)
+		d.is.True(rate <= controlBytes)
+		d.is.Equal(own, ownBefore)
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -11,10 +11,9 @@
 )
 
 const (
-	// listTimeout bounds a reader's list, and proofTimeout its proof: both many times a
-	// slow answer, the list's at a machine with a narrow link.
-	listTimeout  = time.Second
-	proofTimeout = 300 * time.Millisecond
+	// listTimeout bounds a reader's answer: many times a slow one, at a machine with a narrow
+	// link.
+	listTimeout = time.Second
 	// afterGrace is what the answer to a question that was held may take beside.
 	afterGrace = 500 * time.Millisecond
 	// firstTimeout bounds a reader's first list for an instance that returns to a fleet, and
@@ -113,8 +112,14 @@
 	// The instances themselves are known from an older list by now.
 	mayWait := a.informed.Load() || a.kind == platform.KindInstances
 	if mayWait || a.sharing.Clock.Now().Sub(began) >= freshFleetWait {
-		if got, ok := a.listOfParent(ctx); ok {
+		got, parented, ok := a.listOfParent(ctx)
+		switch {
+		case ok:
 			return got, nil
+		case parented && a.own.allowed(a.sharing.Clock.Now()):
+			// The readers serve as many others as the parent could not; one more list of
+			// theirs would hold up all.
+			return answer{}, errReadsItself
 		}
 		return a.follow(ctx, a.listFrom)
 	}
@@ -127,14 +132,14 @@
 	return answer{}, errReadsItself
 }
 
-// listOfParent asks the parent in the tree for the first list.
-func (a *SharedAPI) listOfParent(ctx context.Context) (answer, bool) {
-	parent, ok := a.sharing.parent(a.kind)
-	if !ok || a.informed.Load() || len(a.sharing.readers()) == 0 {
-		return answer{}, false
+// listOfParent asks the parent in the tree for the first list, if there is a parent.
+func (a *SharedAPI) listOfParent(ctx context.Context) (got answer, parented, ok bool) {
+	parent, parented := a.sharing.parent(a.kind)
+	if !parented || a.informed.Load() || len(a.sharing.readers()) == 0 {
+		return answer{}, false, false
 	}
 	got, err := a.call(ctx, parent, methodList, question{Kind: a.kind, Waits: true}, parentTimeout)
-	return got, err == nil && a.young(got)
+	return got, true, err == nil && a.young(got)
 }
 
 // Watch implements platform.API.
@@ -149,7 +154,7 @@
 	if !errors.Is(err, errReadsItself) {
 		return nil, after, err
 	}
-	objects, next, err := a.API.Watch(ctx, a.kind, after)
+	objects, next, err := a.watchItself(ctx, after)
 	if err == nil {
 		a.feed.watched(objects, after, next)
 		a.held.note(objects)
@@ -166,6 +171,25 @@
 	return nil, after, err
 }
 
+// ownWatch bounds one watch of the platform by an instance that has readers: several of their
+// changes later it asks them again. The platform tells each such instance a large object in
+// full, and a reader by what differs.
+const ownWatch = 2 * time.Second
+
+// watchItself watches the platform, for a while only where there are readers.
+func (a *SharedAPI) watchItself(ctx context.Context, after int64) ([]platform.Object, int64, error) {
+	if len(a.sharing.readers()) == 0 {
+		return a.API.Watch(ctx, a.kind, after)
+	}
+	bounded, cancel := context.WithTimeout(ctx, ownWatch)
+	defer cancel()
+	objects, next, err := a.API.Watch(bounded, a.kind, after)
+	if err != nil && ctx.Err() == nil && errors.Is(bounded.Err(), context.DeadlineExceeded) {
+		return nil, after, nil
+	}
+	return objects, next, err
+}
+
 // told turns an answer into that of a watch.
 func told(got answer, after int64) ([]platform.Object, int64, error) {
 	if got.Compacted {
@@ -174,22 +198,17 @@
 	return got.objects, max(after, got.Revision), nil
 }
 
-// Proof implements Peers. It is false where this instance reads for itself, no reader answers, or
-// its proof is old.
-func (a *SharedAPI) Proof(ctx context.Context) (revision int64, ok bool) {
-	for _, reader := range a.sharing.answering(a.sharing.readers()) {
-		got, ok := a.ask(ctx, reader, methodProof, question{Kind: a.kind}, proofTimeout)
-		if ok {
-			return got.Revision, a.young(got)
-		}
+// Since implements Peers. Readers of the own failure domain are asked, and one elsewhere where
+// those do not answer.
+func (a *SharedAPI) Since(ctx context.Context, after int64) ([]platform.Object, int64, error) {
+	readers := a.sharing.readers()
+	if len(readers) == 0 {
+		return nil, after, errReadsItself
 	}
-	return 0, false
-}
-
-// Changes implements Peers.
-func (a *SharedAPI) Changes(ctx context.Context, after int64) ([]platform.Object, int64, error) {
-	for _, reader := range a.sharing.answering(a.sharing.readers()) {
-		if got, ok := a.ask(ctx, reader, methodAfter, question{Kind: a.kind, After: after}, listTimeout); ok {
+	q := question{Kind: a.kind, After: after}
+	for _, reader := range append(a.sharing.answering(readers), a.sharing.rescuers(1)...) {
+		got, ok := a.ask(ctx, reader, methodSince, q, listTimeout)
+		if ok && a.young(got) {
 			return told(got, after)
 		}
 	}
@@ -290,7 +309,7 @@
 	switch {
 	case method == methodList:
 		a.copy.listed(got.objects, got.Revision, a.sharing.Clock.Now().Add(-got.age()))
-	case method == methodAfter && !got.Compacted:
+	case !got.Compacted:
 		a.copy.changed(got.objects, q.After, got.Revision)
 	}
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -1,6 +1,7 @@
 package objectwatch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/topazrock/topazrock/internal/clock"
@@ -50,8 +52,8 @@
 //   - It has lost the platform: it says so, and its followers ask the other reader, and after
 //     a while the platform themselves, seldom (ownTries).
 //   - Dead, frozen or cut off: it does not answer, and the same follows.
-//   - It hears of no change and does not know it: each answer carries the age of the last
-//     list, which bounds how old a follower's knowledge may be.
+//   - It hears of no change and does not know it: what it tells a follower that checks carries
+//     the age of its last list, which bounds how old a follower's knowledge may be.
 //   - Refused by a platform that serves others: it asks readers of all failure domains.
 type Sharing struct {
 	SharingConfig
@@ -82,7 +84,7 @@
 	s := &Sharing{SharingConfig: c, feeds: make(map[platform.Kind]*feed), copies: make(map[platform.Kind]*listCopy), silent: make(map[string]time.Time)}
 	r.Handle(methodList, s.serveList)
 	r.Handle(methodAfter, s.serveAfter)
-	r.Handle(methodProof, s.serveProof)
+	r.Handle(methodSince, s.serveSince)
 	return s
 }
 
@@ -153,7 +155,16 @@
 	if self {
 		return nil
 	}
-	return readers
+	return inOwnOrder(readers, s.Fleet.Self().ID)
+}
+
+// inOwnOrder returns readers in an order of the instance's own, so that each of them serves a part of
+// the failure domain. In one order for all, the first would tell every change to everyone.
+func inOwnOrder(readers []platform.Instance, self string) []platform.Instance {
+	rank := func(i platform.Instance) uint64 { return xxhash.Sum64String(self + "\x00" + i.ID) }
+	ordered := slices.Clone(readers)
+	slices.SortFunc(ordered, func(a, b platform.Instance) int { return cmp.Compare(rank(a), rank(b)) })
+	return ordered
 }
 
 // answering returns those readers that have not been silent of late.
@@ -245,16 +256,18 @@
 	return c.list()
 }
 
-func (s *Sharing) serveProof(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	f, _, err := s.asked(params)
+func (s *Sharing) serveSince(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	f, q, err := s.asked(params)
 	if err != nil {
 		return nil, err
 	}
-	revision, age, ok := f.proof(s.Clock.Now())
-	if !ok {
-		return nil, errNoFeed
+	objects, revision, _, err := f.look(q.After)
+	got, err := s.changed(f, objects, revision, q, err)
+	if err != nil {
+		return nil, err
 	}
-	return answer{Revision: revision, AgeMS: age.Milliseconds()}, nil
+	got.AgeMS = f.age(s.Clock.Now()).Milliseconds()
+	return got, nil
 }
 
 func (s *Sharing) serveAfter(ctx context.Context, _ string, params json.RawMessage) (any, error) {
@@ -265,11 +278,16 @@
 	ctx, cancel := context.WithTimeout(ctx, afterWait)
 	defer cancel()
 	objects, revision, err := f.after(ctx, q.After)
+	return s.changed(f, objects, revision, q, err)
+}
+
+// changed answers a question for what came after a revision with what the feed holds.
+func (s *Sharing) changed(f *feed, objects []platform.Object, revision int64, q question, err error) (answer, error) {
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		return answer{Compacted: true}, nil
 	case err != nil:
-		return nil, errNoFeed
+		return answer{}, errNoFeed
 	}
 	if len(objects) == 0 {
 		return answer{Revision: revision}, nil
--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -167,3 +167,57 @@
 		running.Wait()
 	})
 }
+
+// openWatches counts the watches that wait at the platform.
+type openWatches struct {
+	platform.API
+	n atomic.Int64
+}
+
+// Watch implements platform.API.
+func (o *openWatches) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	o.n.Add(1)
+	defer o.n.Add(-1)
+	return o.API.Watch(ctx, kind, after)
+}
+
+// Guards against followers that go on watching the platform when their readers answer again: it
+// tells each of them a large object in full.
+func TestFollowersReturnToTheirReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const check = 3 * time.Second
+		is := is.New(t)
+		d := newSharedDomain(10)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		var open []*openWatches
+		for k, i := range d.instances {
+			api := &openWatches{API: i.view}
+			open = append(open, api)
+			f := d.follower(k, api, check, check+300*time.Millisecond)
+			running.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(2 * time.Second)
+		watching := func() (n int64) {
+			for _, o := range open[readersPerDomain:] {
+				n += o.n.Load()
+			}
+			return n
+		}
+		is.Equal(watching(), int64(0))
+		d.instances[0].view.SetAway(true)
+		d.instances[1].view.SetAway(true)
+		most := int64(0)
+		for range 250 {
+			time.Sleep(100 * time.Millisecond)
+			most = max(most, watching())
+		}
+		is.True(most > 0)
+		d.instances[0].view.SetAway(false)
+		d.instances[1].view.SetAway(false)
+		time.Sleep(check + ownWatch + time.Second)
+		is.Equal(watching(), int64(0))
+		cancel()
+		running.Wait()
+	})
+}
