--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -76,8 +76,9 @@
 	inTouch bool
 	// revision is the last one up to which the sink was told.
 	revision int64
-	// failingSince is when the first of the present failures was met.
-	failingSince time.Time
+	// failingSince is when the first of the present failures was met, and answeredAt when the
+	// platform or a peer answered last.
+	failingSince, answeredAt time.Time
 }
 
 // New returns a Follower; Run makes it work.
@@ -194,6 +195,9 @@
 		case errors.Is(err, platform.ErrCompacted):
 			f.Log.Info("History is gone; the objects are listed again.", "revision", revision)
 			return
+		case errors.Is(err, errQuiet):
+			f.quiet()
+			continue
 		case err != nil:
 			f.failed(ctx, err)
 			continue
@@ -214,7 +218,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	failing := f.failingSince
-	f.failingSince = time.Time{}
+	f.failingSince, f.answeredAt = time.Time{}, f.Clock.Now()
 	if f.inTouch {
 		return
 	}
@@ -231,6 +235,20 @@
 	return f.Clock.Now().Sub(moment)
 }
 
+// mostQuiet is how long nothing may answer before the platform is taken for silent: a little longer
+// than it holds a watch that has nothing to tell.
+const mostQuiet = 30 * time.Second
+
+// quiet notes a watch that was given up with nothing heard.
+func (f *Follower) quiet() {
+	f.mu.Lock()
+	silent := f.Clock.Now().Sub(f.answeredAt) > mostQuiet
+	f.mu.Unlock()
+	if silent {
+		f.lost(errQuiet)
+	}
+}
+
 // failed notes a call of the watch's loop that failed and pauses before the next.
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -160,7 +160,7 @@
 		a.held.note(objects)
 		return objects, next, nil
 	}
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, errQuiet) {
 		return nil, after, err
 	}
 	a.failed()
@@ -176,6 +176,10 @@
 // full, and a reader by what differs.
 const ownWatch = 2 * time.Second
 
+// errQuiet ends a watch that was given up with nothing heard. It says nothing of the platform, which
+// may be silent or have nothing to tell.
+var errQuiet = errors.New("objectwatch: nothing was heard for a while")
+
 // watchItself watches the platform, for a while only where there are readers.
 func (a *SharedAPI) watchItself(ctx context.Context, after int64) ([]platform.Object, int64, error) {
 	if len(a.sharing.readers()) == 0 {
@@ -185,7 +189,7 @@
 	defer cancel()
 	objects, next, err := a.API.Watch(bounded, a.kind, after)
 	if err != nil && ctx.Err() == nil && errors.Is(bounded.Err(), context.DeadlineExceeded) {
-		return nil, after, nil
+		return nil, after, errQuiet
 	}
 	return objects, next, err
 }
--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -221,3 +221,80 @@
 		running.Wait()
 	})
 }
+
+// mute is a platform that takes calls and, from some moment on, answers none.
+type mute struct {
+	platform.API
+	silent atomic.Bool
+}
+
+func (m *mute) await(ctx context.Context) error {
+	if !m.silent.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+}
+
+// List implements platform.API.
+func (m *mute) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := m.await(ctx); err != nil {
+		return nil, 0, err
+	}
+	return m.API.List(ctx, kind)
+}
+
+// Watch implements platform.API.
+func (m *mute) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 26*time.Second)
+	defer cancel()
+	if err := m.await(ctx); err != nil {
+		return nil, after, err
+	}
+	return m.API.Watch(ctx, kind, after)
+}
+
+// touched keeps what a follower says of the platform.
+type touched struct {
+	Sink
+	in atomic.Bool
+}
+
+// Touch implements Sink.
+func (s *touched) Touch(in bool) { s.in.Store(in) }
+
+// Guards against a follower that takes a platform which answers nothing for one that has nothing
+// to tell, because it watches for a while only.
+func TestFollowerNoticesASilentPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newSharedDomain(8)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		var apis []*mute
+		var sinks []*touched
+		for k, i := range d.instances {
+			api, sink := &mute{API: i.view}, &touched{Sink: i}
+			apis, sinks = append(apis, api), append(sinks, sink)
+			f := d.follower(k, api, 0, 0)
+			f.Sink = sink
+			running.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(2 * time.Second)
+		is.True(sinks[7].in.Load())
+		for _, api := range apis {
+			api.silent.Store(true)
+		}
+		time.Sleep(2 * time.Minute)
+		is.True(!sinks[7].in.Load())
+		for _, api := range apis {
+			api.silent.Store(false)
+		}
+		time.Sleep(time.Minute)
+		is.True(sinks[7].in.Load())
+		cancel()
+		running.Wait()
+	})
+}
