End a slot in one place, also one whose grant crosses a cancellation

Callers saw, at a home that may have one statement at a member at a time, every statement of that group refused after its full wait until the process ended; where it may have more, one less for each time.

Cause: Controller.cancelWait freed a slot that was granted at the moment of the cancellation, but its request went on counting as in flight. The bound on requests in flight rises only with answers, so that a gate whose count has reached it admits nothing more. Now removeSlot ends every slot and lowers both counts; a cancelled grant tells nothing of the member's answers.

topazrock_admission_in_flight tells a gate that is shut from one that is slow: nothing told requests in flight from slots in use.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -19,6 +19,8 @@
 	runningGauge prometheus.Gauge
 	waitingGauge prometheus.Gauge
 	slotsGauge   prometheus.Gauge
+	// inFlightGauge is shared with the other gates of the group.
+	inFlightGauge prometheus.Gauge
 
 	mu    sync.Mutex
 	slots int
@@ -47,16 +49,17 @@
 		cfg.Metrics = NewMetrics(nil)
 	}
 	c := &Controller{
-		cfg:          cfg,
-		log:          cfg.Logger.Named("admission"),
-		runningGauge: cfg.Metrics.running.WithLabelValues(cfg.Group),
-		waitingGauge: cfg.Metrics.waiting.WithLabelValues(cfg.Group),
-		slotsGauge:   cfg.Metrics.slots.WithLabelValues(cfg.Group),
-		slots:        max(cfg.Slots, 0),
-		inUse:        make(map[*Slot]struct{}),
-		classes:      make(map[string]*class),
-		queue:        waitlist.New((*waiter).before),
-		released:     waitlist.NewSignal(),
+		cfg:           cfg,
+		log:           cfg.Logger.Named("admission"),
+		runningGauge:  cfg.Metrics.running.WithLabelValues(cfg.Group),
+		waitingGauge:  cfg.Metrics.waiting.WithLabelValues(cfg.Group),
+		slotsGauge:    cfg.Metrics.slots.WithLabelValues(cfg.Group),
+		inFlightGauge: cfg.Metrics.inFlight.WithLabelValues(cfg.Group),
+		slots:         max(cfg.Slots, 0),
+		inUse:         make(map[*Slot]struct{}),
+		classes:       make(map[string]*class),
+		queue:         waitlist.New((*waiter).before),
+		released:      waitlist.NewSignal(),
 	}
 	c.slotsGauge.Set(float64(c.slots))
 	c.concurrency = newConcurrencyLimit(cfg.Adaptive, c.slots)
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -70,7 +70,7 @@
 	now := c.cfg.Clock.Now()
 	s := newSlot(c, w.class, now)
 	c.inUse[s] = struct{}{}
-	c.inFlight++
+	c.addInFlight(1)
 	w.class.admitted.Inc()
 	w.class.waitTime.Observe(now.Sub(w.arrivedAt).Seconds())
 	w.grants <- grant{slot: s}
@@ -100,13 +100,19 @@
 	}
 	s.answered = true
 	if s.notExecuted {
-		c.inFlight--
+		c.addInFlight(-1)
 		return
 	}
 	took := max(c.cfg.Clock.Now().Sub(s.admittedAt), time.Microsecond)
 	c.concurrency.recordAnswer(s.class, took, c.inFlight)
 	s.class.serviceTime = movingAverage(s.class.serviceTime, took)
-	c.inFlight--
+	c.addInFlight(-1)
+}
+
+// addInFlight changes the number of requests in flight.
+func (c *Controller) addInFlight(n int) {
+	c.inFlight += n
+	c.inFlightGauge.Add(float64(n))
 }
 
 // releaseSlot frees a slot.
@@ -116,8 +122,15 @@
 	if s.answered {
 		s.class.holdTime = movingAverage(s.class.holdTime, c.cfg.Clock.Now().Sub(s.admittedAt))
 	}
-	c.recordAnswer(s)
-	delete(c.inUse, s)
+	c.removeSlot(s)
 	c.dispatch()
 	c.released.Notify()
 }
+
+// removeSlot stops counting a slot, and its request if that is still in flight. Every slot
+// ends here: one that went on counting as in flight would lower the limit of its gate for
+// good, and a gate of one slot would admit nothing more.
+func (c *Controller) removeSlot(s *Slot) {
+	c.recordAnswer(s)
+	delete(c.inUse, s)
+}
--- a/internal/admission/enter.go
+++ b/internal/admission/enter.go
@@ -140,7 +140,8 @@
 		if g.err != nil {
 			return g.err
 		}
-		delete(c.inUse, g.slot)
+		g.slot.notExecuted = true
+		c.removeSlot(g.slot)
 	} else {
 		w.class.waiting--
 	}
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -7,6 +7,7 @@
 	slots    *prometheus.GaugeVec
 	running  *prometheus.GaugeVec
 	waiting  *prometheus.GaugeVec
+	inFlight *prometheus.GaugeVec
 	admitted *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	wait     *prometheus.HistogramVec
@@ -29,6 +30,10 @@
 			Name: "topazrock_admission_waiting",
 			Help: "Requests that wait for a slot.",
 		}, group),
+		inFlight: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "topazrock_admission_in_flight",
+			Help: "Requests that hold a slot and have no answer yet, at all members.",
+		}, group),
 		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazrock_admission_admitted_total",
 			Help: "Requests that got a slot.",
@@ -44,7 +49,7 @@
 		}, class),
 	}
 	if r != nil {
-		r.MustRegister(m.slots, m.running, m.waiting, m.admitted, m.refused, m.wait)
+		r.MustRegister(m.slots, m.running, m.waiting, m.inFlight, m.admitted, m.refused, m.wait)
 	}
 	return m
 }
