Bound the whole stop of an instance by the time that the platform allows

Cause: the settings bounded the drain and nothing bounded what follows it. Homes were stopped one after the other with 2 s each, and the end waited for handshakes with silent members and for background tasks.

Units of peers end with the callers': new ones are refused 500 ms before the drain times out, and those under way then have until the callers' final replies to return theirs. They had no time before, since the context of the drain had ended.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -45,11 +45,11 @@
 	Logger    hclog.Logger
 }
 
-// finalReplyTimeout is how long sessions have, after a drain timed out, to send their callers
+// FinalReplyTimeout is how long sessions have, after a drain timed out, to send their callers
 // the outcome of the running statement. It is several times as long as sending a reply takes,
 // and shorter than the time that the platform allows between the end of a drain and the end of
 // the process.
-const finalReplyTimeout = 250 * time.Millisecond
+const FinalReplyTimeout = 250 * time.Millisecond
 
 // Server accepts callers and runs their sessions.
 type Server struct {
@@ -214,7 +214,7 @@
 	for _, session := range sessions {
 		session.Wake()
 	}
-	timer := s.config.Clock.NewTimer(finalReplyTimeout)
+	timer := s.config.Clock.NewTimer(FinalReplyTimeout)
 	defer timer.Stop()
 	select {
 	case <-s.drained:
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -198,13 +198,17 @@
 	}
 }
 
-// Drain refuses new units of peers, which then go to other homes. It returns when the running
-// units of peers or ctx have ended.
-func (r *Router) Drain(ctx context.Context) error {
+// RefusePeerUnits refuses new units of peers from now on; they then go to other homes.
+func (r *Router) RefusePeerUnits() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.draining = true
 	r.closeDrainedIfIdle()
-	r.mu.Unlock()
+}
+
+// Drain refuses new units of peers and returns when the running ones or ctx have ended.
+func (r *Router) Drain(ctx context.Context) error {
+	r.RefusePeerUnits()
 	select {
 	case <-r.drained:
 		return nil
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -15,6 +15,10 @@
 // code.
 const messageRefused = "Request was refused."
 
+// messageShutdownTimedOut is the message that an instance logs if it ends before all
+// connections are closed.
+const messageShutdownTimedOut = "Shutdown timed out. The process ends with the remaining steps undone."
+
 // stateChangeMessages are the messages that report a change of the instance's state or of
 // its view of groups, members, the platform and other instances.
 var stateChangeMessages = map[string]bool{
@@ -26,6 +30,7 @@
 	"Instance is cut off from most groups.": true, "Instance reaches most groups again.": true,
 	"No other failure domain answers.": true, "Instance disconnects idle callers so that they reconnect elsewhere.": true,
 	"Instance starts.": true, "Drain begins.": true, "Instance has stopped.": true,
+	"Drain timed out. Closing the remaining sessions.": true, messageShutdownTimedOut: true,
 	"Home of a group was started.": true, "Home of a group is retired.": true, "Entry of an unresponsive instance was removed.": true,
 	"The instance's entry was removed.": true, "Opening a connection failed.": true, "Relaying a unit to another home failed.": true,
 	// Instances of earlier builds write these; during an upgrade, logs of both builds are read.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -6,7 +6,6 @@
 package instance
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,7 +16,6 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/adminapi"
-	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/config"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/executor"
@@ -268,54 +266,6 @@
 	return callers, peers, nil
 }
 
-// drain waits until the running requests of callers and peers have ended.
-func (n *Instance) drain(callers net.Listener) error {
-	n.options.Logger.Info("Drain begins.")
-	n.draining.Store(true)
-	limits := n.options.Settings.Drain
-	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(limits.Timeout, defaultDrainTimeout))
-	defer cancel()
-	// Callers still connect, and peers still send units, until the balancer has noticed
-	// that the instance is not ready.
-	_ = clock.Sleep(ctx, n.options.Clock, limits.Linger)
-	if !n.protocol.MembersLimitConnections {
-		n.members.SetDraining()
-	}
-	// From now on, callers that connect are told to use another instance; the listener is
-	// closed last.
-	err := n.callers.Drain(ctx)
-	// Where every instance is a home, SetDraining is called only now: until here this
-	// instance serves its remaining callers itself, because forwarding their last
-	// statements would open connections at other homes.
-	n.members.SetDraining()
-	err = errors.Join(err, n.router.Drain(ctx))
-	callers.Close()
-	// Peers that still send units are told to use another instance; closing the
-	// connections at once would lose the units in flight.
-	_ = clock.Sleep(ctx, n.options.Clock, peerLinger)
-	n.options.Logger.Info("Drain has ended.", "error", err)
-	return err
-}
-
-// shutdown stops all homes and servers and releases the shares.
-func (n *Instance) shutdown(peers net.Listener, stop context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	// Only one goroutine may stop a home: this one, or the one that drains a retired home.
-	// No home is retired any more once the reconciliation has ended.
-	stop()
-	n.reconciling.Wait()
-	for _, h := range n.homesCopy() {
-		n.stopHome(ctx, h)
-	}
-	n.callers.Close()
-	n.withdrawEntry(ctx)
-	peers.Close()
-	n.peers.Close()
-	n.client.Close()
-	n.running.Wait()
-}
-
 func (n *Instance) home(group string) *home {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -44,10 +44,6 @@
 }
 
 const (
-	// defaultDrainTimeout bounds the graceful shutdown if the settings do not.
-	defaultDrainTimeout = 30 * time.Second
-	// peerLinger is how long peers are still answered after the drain.
-	peerLinger = 500 * time.Millisecond
 	// retireTimeout bounds how long transactions may stay open in a group that this
 	// instance is no longer home to.
 	retireTimeout = 30 * time.Second
--- /dev/null
+++ b/internal/instance/shutdown.go
@@ -0,0 +1,122 @@
+package instance
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/callers"
+	"github.com/topazrock/topazrock/internal/clock"
+)
+
+const (
+	// defaultDrainTimeout and defaultCloseTimeout apply if the settings have no limits.
+	defaultDrainTimeout = 30 * time.Second
+	defaultCloseTimeout = 2 * time.Second
+	// peerLinger is how long peers are still answered after the drain.
+	peerLinger = 500 * time.Millisecond
+	// peerRefusalLead is how long before the drain times out new units of peers are refused.
+	// It leaves a usual statement time to end; a unit that is refused runs at another home.
+	peerRefusalLead = 500 * time.Millisecond
+)
+
+// drain waits until the running requests of callers and peers have ended. Those that are still
+// running when the drain times out are interrupted, and the callers and peers get the outcome.
+func (n *Instance) drain(callerListener net.Listener) error {
+	n.options.Logger.Info("Drain begins.")
+	n.draining.Store(true)
+	limits := n.options.Settings.Drain
+	timeout := cmp.Or(limits.Timeout, defaultDrainTimeout)
+	running, cancelRunning := context.WithTimeout(context.Background(), timeout)
+	defer cancelRunning()
+	replied, cancelReplied := context.WithTimeout(context.Background(), timeout+callers.FinalReplyTimeout)
+	defer cancelReplied()
+	refusal := n.options.Clock.AfterFunc(timeout-peerRefusalLead, n.router.RefusePeerUnits)
+	defer refusal.Stop()
+	// Callers still connect, and peers still send units, until the balancer has noticed
+	// that the instance is not ready.
+	_ = clock.Sleep(running, n.options.Clock, limits.Linger)
+	if !n.protocol.MembersLimitConnections {
+		n.members.SetDraining()
+	}
+	// From now on, callers that connect are told to use another instance; the listener is
+	// closed last.
+	err := n.callers.Drain(running)
+	// Where every instance is a home, SetDraining is called only now: until here this
+	// instance serves its remaining callers itself, because forwarding their last
+	// statements would open connections at other homes.
+	n.members.SetDraining()
+	err = errors.Join(err, n.drainPeers(running, replied))
+	callerListener.Close()
+	// Peers that still send units are told to use another instance; closing the
+	// connections at once would lose the units in flight.
+	_ = clock.Sleep(replied, n.options.Clock, peerLinger)
+	n.options.Logger.Info("Drain has ended.", "error", err)
+	return err
+}
+
+// drainPeers waits for the units of peers. When running ends, the remaining ones are interrupted
+// and have until replied ends to return their outcome: closing the connections at once would
+// leave the outcome of a unit unknown that was not even sent.
+func (n *Instance) drainPeers(running, replied context.Context) error {
+	err := n.router.Drain(running)
+	if err == nil {
+		return nil
+	}
+	n.router.InterruptUnits()
+	_ = n.router.Drain(replied)
+	return err
+}
+
+// shutdown stops all homes and servers and releases the shares. It returns when this is done or
+// the close timeout has passed, whichever is first. A platform kills a process that takes
+// longer to stop than it allows, so a member or a peer that does not answer must not delay the
+// end: the remaining connections are closed with the process.
+func (n *Instance) shutdown(peers net.Listener, stop context.CancelFunc) {
+	timeout := cmp.Or(n.options.Settings.Drain.CloseTimeout, defaultCloseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	progress := newShutdownProgress()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.runShutdown(ctx, progress, peers, stop)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		n.options.Logger.Warn("Shutdown timed out. The process ends with the remaining steps undone.", "steps", progress.unfinished())
+	}
+}
+
+// runShutdown takes the steps of a shutdown.
+func (n *Instance) runShutdown(ctx context.Context, progress *shutdownProgress, peers net.Listener, stop context.CancelFunc) {
+	// Only one goroutine may stop a home: this one, or the one that drains a retired home.
+	// No home is retired any more once the reconciliation has ended.
+	stop()
+	progress.run("wait for reconciliation", n.reconciling.Wait)
+	n.stopHomes(ctx, progress)
+	progress.run("close callers", n.callers.Close)
+	progress.run("withdraw entry", func() { n.withdrawEntry(ctx) })
+	peers.Close()
+	progress.run("close peers", func() {
+		n.peers.Close()
+		n.client.Close()
+	})
+	progress.run("wait for background tasks", n.running.Wait)
+}
+
+// stopHomes stops all homes at once, so that a member that does not answer delays the stop of its
+// own group only.
+func (n *Instance) stopHomes(ctx context.Context, progress *shutdownProgress) {
+	var stopping sync.WaitGroup
+	for name, h := range n.homesCopy() {
+		stopping.Go(func() {
+			progress.run("stop home of group "+name, func() { n.stopHome(ctx, h) })
+		})
+	}
+	stopping.Wait()
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -18,6 +18,7 @@
 	maxPlatformTimeout = time.Minute
 	minDrain           = 500 * time.Millisecond
 	maxDrain           = 10 * time.Minute
+	minClose           = 100 * time.Millisecond
 	maxMemoryMB        = 1 << 20
 
 	minQuotaWindow  = 100 * time.Millisecond
@@ -89,7 +90,9 @@
 		{Section: "drain", Name: "linger", Type: inifile.Duration{Max: maxDrain}, Default: "0s",
 			Description: "Time from the start of a graceful shutdown in which new callers are still served, because the balancer has not seen it yet."},
 		{Section: "drain", Name: "timeout", Type: inifile.Duration{Min: minDrain, Max: maxDrain}, Default: "30s",
-			Description: "Time of the whole graceful shutdown; what is still at work then is cut off."},
+			Description: "Time from the start of a graceful shutdown in which running requests may end; the rest is cut off and its callers are told."},
+		{Section: "drain", Name: "close_timeout", Type: inifile.Duration{Min: minClose, Max: maxDrain}, Default: "2s",
+			Description: "Time after that in which connections are closed and shares are given back; the process then ends in any case."},
 
 		{Section: "process", Name: "memory_mb", Type: inifile.Int{Max: maxMemoryMB}, Default: "0",
 			Description: "Memory that the process may use, in megabytes; 0 sets no bound."},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,8 +107,11 @@
 	// It must cover the time in which the load balancer notices that the instance
 	// is no longer ready.
 	Linger time.Duration
-	// Timeout limits the whole graceful shutdown, including Linger.
+	// Timeout limits the time for running requests to end, including Linger.
 	Timeout time.Duration
+	// CloseTimeout limits the time after that in which connections are closed and shares
+	// released.
+	CloseTimeout time.Duration
 }
 
 // Process limits the resources of the process.
