Refuse peers' waiting units at the cut-off of a home, so that another home runs them

Callers of an instance that stays would see an unknown outcome for a statement that never ran: it waited for a slot, a connection or a primary at a home whose drain timed out.

Cause: InterruptUnits ended what was at a member. Units of the instance's own callers wait in a context that ends then; units of peers waited in the context of their connection until the process closed it. Home to home, a write that a draining home had refused was not passed on to another one either, though it did not run.

A write that may have run is still sent to one home only.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -167,6 +167,8 @@
 		return nil, result.New(result.Draining, "instance %s", r.selfID)
 	}
 	defer r.finishPeerUnit()
+	ctx, cancel := r.withInterrupt(ctx)
+	defer cancel()
 	if u.Transaction != "" {
 		return r.executeInTransaction(ctx, u, r.partialSender(ctx, u))
 	}
@@ -175,7 +177,28 @@
 		return nil, result.New(result.NotReady, "this instance is not home to group %s", u.Group)
 	}
 	defer g.finishUnit()
-	return r.executeAtHome(ctx, g, u, r.partialSender(ctx, u))
+	reply, err := r.executeAtHome(ctx, g, u, r.partialSender(ctx, u))
+	return reply, r.interruptError(err)
+}
+
+// withInterrupt returns a context that also ends when InterruptUnits is called.
+func (r *Router) withInterrupt(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.interrupted, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// interruptError returns the error for a peer whose unit failed with err. A unit that did not run
+// because units were interrupted is refused as draining, so that the peer tries another home.
+func (r *Router) interruptError(err error) error {
+	e, ok := result.As(err)
+	if r.interrupted.Err() == nil || !ok || e.Code.Family() != result.FamilyDidNotRun {
+		return err
+	}
+	return result.New(result.Draining, "instance %s", r.selfID).WithCause(err)
 }
 
 // partialSender returns a function that sends answer chunks to the entry instance. Each chunk
--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -18,7 +18,7 @@
 const methodCapability = "group.standing"
 
 // maxReadRelays is how many homes a read is passed on to, one after the other. A unit that writes
-// is passed on to a second home only if it was not sent to the first.
+// is passed on to a second home only if the first did not start it.
 const maxReadRelays = 2
 
 // minRelayTime is the time that a unit must have left to be passed on: a few round trips between
@@ -95,12 +95,12 @@
 }
 
 // mayRelayAgain reports whether a unit that a home did not serve may be passed on to another one:
-// not if part of the first home's answer was passed on, and a write only if it was not sent.
+// not if part of the first home's answer was passed on, and a write only if the home did not start it.
 func mayRelayAgain(u *execution.Unit, answerStarted bool, err error) bool {
 	if answerStarted {
 		return false
 	}
-	return u.IsReadOnly() || errors.Is(err, peer.ErrNotSent)
+	return u.IsReadOnly() || unitNotStarted(err)
 }
 
 // relaySeparator separates a unit's ID from the number of the relay.
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -44,6 +44,10 @@
 	peerUnits int
 	// drained is closed when draining is set and no unit of a peer is running.
 	drained chan struct{}
+	// interrupted is canceled by InterruptUnits, which ends the units of peers that wait for a slot,
+	// a connection or a primary.
+	interrupted context.Context
+	interrupt   context.CancelFunc
 	// remoteUnits records where units of this instance's callers run at other instances.
 	remoteUnits map[string]remoteUnit
 	// partialHandlers receive the chunks of large answers that peers send, by unit ID.
@@ -52,7 +56,7 @@
 
 // NewRouter returns a Router for the instance self, whose peer address is address.
 func NewRouter(self, address string, h Homes, c peer.Caller, k clock.Clock, m *Metrics) *Router {
-	return &Router{
+	r := &Router{
 		selfID:          self,
 		peerAddress:     address,
 		homes:           h,
@@ -65,6 +69,8 @@
 		remoteUnits:     make(map[string]remoteUnit),
 		partialHandlers: make(map[string]func([]byte) error),
 	}
+	r.interrupted, r.interrupt = context.WithCancel(context.Background())
+	return r
 }
 
 // AddGroup makes this instance run the units of a group itself.
@@ -217,9 +223,11 @@
 	}
 }
 
-// InterruptUnits interrupts the units that are running at members and prevents further units from being
-// sent. Interrupted units get an outcome-unknown result, the others a did-not-run result.
+// InterruptUnits interrupts the units that are running at members, ends the waits of peers' units, and
+// prevents further units from being sent. Interrupted units get an outcome-unknown result, the
+// others a did-not-run result. Units of this instance's callers wait in contexts of their own.
 func (r *Router) InterruptUnits() {
+	r.interrupt()
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, groups := range []map[string]*Group{r.groups, r.retiring} {
