Let a stopping home wait for peers' transactions, and offer it to no peer

Callers of an instance that is not home to their group lost their open transaction when the transaction's home was stopped as planned: 'transaction lost' half a second after the stop began, where the drain may take 30 s and waits that long for the home's own callers.

Cause: Router.Drain waited for running units of peers only, once, and a channel that was closed at the first moment without any stayed closed. Since new units are refused 500 ms before the drain times out, that moment comes earlier. Drain now waits until no unit of a peer runs and no transaction is open.

A home that refuses peers' units still reported to other homes that it can serve them. Such a home now reports that it can serve nothing.

Not run: a deployment.

--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -138,14 +138,15 @@
 	return newHomeFinder(r.clock, g.forkRandom(), homes, query)
 }
 
-// serveCapability answers the home finder of another home.
+// serveCapability answers the home finder of another home. A home that refuses peers' units can
+// serve none, whatever it can do for its own callers.
 func (r *Router) serveCapability(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	var ref objectRef
 	if err := json.Unmarshal(params, &ref); err != nil {
 		return nil, err
 	}
 	g := r.LocalGroup(ref.Group)
-	if g == nil {
+	if g == nil || r.refusesPeers() {
 		return capability{}, nil
 	}
 	return g.currentCapability(), nil
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -23,8 +23,8 @@
 // about the homes of a group, this costs a hop or a refusal before sending, but no guarantee is
 // lost: every home confirms the units that it runs.
 //
-// Lock order: Router.mu or avoidedHomes.mu, never both; then a Group's runningUnits.mu. None is
-// held while a unit runs.
+// Lock order: Router.mu or avoidedHomes.mu, never both; then a Group's runningUnits.mu or
+// transactions.mu. None is held while a unit runs.
 type Router struct {
 	selfID       string
 	peerAddress  string
@@ -42,8 +42,6 @@
 	// draining means that new units of peers are refused; peerUnits counts the running ones.
 	draining  bool
 	peerUnits int
-	// drained is closed when draining is set and no unit of a peer is running.
-	drained chan struct{}
 	// interrupted is canceled by InterruptUnits, which ends the units of peers that wait for a slot,
 	// a connection or a primary.
 	interrupted context.Context
@@ -65,7 +63,6 @@
 		clock:           k,
 		groups:          make(map[string]*Group),
 		retiring:        make(map[string]*Group),
-		drained:         make(chan struct{}),
 		remoteUnits:     make(map[string]remoteUnit),
 		partialHandlers: make(map[string]func([]byte) error),
 	}
@@ -209,18 +206,43 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.draining = true
-	r.closeDrainedIfIdle()
 }
 
-// Drain refuses new units of peers and returns when the running ones or ctx have ended.
+// Drain refuses new units of peers. It returns when no unit of a peer is running and no transaction
+// is open, or when ctx has ended. Units of open transactions are still accepted meanwhile: their
+// callers cannot continue them at another instance.
 func (r *Router) Drain(ctx context.Context) error {
 	r.RefusePeerUnits()
-	select {
-	case <-r.drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for r.isBusy() {
+		if err := clock.Sleep(ctx, r.clock, pollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isBusy reports whether a unit of a peer is running or a transaction is open.
+func (r *Router) isBusy() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.peerUnits > 0 {
+		return true
+	}
+	for _, groups := range []map[string]*Group{r.groups, r.retiring} {
+		for _, g := range groups {
+			if g.OpenTransactions() > 0 {
+				return true
+			}
+		}
 	}
+	return false
+}
+
+// refusesPeers reports whether new units of peers are refused.
+func (r *Router) refusesPeers() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.draining
 }
 
 // InterruptUnits interrupts the units that are running at members, ends the waits of peers' units, and
@@ -252,17 +274,4 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peerUnits--
-	r.closeDrainedIfIdle()
-}
-
-// closeDrainedIfIdle closes drained once no unit of a peer is running. r.mu must be held.
-func (r *Router) closeDrainedIfIdle() {
-	if !r.draining || r.peerUnits > 0 {
-		return
-	}
-	select {
-	case <-r.drained:
-	default:
-		close(r.drained)
-	}
 }
