--- a/cmd/topazrock/processes_test.go
+++ b/cmd/topazrock/processes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +27,7 @@
 	t.Run("SIGSTOP of the primary causes a failover", d.testPausedPrimary)
 	t.Run("SIGTERM interrupts no request", d.testInstanceSIGTERM)
 	t.Run("SIGKILL rolls back", d.testInstanceSIGKILL)
+	t.Run("SIGHUP during a drain cuts no transaction", d.testInstanceSIGHUP)
 }
 
 func (d *testDeployment) testReadThroughOtherInstance(*testing.T) {
@@ -153,3 +155,18 @@
 	d.is.NoErr(err)
 	d.is.Equal(v, "kept")
 }
+
+// testInstanceSIGHUP asks instance 2 to reload its settings while it drains. Guards against a
+// process that is ended by the signal, which it no longer handles.
+func (d *testDeployment) testInstanceSIGHUP(*testing.T) {
+	ctx := context.Background()
+	tx, err := d.mustConnect(2).Begin(ctx)
+	d.is.NoErr(err)
+	_, err = tx.Exec(ctx, "INSERT INTO kv (k, v) VALUES ('hangup', '1')")
+	d.is.NoErr(err)
+	d.sendSignal(d.instanceProcess(2), syscall.SIGTERM)
+	d.waitUntil("instance drains", func() bool { return d.httpStatus(d.admins[2], "/readyz") != http.StatusOK })
+	d.sendSignal(d.instanceProcess(2), syscall.SIGHUP)
+	d.is.NoErr(tx.Commit(ctx))
+	d.is.NoErr(d.instanceProcess(2).Wait())
+}
