Bound the end of the log

A reader of the log that has stalled kept the process from ending after everything was closed, because Queue.Close waited for it without a bound. It now gives up after 100 ms.

Before: go test ./internal/logqueue: the queue is still closing after 200 ms. Now: go test -race -count=20 ./internal/logqueue passes.

--- a/internal/logqueue/queue.go
+++ b/internal/logqueue/queue.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -17,6 +18,8 @@
 	maxQueuedBytes = 256 << 10
 	// maxWriteBytes limits the queued bytes in one write to the output.
 	maxWriteBytes = 64 << 10
+	// closeTimeout limits how long Close waits for the reader of the log.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // Queue is an io.Writer that never blocks.
@@ -70,13 +73,19 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the queue.
+// Close writes the queued lines and stops the queue. If the reader of the log has stalled, it
+// gives up: the process would otherwise not end.
 func (q *Queue) Close() {
 	q.mu.Lock()
 	q.closed = true
 	q.mu.Unlock()
 	close(q.quit)
-	<-q.done
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-q.done:
+	case <-timer.C:
+	}
 }
 
 func (q *Queue) run() {
