Name the homes that a shutdown waits for

The line of a shutdown that timed out had only the step 'wait for background tasks': a stop retires all homes before, so they stop in the background, and the step that names a group was never taken. The step is now recorded where a home stops, whoever stops it.

--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -173,19 +173,24 @@
 // stopHome stops a home. If its share cannot be released on the platform, it retries until
 // ctx ends.
 func (n *Instance) stopHome(ctx context.Context, h *home) {
+	n.progress.run("stop home of group "+h.group.Name, func() { n.releaseHome(ctx, h) })
+	n.shareDirectory.Remove(h.group.Name)
+}
+
+// releaseHome makes the attempts of stopHome.
+func (n *Instance) releaseHome(ctx context.Context, h *home) {
 	for {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 		err := h.stop(bounded)
 		cancel()
 		if err == nil || ctx.Err() != nil {
-			break
+			return
 		}
 		n.options.Logger.Warn("Releasing the share of a group failed, retrying.", "group", h.group.Name, "error", err)
 		if clock.Sleep(ctx, n.options.Clock, stopTimeout) != nil {
-			break
+			return
 		}
 	}
-	n.shareDirectory.Remove(h.group.Name)
 }
 
 const (
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -66,6 +66,8 @@
 	// that starts and retires homes, which shutdown waits for first.
 	running     sync.WaitGroup
 	reconciling sync.WaitGroup
+	// progress records the steps of a shutdown. Homes that were retired stop in running.
+	progress *shutdownProgress
 
 	// shareDirectory dispatches calls of peers to the managers of shares. holder
 	// identifies this process to them.
@@ -85,6 +87,7 @@
 		metrics:            newMetrics(o.Registry),
 		reconcileRequested: make(chan struct{}, 1),
 		drainRequested:     make(chan struct{}),
+		progress:           newShutdownProgress(),
 
 		wakeReach:     make(chan struct{}, 1),
 		wakePeerReach: make(chan struct{}, 1),
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -79,44 +79,41 @@
 	timeout := cmp.Or(n.options.Settings.Drain.CloseTimeout, defaultCloseTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	progress := newShutdownProgress()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		n.runShutdown(ctx, progress, peers, stop)
+		n.runShutdown(ctx, peers, stop)
 	}()
 	select {
 	case <-ended:
 	case <-ctx.Done():
-		n.options.Logger.Warn("Shutdown timed out. The process ends with the remaining steps undone.", "steps", progress.unfinished())
+		n.options.Logger.Warn("Shutdown timed out. The process ends with the remaining steps undone.", "steps", n.progress.unfinished())
 	}
 }
 
 // runShutdown takes the steps of a shutdown.
-func (n *Instance) runShutdown(ctx context.Context, progress *shutdownProgress, peers net.Listener, stop context.CancelFunc) {
+func (n *Instance) runShutdown(ctx context.Context, peers net.Listener, stop context.CancelFunc) {
 	// Only one goroutine may stop a home: this one, or the one that drains a retired home.
 	// No home is retired any more once the reconciliation has ended.
 	stop()
-	progress.run("wait for reconciliation", n.reconciling.Wait)
-	n.stopHomes(ctx, progress)
-	progress.run("close callers", n.callers.Close)
-	progress.run("withdraw entry", func() { n.withdrawEntry(ctx) })
+	n.progress.run("wait for reconciliation", n.reconciling.Wait)
+	n.stopHomes(ctx)
+	n.progress.run("close callers", n.callers.Close)
+	n.progress.run("withdraw entry", func() { n.withdrawEntry(ctx) })
 	peers.Close()
-	progress.run("close peers", func() {
+	n.progress.run("close peers", func() {
 		n.peers.Close()
 		n.client.Close()
 	})
-	progress.run("wait for background tasks", n.running.Wait)
+	n.progress.run("wait for background tasks", n.running.Wait)
 }
 
 // stopHomes stops all homes at once, so that a member that does not answer delays the stop of its
 // own group only.
-func (n *Instance) stopHomes(ctx context.Context, progress *shutdownProgress) {
+func (n *Instance) stopHomes(ctx context.Context) {
 	var stopping sync.WaitGroup
-	for name, h := range n.homesCopy() {
-		stopping.Go(func() {
-			progress.run("stop home of group "+name, func() { n.stopHome(ctx, h) })
-		})
+	for _, h := range n.homesCopy() {
+		stopping.Go(func() { n.stopHome(ctx, h) })
 	}
 	stopping.Wait()
 }
--- a/internal/instance/shutdownprogress.go
+++ b/internal/instance/shutdownprogress.go
@@ -6,8 +6,8 @@
 	"sync"
 )
 
-// shutdownProgress records which steps of a shutdown are running, for the log line of a shutdown
-// that times out.
+// shutdownProgress records which steps of a shutdown are running, and which homes are stopping, for
+// the log line of a shutdown that times out.
 type shutdownProgress struct {
 	mu      sync.Mutex
 	running map[string]struct{}
