Test that a draining home's refusal is not returned as another home's own

TestRefusalByADrainingHomeIsNotReturnedAsTheOwn fails: 1009 != 1004 (go test ./internal/executor -run RefusalByADraining).

--- a/internal/executor/peerunits_test.go
+++ b/internal/executor/peerunits_test.go
@@ -76,3 +76,20 @@
 		is.Equal(lost["h1"].units+lost["h2"].units, 1)
 	})
 }
+
+// Every home that a unit is passed on to is shutting down. Guards against an instance that returns
+// their refusal as its own: the instances that forward units to it would avoid it as well.
+func TestRefusalByADrainingHomeIsNotReturnedAsTheOwn(t *testing.T) {
+	for _, refusal := range []result.Code{result.Draining, result.NotReady} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			homes := map[string]*fakeRelayHome{"h1": {err: result.New(refusal, "h1")}, "h2": {err: result.New(refusal, "h2")}}
+			write := &execution.Unit{ID: "u", Group: "g", Timeout: 3 * time.Second, Messages: []byte("write")}
+			_, _, err := relayThrough(t, write, homes, "h1", "h2")
+			e, ok := result.As(err)
+			is.True(ok)
+			is.Equal(e.Code, result.NoPrimary)
+			is.True(homes["h1"].units+homes["h2"].units > 0)
+		})
+	}
+}
