Keep an instance's own refusal when other homes do not start a unit that it passes on

An instance that passed a unit on to homes that are shutting down returned their refusal, 'draining', as its own. Instances that had forwarded the unit to it then took it for a home that shuts down, and tried it last for a minute; its own callers got no retry delay. A refusal of a home that did not start the unit now leaves the own one as it is, as for a home that was not reached.

--- a/internal/executor/relay.go
+++ b/internal/executor/relay.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
-	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/platform"
 	"github.com/topazrock/topazrock/internal/result"
 )
@@ -107,10 +105,11 @@
 const relaySeparator = "~"
 
 // relayError returns the error for the caller after another home has failed. This is that home's
-// error, unless the unit was not sent to it or an earlier home may have run the unit; in both cases
-// the previous error is kept.
+// error, unless it did not start the unit or an earlier home may have run the unit; in both cases
+// the previous error is kept. A home's refusal to start units says nothing about this instance, but
+// instances that forward units here would take it for that.
 func relayError(previous, err error) error {
-	if errors.Is(err, peer.ErrNotSent) {
+	if unitNotStarted(err) {
 		return previous
 	}
 	if e, ok := result.As(previous); ok && e.Code.Family() != result.FamilyDidNotRun {
