Wait for the confirmation of a committed write across the cut-off

A caller whose write had committed when a drain timed out was told that its outcome is unknown, although the confirmation came a moment later and 250 ms are left for final replies. Cause: the wait for it ended with the unit's context. For units of peers this was so since their contexts end at the cut-off too.

--- a/internal/executor/complete.go
+++ b/internal/executor/complete.go
@@ -194,7 +194,7 @@
 // unit. The check comes after the answer, so that an instance that was suspended between sending
 // the unit and this point cannot pass on the answer of a replaced primary.
 func (g *Group) confirm(ctx context.Context, p plan, x *exchange) (logpos.TermPosition, error) {
-	ctx, cancel := context.WithDeadline(ctx, g.confirmDeadline(ctx, p))
+	ctx, cancel := g.confirmContext(ctx, p)
 	defer cancel()
 	if x.LogPosition != (logpos.TermPosition{}) {
 		// The answer to the commit itself contains its log position.
