Roll back the transactions that outlive a retired home

Callers saw, in a trial in virtual time on the code before: a transaction that went on for longer than 30 s after its group got another list of members was lost at its next statement, and its ROLLBACK was answered. The row that it had updated stayed locked: ten minutes after the caller had left, an update of that row through another instance still timed out, the old home held its connection, and the instance was not home to the group.

Cause: a retired home waits 30 s for its transactions. Then the router forgets the group, so that neither the caller's ROLLBACK nor the end of its session finds the transaction, and the tasks of the group end, among them the one that rolls back idle transactions. The connection stays in use, the share is never released, and no new home of the group is started while the old one stops.

Now what is still open is rolled back when the router forgets the group, and again before each further attempt to stop the home, for a unit that was still running may have opened another transaction.

Ruled out: that the caller could give the connection back. It had both rolled back and left.

Before: go test ./internal/instance -run TestTransactionThatOutlivesRetiredHome retired_test.go:36: not true: tc.instances[0].home(testGroup) != nil Now it passes, and so do all tests of internal/executor and internal/instance (one run each).

--- a/internal/executor/endtransaction.go
+++ b/internal/executor/endtransaction.go
@@ -38,6 +38,13 @@
 	})
 }
 
+// AbandonTransactions rolls back all open transactions. Their callers are told at their next unit.
+func (g *Group) AbandonTransactions() {
+	for _, tx := range g.transactions.all() {
+		g.AbandonTransaction(g.Group, tx.id)
+	}
+}
+
 // rollBack rolls back the transaction that is open on a connection. If that fails, the connection
 // is closed, which makes the member roll back.
 func (g *Group) rollBack(c wire.Conn) {
--- a/internal/executor/transactions.go
+++ b/internal/executor/transactions.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -53,16 +55,17 @@
 	return len(t.open)
 }
 
+// all returns the open transactions.
+func (t *transactions) all() []*transaction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Values(t.open))
+}
+
 // idleSince returns the transactions that have not been used by any unit since cutoff.
 func (t *transactions) idleSince(cutoff time.Time) []*transaction {
-	t.mu.Lock()
-	all := make([]*transaction, 0, len(t.open))
-	for _, tx := range t.open {
-		all = append(all, tx)
-	}
-	t.mu.Unlock()
 	var idle []*transaction
-	for _, tx := range all {
+	for _, tx := range t.all() {
 		if !tx.mu.TryLock() {
 			continue
 		}
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -144,7 +144,7 @@
 }
 
 // retire rejects new units at once. The home stops when its running units and open
-// transactions have ended.
+// transactions have ended; transactions that are still open after retireTimeout are rolled back.
 func (n *Instance) retire(ctx context.Context, h *home) {
 	n.router.RetireGroup(h.group.Name)
 	n.mu.Lock()
@@ -163,6 +163,8 @@
 		}
 	}
 	n.router.RemoveGroup(h.executor)
+	// No unit finds the group any more, so nothing else would end its transactions.
+	h.executor.AbandonTransactions()
 	n.stopHome(ctx, h)
 	n.mu.Lock()
 	delete(n.stopping, h.group.Name)
@@ -190,6 +192,8 @@
 		if clock.Sleep(ctx, n.options.Clock, stopTimeout) != nil {
 			return
 		}
+		// A unit that was still running may have opened another transaction.
+		h.executor.AbandonTransactions()
 	}
 }
 
