Roll back a transaction whose peer is gone before it can be told

Callers would see statements that wait for the locks of a transaction that nobody can end. It begins by a unit that a home runs for another instance, and that instance is lost, or stops, while the unit is at the member. The home then opened the transaction and kept it, with its connection and its slot, until the idle timeout (30 s unless the service document sets another).

Cause: nothing looked at whether the answer can still be delivered.

Not covered: an instance that is lost once the answer is on its way, or between two units. The idle timeout ends these transactions, as before.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -167,6 +167,19 @@
 		return nil, result.New(result.Draining, "instance %s", r.selfID)
 	}
 	defer r.finishPeerUnit()
+	reply, err := r.executeForPeer(ctx, u)
+	if err != nil {
+		return nil, err
+	}
+	if ctx.Err() != nil && reply.Transaction != "" {
+		// The peer's connection was lost, so no caller learns that the transaction is open.
+		r.AbandonTransaction(u.Group, reply.Transaction)
+	}
+	return reply, nil
+}
+
+// executeForPeer runs a unit for a peer until InterruptUnits ends it.
+func (r *Router) executeForPeer(ctx context.Context, u *execution.Unit) (*execution.Reply, error) {
 	ctx, cancel := r.withInterrupt(ctx)
 	defer cancel()
 	if u.Transaction != "" {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -138,3 +138,32 @@
 		is.NoErr(callSlow(c, time.Second, 0))
 	})
 }
+
+// Guards against a handler that cannot tell that its caller is gone: the context of a call must
+// end with the connection that the call came on.
+func TestContextOfCallEndsWithConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := memnet.New()
+		s := NewServer(hclog.NewNullLogger())
+		ended := make(chan error, 1)
+		s.Handle("wait", func(ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return nil, ctx.Err()
+		})
+		l, err := n.Host(serverHost).Listen(serverAddr)
+		is.NoErr(err)
+		go func() { _ = s.Serve(l) }()
+		c := NewClient("near", n.Host(clientHost))
+		go func() { _ = c.Call(context.Background(), serverAddr, "wait", nil, nil) }()
+		time.Sleep(time.Second)
+		is.Equal(len(ended), 0)
+		c.Close()
+		time.Sleep(time.Second)
+		is.Equal(len(ended), 1)
+		_ = l.Close()
+		s.Close()
+		time.Sleep(time.Minute)
+	})
+}
