Roll back idle transactions after the share of connections is lost

Callers would see statements that wait for the locks of a transaction whose own caller does nothing, for as long as that caller stays connected, and a home that does not come back. A home loses its share of the connections when its instance was cut off for so long that another one took the share, or when a document leaves none for it.

Cause: the task that rolls back idle transactions ended with the share. A transaction that was open then was never rolled back, its connection stayed in use beyond the limit, and a share can be taken again only once all connections of the lost one are closed. The tasks of the executor now run from the first share until the home stops; the check for units at a lost member goes on as well.

Left as it is: a transaction that its caller goes on using keeps its connection after the loss, as before.

--- a/internal/instance/home.go
+++ b/internal/instance/home.go
@@ -38,6 +38,11 @@
 	// cancelComponents stops the components that need the share; components tracks them.
 	cancelComponents context.CancelFunc
 	components       sync.WaitGroup
+
+	// cancelExecutor stops executor.Run, which executorRunning tracks; nil until the share is
+	// held for the first time.
+	cancelExecutor  context.CancelFunc
+	executorRunning sync.WaitGroup
 }
 
 // newHome builds a home without starting it.
@@ -218,7 +223,27 @@
 	h.components.Go(func() { h.watcher.Run(ctx) })
 	h.components.Go(func() { h.claimer.Run(ctx) })
 	h.router.AddGroup(h.executor)
-	h.components.Go(func() { h.executor.Run(ctx) })
+	h.startExecutor()
+}
+
+// startExecutor starts the executor's tasks, which run until the home is stopped. Transactions may
+// be open after the share is lost, and the share cannot be taken again before they have ended.
+func (h *home) startExecutor() {
+	if h.cancelExecutor != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancelExecutor = cancel
+	h.executorRunning.Go(func() { h.executor.Run(ctx) })
+}
+
+// stopExecutor stops the executor's tasks.
+func (h *home) stopExecutor() {
+	if h.cancelExecutor == nil {
+		return
+	}
+	h.cancelExecutor()
+	h.executorRunning.Wait()
 }
 
 // stopComponents stops the components that need the share and returns when their
@@ -240,5 +265,6 @@
 	err := h.share.Close(ctx)
 	h.stopComponents()
 	_ = h.pool.Close(ctx)
+	h.stopExecutor()
 	return err
 }
