End a unit only when no chunk of its answer is being passed on

Callers of a large answer would get rows after the error that ended it, in the middle of their next answer. It begins when the connection to the home breaks, the unit's time ends or the instance stops while a chunk that the home sent over its own connection is between the look-up of the unit and the write to the caller. Only PostgreSQL callers, for the line protocol buffers whole answers.

Cause: the unit's handler was taken out of the table, but nothing waited for a call of the handler that had already been looked up. Chunks are now counted while they are passed on, and the unit waits for that count; a chunk that comes later is refused, as before.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -122,8 +122,7 @@
 
 func (r *Router) sendUnit(ctx context.Context, home platform.Instance, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
 	u.ReplyTo = r.peerAddress
-	r.setPartialHandler(u.ID, partial)
-	defer r.setPartialHandler(u.ID, nil)
+	defer r.addPartialHandler(u.ID, partial)()
 	ctx, cancel := context.WithTimeout(ctx, u.Timeout+forwardGrace)
 	defer cancel()
 	reply := new(execution.Reply)
@@ -133,16 +132,6 @@
 	return reply, nil
 }
 
-func (r *Router) setPartialHandler(unitID string, f func([]byte) error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if f == nil {
-		delete(r.partialHandlers, unitID)
-		return
-	}
-	r.partialHandlers[unitID] = f
-}
-
 // notifyInstance calls an instance without waiting for its answer.
 func (r *Router) notifyInstance(instance, method string, ref objectRef) {
 	to, ok := r.homes.FindInstance(instance)
@@ -227,13 +216,12 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
 	}
-	r.mu.RLock()
-	f := r.partialHandlers[p.ID]
-	r.mu.RUnlock()
-	if f == nil {
+	h := r.acquirePartialHandler(p.ID)
+	if h == nil {
 		return nil, result.New(result.AnswerCutShort, "the unit is no longer waited for")
 	}
-	return nil, f(p.Bytes)
+	defer h.running.Done()
+	return nil, h.pass(p.Bytes)
 }
 
 func (r *Router) serveAbandon(_ context.Context, _ string, params json.RawMessage) (any, error) {
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -49,7 +49,7 @@
 	// remoteUnits records where units of this instance's callers run at other instances.
 	remoteUnits map[string]remoteUnit
 	// partialHandlers receive the chunks of large answers that peers send, by unit ID.
-	partialHandlers map[string]func([]byte) error
+	partialHandlers map[string]*partialHandler
 }
 
 // NewRouter returns a Router for the instance self, whose peer address is address.
@@ -64,7 +64,7 @@
 		groups:          make(map[string]*Group),
 		retiring:        make(map[string]*Group),
 		remoteUnits:     make(map[string]remoteUnit),
-		partialHandlers: make(map[string]func([]byte) error),
+		partialHandlers: make(map[string]*partialHandler),
 	}
 	r.interrupted, r.interrupt = context.WithCancel(context.Background())
 	return r
