Bound a unit of another instance by its timeout also while its answer is sent in chunks

Callers of other instances would find a home with fewer slots and connections than it should have, down to none. An instance hangs, with its connections open, while it is sent large answers for its callers. Each of these units held its slot, its connection to the member and its place among the units that a stop or a retirement waits for, as long as the hang lasted. Only PostgreSQL callers, for the line protocol buffers whole answers.

Cause: the call that passes a chunk on had the context of the peer's connection, which has no deadline; the deadline of the unit did not reach it, nor did that of the statement, which bounds only the connection to the member. The whole unit is now bounded by the time after which its own instance gives it up. A transaction that it opens later than that is rolled back like that of a lost peer.

Ruled out: a machine that is gone. Its connections fail within seconds, and that ends the call.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -156,12 +156,16 @@
 		return nil, result.New(result.Draining, "instance %s", r.selfID)
 	}
 	defer r.finishPeerUnit()
+	// Chunks of the answer are not bounded otherwise: a peer that hangs accepts none of them and
+	// keeps its connection open. It gives the unit up after the same time.
+	ctx, cancel := context.WithTimeout(ctx, u.Timeout+forwardGrace)
+	defer cancel()
 	reply, err := r.executeForPeer(ctx, u)
 	if err != nil {
 		return nil, err
 	}
 	if ctx.Err() != nil && reply.Transaction != "" {
-		// The peer's connection was lost, so no caller learns that the transaction is open.
+		// The peer is lost or has given the unit up, so no caller learns that the transaction is open.
 		r.AbandonTransaction(u.Group, reply.Transaction)
 	}
 	return reply, nil
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -39,6 +39,8 @@
 	// statement leaves a transaction open.
 	failsUntil       time.Time
 	opensTransaction bool
+	// chunk is passed on before the answer ends; nil means that the answer has no chunks.
+	chunk []byte
 	// statements counts the statements that reached the member; required is the log position
 	// that the last one required.
 	statements int
@@ -95,6 +97,11 @@
 	m := *c.cluster.members[c.address]
 	c.cluster.mu.Unlock()
 	_ = clock.Sleep(context.Background(), clock.System{}, m.delay)
+	if m.chunk != nil {
+		if err := x.Partial(m.chunk); err != nil {
+			return err
+		}
+	}
 	x.TxStatus, x.Failure = wire.Idle, m.failure
 	if !m.failsUntil.IsZero() && !time.Now().Before(m.failsUntil) {
 		x.Failure = nil
