Roll back peers' transactions when a drain times out

A home whose drain has timed out waits for its open transactions, also for those of other instances' callers that are idle.

An answer that a member has given to a peer's unit is also sent on in chunks after the cut-off: the context that ends then no longer bounds the chunks.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -171,19 +171,21 @@
 	return reply, nil
 }
 
-// executeForPeer runs a unit for a peer until InterruptUnits ends it.
+// executeForPeer runs a unit for a peer until InterruptUnits ends it. An answer that a member has
+// given is passed on all the same.
 func (r *Router) executeForPeer(ctx context.Context, u *execution.Unit) (*execution.Reply, error) {
+	partial := r.partialSender(ctx, u)
 	ctx, cancel := r.withInterrupt(ctx)
 	defer cancel()
 	if u.Transaction != "" {
-		return r.executeInTransaction(ctx, u, r.partialSender(ctx, u))
+		return r.executeInTransaction(ctx, u, partial)
 	}
 	g := r.acquireGroup(u.Group)
 	if g == nil {
 		return nil, result.New(result.NotReady, "this instance is not home to group %s", u.Group)
 	}
 	defer g.finishUnit()
-	reply, err := r.executeAtHome(ctx, g, u, r.partialSender(ctx, u))
+	reply, err := r.executeAtHome(ctx, g, u, partial)
 	return reply, r.interruptError(err)
 }
 
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -259,6 +259,17 @@
 	}
 }
 
+// AbandonTransactions rolls back all open transactions.
+func (r *Router) AbandonTransactions() {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, groups := range []map[string]*Group{r.groups, r.retiring} {
+		for _, g := range groups {
+			g.AbandonTransactions()
+		}
+	}
+}
+
 // beginPeerUnit counts a unit of a peer, or returns false if the unit must be refused.
 func (r *Router) beginPeerUnit(u *execution.Unit) bool {
 	r.mu.Lock()
