Answer a unit before the rollback of its unused transaction

The rollback now follows in the background, as the one of an abandoned transaction does; connection and slot are released behind it, so that nobody gets a connection with an open transaction and the limits hold.

--- a/internal/executor/complete.go
+++ b/internal/executor/complete.go
@@ -19,8 +19,7 @@
 	}
 	if err := g.primaryRefusal(p, x); err != nil {
 		x.verification.Cancel()
-		g.rollBackAndRelease(x)
-		releaseSlot(slot)
+		g.rollBackAndRelease(x, slot)
 		return nil, err
 	}
 	if x.TxStatus != wire.Idle {
@@ -83,13 +82,20 @@
 	}
 }
 
-// rollBackAndRelease returns a connection to the pool when its answer is not used. It rolls back
-// the transaction that the unit may have opened.
-func (g *Group) rollBackAndRelease(x *exchange) {
-	if x.TxStatus != wire.Idle {
-		g.rollBack(x.conn)
+// rollBackAndRelease returns a connection to the pool, and a slot that is not nil, when the answer
+// is not used. It first rolls back the transaction that the unit may have opened. The unit does not
+// wait for that: a member that stops answering would delay the answer past the unit's deadline.
+func (g *Group) rollBackAndRelease(x *exchange, slot *admission.Slot) {
+	if x.TxStatus == wire.Idle {
+		g.Pool.Release(x.conn)
+		releaseSlot(slot)
+		return
 	}
-	g.Pool.Release(x.conn)
+	g.pendingRollbacks.Go(func() {
+		g.rollBack(x.conn)
+		g.Pool.Release(x.conn)
+		releaseSlot(slot)
+	})
 }
 
 // openTransactionAtPrimary keeps the transaction that the unit opened. If the unit is a fresh
@@ -97,8 +103,7 @@
 func (g *Group) openTransactionAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, slot *admission.Slot) (*execution.Reply, error) {
 	if x.verification != nil && u.ReadOnly {
 		if err := g.awaitVerification(ctx, p, x); err != nil {
-			g.rollBackAndRelease(x)
-			releaseSlot(slot)
+			g.rollBackAndRelease(x, slot)
 			return nil, err
 		}
 	}
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -114,7 +114,8 @@
 		slot.MarkNotExecuted()
 	}
 	if err := g.memberRefusal(x); err != nil {
-		g.rollBackAndRelease(x)
+		keepSlot = true
+		g.rollBackAndRelease(x, slot)
 		return nil, false, err
 	}
 	if x.TxStatus != wire.Idle {
