Roll back an abandoned transaction without its lock

A statement that arrived during the rollback of its idle transaction waited for the lock until the rollback had ended, up to 1 s at a member that no longer answers, whatever its deadline, and past the time that a stop leaves for final replies. The transaction is now detached under its lock and rolled back without it, so that the statement is told at once that the transaction is lost.

Now, in one run each:

go test ./platform -run 'AtTheCutOff|TestStatementsAround|Transaction|Idle' ok go test ./internal/executor ok

--- a/internal/executor/endtransaction.go
+++ b/internal/executor/endtransaction.go
@@ -3,17 +3,31 @@
 import "github.com/topazrock/topazrock/internal/wire"
 
 // endTransaction returns the transaction's connection to the pool. With discardConn the
-// connection is closed, which makes the member roll the transaction back.
+// connection is closed, which makes the member roll the transaction back. tx.mu must be held.
 func (g *Group) endTransaction(tx *transaction, discardConn bool) {
-	if tx.ended {
+	if !g.detachTransaction(tx) {
 		return
 	}
-	tx.ended = true
-	g.transactions.remove(tx.id)
-	tx.verification.Cancel()
 	if discardConn {
 		tx.conn.MarkUnusable()
 	}
+	g.releaseTransaction(tx)
+}
+
+// detachTransaction makes further units of a transaction fail. It returns false if the transaction
+// has ended before. tx.mu must be held.
+func (g *Group) detachTransaction(tx *transaction) bool {
+	if tx.ended {
+		return false
+	}
+	tx.ended = true
+	g.transactions.remove(tx.id)
+	tx.verification.Cancel()
+	return true
+}
+
+// releaseTransaction returns the connection and the slot of a detached transaction.
+func (g *Group) releaseTransaction(tx *transaction) {
 	g.Pool.Release(tx.conn)
 	if tx.slot != nil {
 		tx.slot.Release()
@@ -21,7 +35,8 @@
 }
 
 // AbandonTransaction implements execution.Executor. The connection is kept, because opening a new one costs
-// the member more than the rollback.
+// the member more than the rollback. The rollback does not hold tx.mu: a unit that arrives
+// meanwhile is refused at once, however long the member takes.
 func (g *Group) AbandonTransaction(_, id string) {
 	tx := g.transactions.find(id)
 	if tx == nil {
@@ -29,12 +44,13 @@
 	}
 	g.pendingRollbacks.Go(func() {
 		tx.mu.Lock()
-		defer tx.mu.Unlock()
-		if tx.ended {
+		detached := g.detachTransaction(tx)
+		tx.mu.Unlock()
+		if !detached {
 			return
 		}
 		g.rollBack(tx.conn)
-		g.endTransaction(tx, false)
+		g.releaseTransaction(tx)
 	})
 }
 
