Refuse new units of peers as soon as a stopping home refuses callers

Callers of an instance that stays saw an unknown outcome for a write that reached a stopping home 0.53 s before its cut-off and took 0.7 s at its member, though another home could have run it. Cause: new units of peers were refused 0.5 s before the cut-off, whatever time they may take. They are now refused from the end of the linger on, as before at a home whose own callers have left by then; peers try another home, and pass this one over from then on.

--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -18,9 +18,6 @@
 	defaultCloseTimeout = 2 * time.Second
 	// peerLinger is how long peers are still answered after the drain.
 	peerLinger = 500 * time.Millisecond
-	// peerRefusalLead is how long before the drain times out new units of peers are refused.
-	// It leaves a usual statement time to end; a unit that is refused runs at another home.
-	peerRefusalLead = 500 * time.Millisecond
 )
 
 // drain waits until the running requests of callers and peers have ended. Those that are still
@@ -34,11 +31,12 @@
 	defer cancelRunning()
 	replied, cancelReplied := context.WithTimeout(context.Background(), timeout+callers.FinalReplyTimeout)
 	defer cancelReplied()
-	refusal := n.options.Clock.AfterFunc(timeout-peerRefusalLead, n.router.RefusePeerUnits)
-	defer refusal.Stop()
 	// Callers still connect, and peers still send units, until the balancer has noticed
 	// that the instance is not ready.
 	_ = clock.Sleep(running, n.options.Clock, limits.Linger)
+	// From now on, new units of peers run at other homes, however long this instance's own
+	// callers still take: a unit that came late would be interrupted when the drain times out.
+	n.router.RefusePeerUnits()
 	if !n.protocol.MembersLimitConnections {
 		n.members.SetDraining()
 	}
