Close the connections of transactions that nobody can end when a home stops

An instance that stopped while a caller of another instance had a transaction open at it took 2 s longer to stop, the whole time for stopping a home. Where the drain has used its 5 s, that is more than the 1 s that the platform leaves until it kills the process, and the kill cuts what the instance still answers and relays for others.

Cause: as the instance leaves the list it retires its homes, and the router forgets their groups. Open transactions could not be ended from then on, but their connections were waited for. Their connections are now closed instead, which rolls back as well: they are closed a moment later in any case.

The callers of such transactions are told that their transaction is lost, as before.

--- a/internal/executor/endtransaction.go
+++ b/internal/executor/endtransaction.go
@@ -54,10 +54,16 @@
 	})
 }
 
-// AbandonTransactions rolls back all open transactions. Their callers are told at their next unit.
-func (g *Group) AbandonTransactions() {
+// DiscardTransactions closes the connections of all open transactions, which makes the members
+// roll back. It is for a group whose connections are closed anyway: a rollback at a member that
+// hangs would delay that by rollbackTimeout. The callers are told at their next unit.
+func (g *Group) DiscardTransactions() {
 	for _, tx := range g.transactions.all() {
-		g.AbandonTransaction(g.Group, tx.id)
+		g.pendingRollbacks.Go(func() {
+			tx.mu.Lock()
+			defer tx.mu.Unlock()
+			g.endTransaction(tx, true)
+		})
 	}
 }
 
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -164,7 +164,7 @@
 	}
 	n.router.RemoveGroup(h.executor)
 	// No unit finds the group any more, so nothing else would end its transactions.
-	h.executor.AbandonTransactions()
+	h.executor.DiscardTransactions()
 	n.stopHome(ctx, h)
 	n.mu.Lock()
 	delete(n.stopping, h.group.Name)
@@ -193,7 +193,7 @@
 			return
 		}
 		// A unit that was still running may have opened another transaction.
-		h.executor.AbandonTransactions()
+		h.executor.DiscardTransactions()
 	}
 }
 
