--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -259,13 +259,13 @@
 	}
 }
 
-// AbandonTransactions rolls back all open transactions.
-func (r *Router) AbandonTransactions() {
+// DiscardTransactions closes the connections of all open transactions.
+func (r *Router) DiscardTransactions() {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, groups := range []map[string]*Group{r.groups, r.retiring} {
 		for _, g := range groups {
-			g.AbandonTransactions()
+			g.DiscardTransactions()
 		}
 	}
 }
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -59,14 +59,14 @@
 // drainPeers waits for the units and transactions of peers. When running ends, the remaining units
 // are interrupted and have until replied ends to return their outcome: closing the connections at
 // once would leave the outcome of a unit unknown that was not even sent. The transactions are
-// rolled back, since nothing else gives their connections back before the process ends.
+// discarded, since nothing else gives their connections back before the process ends.
 func (n *Instance) drainPeers(running, replied context.Context) error {
 	err := n.router.Drain(running)
 	if err == nil {
 		return nil
 	}
 	n.router.InterruptUnits()
-	n.router.AbandonTransactions()
+	n.router.DiscardTransactions()
 	_ = n.router.Drain(replied)
 	return err
 }
