Answer callers that connect to an instance until its process has ended

Callers that connected as a stop ended, after a drain that timed out, saw a reset in place of the refusal that makes them connect elsewhere. The listener is now closed at the cut-off, and the end of the process waits until rejected connections are closed, within the close timeout.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/result"
+	"github.com/topazrock/topazrock/internal/waitlist"
 )
 
 // Session serves one caller.
@@ -64,13 +65,17 @@
 	mu       sync.Mutex
 	sessions map[Session]net.Conn
 	draining bool
+	// rejecting counts the rejected connections that are not closed yet; rejected is notified when
+	// it decreases.
+	rejecting int
+	rejected  *waitlist.Signal
 	// drained is closed when the server is draining and the last session has ended.
 	drained chan struct{}
 }
 
 // New returns a Server. It accepts callers once Serve is called.
 func New(c Config) *Server {
-	s := &Server{config: c, sessions: make(map[Session]net.Conn), drained: make(chan struct{})}
+	s := &Server{config: c, sessions: make(map[Session]net.Conn), drained: make(chan struct{}), rejected: waitlist.NewSignal()}
 	s.unitContext, s.cancelUnits = context.WithCancel(context.Background())
 	return s
 }
@@ -92,8 +97,7 @@
 func (s *Server) serve(conn net.Conn) {
 	session, refusal := s.register(conn)
 	if refusal != nil {
-		s.config.RejectConnection(conn, refusal)
-		lingeringClose(conn, s.config.Clock.Now())
+		s.reject(conn, refusal)
 		return
 	}
 	defer s.unregister(session)
@@ -101,15 +105,33 @@
 	lingeringClose(conn, s.config.Clock.Now())
 }
 
-// register opens and adds the session of a connection. It returns an error if the
-// server is draining or has reached the maximum number of callers.
+// reject tells a caller why its connection is rejected, and closes the connection.
+func (s *Server) reject(conn net.Conn, refusal *result.Error) {
+	s.config.RejectConnection(conn, refusal)
+	lingeringClose(conn, s.config.Clock.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejecting--
+	s.rejected.Notify()
+}
+
+// WaitForRejected returns when all rejected connections are closed, or the error of ctx if ctx ends
+// first. A process that ends earlier resets them, and the reset can overtake the rejection.
+func (s *Server) WaitForRejected(ctx context.Context) error {
+	return s.rejected.Wait(ctx, &s.mu, func() bool { return s.rejecting == 0 })
+}
+
+// register opens and adds the session of a connection. It returns an error, and counts the
+// connection as rejected, if the server is draining or has reached the maximum number of callers.
 func (s *Server) register(conn net.Conn) (Session, *result.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
+		s.rejecting++
 		return nil, result.New(result.Draining, "connect again")
 	}
 	if len(s.sessions) >= s.config.MaxCallers {
+		s.rejecting++
 		return nil, result.New(result.TooManyCallers, "at most %d", s.config.MaxCallers).WithRetryAfter(RetryAfterRejection)
 	}
 	session := s.config.OpenSession(conn)
--- a/internal/instance/protocol.go
+++ b/internal/instance/protocol.go
@@ -68,6 +68,8 @@
 	Drain(ctx context.Context) error
 	// Draining reports whether Drain has begun.
 	Draining() bool
+	// WaitForRejected returns when all rejected connections are closed, or when ctx ends.
+	WaitForRejected(ctx context.Context) error
 	// Close stops the goroutines that serve sessions. It is called after Drain.
 	Close()
 }
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -40,15 +40,15 @@
 	if !n.protocol.MembersLimitConnections {
 		n.members.SetDraining()
 	}
-	// From now on, callers that connect are told to use another instance; the listener is
-	// closed last.
+	// From now on, callers that connect are told to use another instance, and later find no
+	// listener.
 	err := n.callers.Drain(running)
+	callerListener.Close()
 	// Where every instance is a home, SetDraining is called only now: until here this
 	// instance serves its remaining callers itself, because forwarding their last
 	// statements would open connections at other homes.
 	n.members.SetDraining()
 	err = errors.Join(err, n.drainPeers(running, replied))
-	callerListener.Close()
 	// Peers that still send units are told to use another instance; closing the
 	// connections at once would lose the units in flight.
 	_ = clock.Sleep(replied, n.options.Clock, peerLinger)
@@ -98,6 +98,7 @@
 	stop()
 	n.progress.run("wait for reconciliation", n.reconciling.Wait)
 	n.stopHomes(ctx)
+	n.progress.run("wait for rejected callers", func() { _ = n.callers.WaitForRejected(ctx) })
 	n.progress.run("close callers", n.callers.Close)
 	n.progress.run("withdraw entry", func() { n.withdrawEntry(ctx) })
 	peers.Close()
