Close a peer connection whose dial ends after the client was closed

Callers saw nothing: the connection stayed open until the process ended, which follows. In a process that goes on, as in tests, it stayed for good, with its two goroutines. Found by reading.

Cause: closing the client cancels dials, but one that has just succeeded still put its connection into the link. The link now knows that it is closed, closes such a connection, and tells its calls that nothing was sent.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -14,6 +14,8 @@
 	connection *connection
 	// pending is the dial in progress; nil if there is none.
 	pending *pendingDial
+	// closed reports that the client was closed.
+	closed bool
 }
 
 // pendingDial is a dial in progress.
@@ -60,6 +62,10 @@
 	defer l.mu.Unlock()
 	defer close(d.done)
 	l.pending = nil
+	if err == nil && l.closed {
+		conn.Close()
+		err = net.ErrClosed
+	}
 	d.err = err
 	if err == nil {
 		l.connection = newConnection(conn)
@@ -76,6 +82,7 @@
 	l.mu.Lock()
 	c := l.connection
 	l.connection = nil
+	l.closed = true
 	l.mu.Unlock()
 	if c != nil {
 		c.rpc.Close()
