Return the retry token of a retry that is not made

Callers would see reads refused with "retry budget spent" that another replica could have answered. The budget is spent by retries that are reserved and then not made: a write to a member that cannot be reached reserves one and then waits in vain for a primary, or a request ends within the pause before its retry. The loss is bounded, as each request earns a tenth of a token.

Cause: the token was taken at the reservation and never returned. The metric of retries still counts the reservation.

--- a/internal/executor/retries.go
+++ b/internal/executor/retries.go
@@ -95,7 +95,14 @@
 	case result.UpstreamUnreachable:
 		deadline, _ := ctx.Deadline()
 		a := retry.Attempt{Number: attempt, Reason: retry.Unreachable, RetryAfter: e.RetryAfter, Deadline: deadline}
-		return g.Budget.Wait(ctx, a) == nil && g.awaitPrimary(ctx, p)
+		if g.Budget.Wait(ctx, a) != nil {
+			return false
+		}
+		if !g.awaitPrimary(ctx, p) {
+			g.Budget.ReturnRetry()
+			return false
+		}
+		return true
 	default:
 		return false
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -77,11 +77,19 @@
 		return refusal
 	}
 	if err := clock.Sleep(ctx, b.cfg.Clock, pause); err != nil {
+		b.ReturnRetry()
 		return result.New(result.DeadlineTooShort, "gave up before a retry: %s", a.Reason).WithCause(err)
 	}
 	return nil
 }
 
+// ReturnRetry returns the token of a reserved retry that is not made after all.
+func (b *Budget) ReturnRetry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addTokens(1)
+}
+
 // addTokens adds tokens, up to the maximum. A negative number removes them.
 func (b *Budget) addTokens(tokens float64) {
 	b.tokens = min(b.tokens+tokens, b.cfg.Burst)
