Give the slot of a refused request key back

Callers see nothing today: a slot is kept by a transaction only where a slot stands for a connection, and the one protocol that has that has no request keys. Where both meet, each unit that opens a transaction and whose key is refused kept one slot of its member for good. Found by reading.

Cause: this one way out of a unit at the primary neither released the slot nor cancelled the verification of a fresh read; all others do.

--- a/internal/executor/complete.go
+++ b/internal/executor/complete.go
@@ -15,6 +15,8 @@
 // outcome. slot is passed on to an open transaction; it is nil if the slot was already released.
 func (g *Group) completeAtPrimary(ctx context.Context, u *execution.Unit, p plan, x *exchange, slot *admission.Slot) (*execution.Reply, error) {
 	if x.KeyFailure != nil {
+		x.verification.Cancel()
+		releaseSlot(slot)
 		return nil, g.keyInsertFailed(ctx, u, x)
 	}
 	if err := g.primaryRefusal(p, x); err != nil {
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -41,6 +41,8 @@
 	opensTransaction bool
 	// chunk is passed on before the answer ends; nil means that the answer has no chunks.
 	chunk []byte
+	// keyFailure is the refusal of request keys; nil means that none is refused.
+	keyFailure *wire.Failure
 	// statements counts the statements that reached the member; required is the log position
 	// that the last one required.
 	statements int
@@ -102,7 +104,7 @@
 			return err
 		}
 	}
-	x.TxStatus, x.Failure = wire.Idle, m.failure
+	x.TxStatus, x.Failure, x.KeyFailure = wire.Idle, m.failure, m.keyFailure
 	if !m.failsUntil.IsZero() && !time.Now().Before(m.failsUntil) {
 		x.Failure = nil
 	}
