--- a/internal/admission/late_test.go
+++ b/internal/admission/late_test.go
@@ -48,6 +48,7 @@
 		c.classState("read").serviceTime = work
 		c.mu.Unlock()
 		time.Sleep(2 * deadline)
+		synctest.Wait()
 		close(refusedAfter)
 		refused := 0
 		for after := range refusedAfter {
