End a call to a peer with its context while the peer does not read

A caller whose statement is passed on to a peer that does not read waited up to 2 s longer than its context, for the write and for the writes of other calls before it. As a drain times out, 250 ms are left for its answer: its connection would be closed without one. The write now goes on by itself and the call ends; its outcome is unknown, since the message may still be written.

Before, in TestCallEndsWithItsContextWhileThePeerDoesNotRead: 2s != 100ms. Now it passes, with the package's tests, 3 times with the race detector.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -79,15 +79,32 @@
 	return c.link(address).beginCall(ctx, func() (net.Conn, error) { return c.dial(address) })
 }
 
-// send writes one call and waits for its response. A failed write proves that the peer
-// did not process the call: it reads whole messages only, and the end of this one was
-// never passed to the network.
+// send writes one call and waits for its response until ctx ends. A failed write proves that the
+// peer did not process the call: it reads whole messages only, and the end of this one was
+// never passed to the network. If ctx ends first, the call may still be written.
 func send(ctx context.Context, conn *jsonrpc2.Conn, method string, params, reply any) error {
-	waiter, err := conn.DispatchCall(ctx, method, params)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	dispatched := make(chan dispatch, 1)
+	// A peer that does not read blocks the write, and those of other calls behind it, for
+	// longer than a caller may wait.
+	go func() {
+		waiter, err := conn.DispatchCall(ctx, method, params)
+		dispatched <- dispatch{waiter, err}
+	}()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case d := <-dispatched:
+		if d.err != nil {
+			return fmt.Errorf("%w: %w", ErrNotSent, d.err)
+		}
+		return d.waiter.Wait(ctx, reply)
 	}
-	return waiter.Wait(ctx, reply)
+}
+
+// dispatch is the outcome of writing a call.
+type dispatch struct {
+	waiter jsonrpc2.Waiter
+	err    error
 }
 
 // dial opens a connection. Several calls wait for it, so it does not use the context of
