Use a home again once its shutdown is over

Callers of instances that forward units saw more refusals while instances were stopped and started in turn, since a stopping home refuses new units of peers for all of its drain. Cause: a home that had said that it drains was tried last for a minute, where a stop takes 5.75 s at most; the others served its callers meanwhile. It is now tried last for the longest time that a shutdown takes by the instance's own settings.

--- a/internal/executor/avoidedhomes.go
+++ b/internal/executor/avoidedhomes.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// avoidDrainingFor is how long a home that reported that it is draining is tried last. It
-	// is longer than a graceful shutdown takes.
-	avoidDrainingFor = time.Minute
+	// defaultShutdownTime is how long a home that reported that it is draining is tried last,
+	// unless SetShutdownTime sets another time.
+	defaultShutdownTime = time.Minute
 	// avoidUnreachableFor is how long an unreachable home is tried last. An attempt delays
 	// units by a quarter of a second, so a dead home delays at most one in eight.
 	avoidUnreachableFor = 2 * time.Second
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if e, ok := result.As(err); ok && e.Code == result.Draining {
-		r.avoidedHomes.add(home.ID, now.Add(avoidDrainingFor))
+		r.avoidedHomes.add(home.ID, now.Add(r.shutdownTime))
 	}
 }
 
--- a/internal/executor/router.go
+++ b/internal/executor/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/execution"
@@ -33,6 +34,8 @@
 	metrics      *Metrics
 	clock        clock.Clock
 	avoidedHomes avoidedHomes
+	// shutdownTime is the longest time that a graceful shutdown of an instance takes.
+	shutdownTime time.Duration
 
 	mu     sync.RWMutex
 	groups map[string]*Group
@@ -61,6 +64,7 @@
 		peerClient:      c,
 		metrics:         m,
 		clock:           k,
+		shutdownTime:    defaultShutdownTime,
 		groups:          make(map[string]*Group),
 		retiring:        make(map[string]*Group),
 		remoteUnits:     make(map[string]remoteUnit),
@@ -70,6 +74,11 @@
 	return r
 }
 
+// SetShutdownTime sets the longest time that a graceful shutdown of an instance takes. A home that
+// reported that it is draining is tried last for this time, and not longer: it may have returned.
+// It must be called before units run.
+func (r *Router) SetShutdownTime(d time.Duration) { r.shutdownTime = d }
+
 // AddGroup makes this instance run the units of a group itself.
 func (r *Router) AddGroup(g *Group) {
 	r.mu.Lock()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -151,6 +151,7 @@
 		n.protocol = *o.Protocol
 	}
 	n.router = executor.NewRouter(s.Instance.ID, s.Peer.Address, homeLookup{n.members}, n.client, o.Clock, n.metrics.executor)
+	n.router.SetShutdownTime(n.shutdownTime())
 	n.router.Register(n.peers)
 	n.quotaGuard = n.newQuotaGuard()
 	n.callers = n.protocol.Callers(CallerServerConfig{
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -20,13 +20,27 @@
 	peerLinger = 500 * time.Millisecond
 )
 
+func (n *Instance) drainTimeout() time.Duration {
+	return cmp.Or(n.options.Settings.Drain.Timeout, defaultDrainTimeout)
+}
+
+func (n *Instance) closeTimeout() time.Duration {
+	return cmp.Or(n.options.Settings.Drain.CloseTimeout, defaultCloseTimeout)
+}
+
+// shutdownTime returns the longest time that a graceful shutdown takes. Other instances are
+// expected to have the same settings.
+func (n *Instance) shutdownTime() time.Duration {
+	return n.drainTimeout() + callers.FinalReplyTimeout + n.closeTimeout()
+}
+
 // drain waits until the running requests of callers and peers have ended. Those that are still
 // running when the drain times out are interrupted, and the callers and peers get the outcome.
 func (n *Instance) drain(callerListener net.Listener) error {
 	n.options.Logger.Info("Drain begins.")
 	n.draining.Store(true)
 	limits := n.options.Settings.Drain
-	timeout := cmp.Or(limits.Timeout, defaultDrainTimeout)
+	timeout := n.drainTimeout()
 	running, cancelRunning := context.WithTimeout(context.Background(), timeout)
 	defer cancelRunning()
 	replied, cancelReplied := context.WithTimeout(context.Background(), timeout+callers.FinalReplyTimeout)
@@ -76,8 +90,7 @@
 // longer to stop than it allows, so a member or a peer that does not answer must not delay the
 // end: the remaining connections are closed with the process.
 func (n *Instance) shutdown(peers net.Listener, stop context.CancelFunc) {
-	timeout := cmp.Or(n.options.Settings.Drain.CloseTimeout, defaultCloseTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.closeTimeout())
 	defer cancel()
 	ended := make(chan struct{})
 	go func() {
