Resume from the other reader when one's history is too short

Callers of large failure domains saw instances that were slow to take changes after a start: followers listed all objects again, the links of the readers were saturated, and the followers turned to the platform.

Cause: the two readers of a failure domain list at different moments. An object that changes between the two lists makes the list of the first reader older than the history of the second. Followers get their first list through the relay tree from one reader and watch the one that comes first in their own order. Where that is the other reader, it replied that the revision was compacted, and the follower listed everything again from it, although the first reader could have told it the one change.

A follower whose revision is compacted for one reader now asks the other, first with a call that does not wait, so that a dead reader delays the new list by readerTimeout at most. Checks do the same. It lists again only if neither reader can resume. This also covers a reader that takes the place of another one while objects change: its history begins with its own list.

--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -147,10 +147,16 @@
 
 // Watch implements platform.API.
 func (a *SharedAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
+	req := request{Kind: a.kind, After: after}
+	var answering platform.Instance
 	watch := func(ctx context.Context, reader platform.Instance) (response, bool) {
-		return a.askReader(ctx, reader, methodAfter, request{Kind: a.kind, After: after}, longPollWait+longPollGrace)
+		answering = reader
+		return a.watchReader(ctx, reader, req)
 	}
 	got, err := a.askReaders(ctx, watch)
+	if err == nil && got.Compacted {
+		got = a.resumeElsewhere(ctx, answering, req)
+	}
 	if err == nil {
 		return watchResult(got, after)
 	}
@@ -207,18 +213,31 @@
 }
 
 // ChangesSince implements Peers. It asks the readers in this failure domain, and then one in
-// another failure domain if none of them answers.
+// another failure domain if none of them answers. Its error is platform.ErrCompacted if the
+// history of none of those that answer reaches back to the revision.
 func (a *SharedAPI) ChangesSince(ctx context.Context, after int64) ([]platform.Object, int64, error) {
 	readers := a.sharing.readers()
 	if len(readers) == 0 {
 		return nil, after, errNoReader
 	}
 	req := request{Kind: a.kind, After: after}
-	for _, reader := range append(a.sharing.responsive(readers), a.sharing.pickFallbackReaders(1)...) {
+	since := func(ctx context.Context, reader platform.Instance) (response, bool) {
 		got, ok := a.askReader(ctx, reader, methodSince, req, readerTimeout)
-		if ok && a.freshEnough(got) {
+		return got, ok && a.freshEnough(got)
+	}
+	compacted := false
+	for _, reader := range a.sharing.responsive(readers) {
+		got, ok := since(ctx, reader)
+		if ok && !got.Compacted {
 			return watchResult(got, after)
 		}
+		compacted = compacted || ok
+	}
+	if compacted {
+		return nil, after, platform.ErrCompacted
+	}
+	if got, ok := a.askFallbackReaders(ctx, 1, since); ok {
+		return watchResult(got, after)
 	}
 	return nil, after, errFeedUnavailable
 }
