Log and count lists that are ignored and watches that cannot resume

Now a series of ignored lists is logged once, with both revisions, and its end with its length; a compacted revision is logged once for each revision. Both are counted by kind, and a gauge holds the revision of the last list.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -124,7 +124,7 @@
 func (d *Directory) newFollower(c objectwatch.Config) *objectwatch.Follower {
 	if d.sharing != nil {
 		api := d.sharing.API(c.Kind, c.CheckInterval+listAgeMargin)
-		c.API, c.Peers = api, api
+		c.API, c.Peers, c.Metrics = api, api, d.sharing.Metrics
 	}
 	return objectwatch.New(c)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -131,11 +131,12 @@
 	})
 	sharing := objectwatch.NewSharing(objectwatch.SharingConfig{
 		API: o.Platform, Fleet: n.members, Caller: n.client, Clock: o.Clock, Rand: n.random("objectwatch"), Log: o.Logger,
+		Metrics: n.metrics.objectwatch,
 	}, n.peers)
 	if o.SelfRegister {
 		n.registry = registry.New(registry.Config{
 			API: o.Platform, EntriesAPI: sharing.API(platform.KindInstances, 0), Self: n.self(), InstanceSink: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
-			Peers: n.client,
+			Peers: n.client, WatchMetrics: n.metrics.objectwatch,
 		})
 		n.registry.RegisterHandlers(n.peers)
 	}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/failover"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/membership"
+	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/pool"
 	"github.com/topazrock/topazrock/internal/quota"
@@ -17,31 +18,33 @@
 
 // metrics holds the metrics of every component, registered once per instance.
 type metrics struct {
-	admission  *admission.Metrics
-	config     *config.Metrics
-	executor   *executor.Metrics
-	failover   *failover.Metrics
-	group      *group.Metrics
-	membership *membership.Metrics
-	peer       *peer.Metrics
-	pool       *pool.Metrics
-	quota      *quota.Metrics
-	retry      *retry.Metrics
-	shares     *shares.Metrics
+	admission   *admission.Metrics
+	config      *config.Metrics
+	executor    *executor.Metrics
+	failover    *failover.Metrics
+	group       *group.Metrics
+	membership  *membership.Metrics
+	objectwatch *objectwatch.Metrics
+	peer        *peer.Metrics
+	pool        *pool.Metrics
+	quota       *quota.Metrics
+	retry       *retry.Metrics
+	shares      *shares.Metrics
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
 	return &metrics{
-		admission:  admission.NewMetrics(r),
-		config:     config.NewMetrics(r),
-		executor:   executor.NewMetrics(r),
-		failover:   failover.NewMetrics(r),
-		group:      group.NewMetrics(r),
-		membership: membership.NewMetrics(r),
-		peer:       peer.NewMetrics(r),
-		pool:       pool.NewMetrics(r),
-		quota:      quota.NewMetrics(r),
-		retry:      retry.NewMetrics(r),
-		shares:     shares.NewMetrics(r),
+		admission:   admission.NewMetrics(r),
+		config:      config.NewMetrics(r),
+		executor:    executor.NewMetrics(r),
+		failover:    failover.NewMetrics(r),
+		group:       group.NewMetrics(r),
+		membership:  membership.NewMetrics(r),
+		objectwatch: objectwatch.NewMetrics(r),
+		peer:        peer.NewMetrics(r),
+		pool:        pool.NewMetrics(r),
+		quota:       quota.NewMetrics(r),
+		retry:       retry.NewMetrics(r),
+		shares:      shares.NewMetrics(r),
 	}
 }
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -65,6 +65,8 @@
 	AllowStaleLists bool
 	// Peers, if set, is asked before each of these lists. If it responds, the list is skipped.
 	Peers Peers
+	// Metrics may be nil. All followers of an instance share one value.
+	Metrics *Metrics
 }
 
 // Follower follows the objects of one kind.
@@ -78,6 +80,10 @@
 	reachable bool
 	// delivered is the latest revision that was delivered to the sink.
 	delivered int64
+	// ignoredLists is how many lists in a row were older than delivered.
+	ignoredLists int
+	// compacted is the revision of the last watch that could not be resumed.
+	compacted int64
 	// failingSince is the time of the first failure since the last response; zero if there was
 	// none. lastAnswer is the time of the last response from the platform or a peer.
 	failingSince, lastAnswer time.Time
@@ -86,6 +92,9 @@
 // New returns a Follower. Call Run to start it.
 func New(c Config) *Follower {
 	c.Log = c.Log.Named("objectwatch").With("kind", c.Kind)
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics(nil)
+	}
 	return &Follower{Config: c}
 }
 
@@ -149,13 +158,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if revision < f.delivered {
-		f.Log.Debug("Ignored a list that is older than the known revision.", "revision", revision, "known", f.delivered)
+		f.ignoreList(revision)
 		return
 	}
+	if f.ignoredLists > 1 {
+		f.Log.Info("Lists are current again.", "revision", revision, "known", f.delivered, "ignored", f.ignoredLists)
+	}
+	f.ignoredLists = 0
 	f.delivered = revision
 	f.Sink.ApplyList(objects)
 }
 
+// ignoreList counts a list that is older than what was delivered. One such list is late; several
+// in a row show that the platform or a reader has an older state, which is logged once. The
+// caller holds f.mu.
+func (f *Follower) ignoreList(revision int64) {
+	f.ignoredLists++
+	f.Metrics.ignoredLists.WithLabelValues(string(f.Kind)).Inc()
+	if f.ignoredLists == 2 {
+		f.Log.Warn("Ignoring lists that are older than the known revision.", "revision", revision, "known", f.delivered)
+	}
+}
+
 // deliverChanges passes the changes up to a revision to the sink unless the sink already has
 // that revision. Late changes are part of what the sink has, and would revert later ones.
 func (f *Follower) deliverChanges(objects []platform.Object, revision int64) {
@@ -197,7 +221,7 @@
 		objects, next, err := f.API.Watch(ctx, f.Kind, revision)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
-			f.Log.Info("Revision was compacted; the objects are listed again.", "revision", revision)
+			f.recordCompaction(revision)
 			return
 		case errors.Is(err, errWatchExpired):
 			f.handleExpiredWatch()
@@ -216,6 +240,18 @@
 	}
 }
 
+// recordCompaction counts a watch that cannot be resumed, and logs it once for each revision.
+func (f *Follower) recordCompaction(revision int64) {
+	f.Metrics.compactions.WithLabelValues(string(f.Kind)).Inc()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.compacted == revision {
+		return
+	}
+	f.compacted = revision
+	f.Log.Info("Revision was compacted; the objects are listed again.", "revision", revision)
+}
+
 // markReachable records a response from the platform or a peer. Lists call it too, because a
 // watch returns only on a change or at its end, which may be half a minute after an outage.
 func (f *Follower) markReachable() {
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -78,6 +78,8 @@
 	// the lock of the Sharing and must not be shared.
 	Rand *rand.Rand
 	Log  hclog.Logger
+	// Metrics is for the followers of this instance; it may be nil.
+	Metrics *Metrics
 }
 
 // NewSharing returns a Sharing and registers its methods.
--- a/internal/platform/counted.go
+++ b/internal/platform/counted.go
@@ -28,6 +28,8 @@
 	API
 	calls *prometheus.CounterVec
 	bytes *prometheus.CounterVec
+	// revisions holds the revision of the last list of each kind.
+	revisions *prometheus.GaugeVec
 }
 
 // NewInstrumentedAPI wraps an API with counters and registers their metrics.
@@ -42,8 +44,12 @@
 			Name: "topazrock_platform_bytes_total",
 			Help: "Bytes of the values of objects that went to the platform's object API and came from it.",
 		}, []string{"kind", "verb", "direction"}),
+		revisions: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "topazrock_platform_revision",
+			Help: "Revision of the last list from the platform's object API.",
+		}, []string{"kind"}),
 	}
-	r.MustRegister(c.calls, c.bytes)
+	r.MustRegister(c.calls, c.bytes, c.revisions)
 	return c
 }
 
@@ -59,6 +65,12 @@
 	c.bytes.WithLabelValues(string(kind), verb, directionReceived).Add(float64(size))
 }
 
+func (c *InstrumentedAPI) recordRevision(kind Kind, revision int64, err error) {
+	if err == nil {
+		c.revisions.WithLabelValues(string(kind)).Set(float64(revision))
+	}
+}
+
 // Get implements API.
 func (c *InstrumentedAPI) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	c.countCall(kind, verbGet)
@@ -72,6 +84,7 @@
 	c.countCall(kind, verbList)
 	all, revision, err := c.API.List(ctx, kind)
 	c.countReceived(kind, verbList, all...)
+	c.recordRevision(kind, revision, err)
 	return all, revision, err
 }
 
@@ -80,6 +93,7 @@
 	c.countCall(kind, verbListStale)
 	all, revision, err := c.API.ListStale(ctx, kind)
 	c.countReceived(kind, verbListStale, all...)
+	c.recordRevision(kind, revision, err)
 	return all, revision, err
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -58,6 +58,8 @@
 	// Peers calls the other instances. If it is nil, entries of dead instances stay listed and
 	// a removed own entry is not restored.
 	Peers peer.Caller
+	// WatchMetrics may be nil.
+	WatchMetrics *objectwatch.Metrics
 }
 
 // Registry maintains the entry of one instance and follows those of the others.
@@ -103,7 +105,7 @@
 	}
 	objectwatch.New(objectwatch.Config{
 		API: r.EntriesAPI, Kind: platform.KindInstances, Sink: r, Clock: r.Clock, Log: r.Log,
-		Rand: random, WatchPause: watchPause,
+		Rand: random, WatchPause: watchPause, Metrics: r.WatchMetrics,
 	}).Run(ctx)
 }
 
