--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -26,8 +26,7 @@
 
 // Handler serves a store over the platform's published HTTP API, plus endpoints that
 // set its faults and inventory and report its call counts. When a fault loses the
-// response to a change, the connection is closed without a response. In this API, an
-// object's Revision is its platform.Object.Version, not the revision of the store.
+// response to a change, the connection is closed without a response.
 func Handler(s *Store) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.serveGet)
@@ -38,7 +37,9 @@
 	mux.HandleFunc("PUT /v1/inventory", s.serveSetInventory)
 	mux.HandleFunc("POST /v1/faults", s.serveFaults)
 	mux.HandleFunc("GET /v1/calls", func(w http.ResponseWriter, _ *http.Request) { writeReply(w, s.Calls(), nil) })
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
+	})
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -67,7 +67,7 @@
 }
 
 func toAPIObject(o platform.Object) object {
-	p := object{Meta: meta{Name: o.Name, Revision: o.Version}, Spec: o.Value}
+	p := object{Meta: meta{Name: o.Name, Revision: o.Revision}, Spec: o.Value}
 	if writtenExternally(o.Kind) {
 		return p
 	}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -22,8 +22,7 @@
 
 // collection holds the objects of one kind.
 type collection struct {
-	objects  map[string]platform.Object
-	revision int64
+	objects map[string]platform.Object
 	// compactedRevision is the oldest revision that a watch can start from.
 	compactedRevision int64
 }
@@ -32,7 +31,12 @@
 type Store struct {
 	hook atomic.Pointer[func(point string)]
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// revision is the revision of the last change of any object, era the number of the copy that
+	// the store runs from. undo reverts the latest changes.
+	revision  int64
+	era       int64
+	undo      []pastChange
 	kinds     map[platform.Kind]*collection
 	inventory []datedInventory
 	faults    Faults
@@ -46,6 +50,7 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
+		era:     firstEra,
 		kinds:   map[platform.Kind]*collection{},
 		calls:   map[Call]int{},
 		changed: make(chan struct{}),
@@ -86,7 +91,7 @@
 	defer s.mu.Unlock()
 	c := s.collectionFor(kind)
 	objects := slices.DeleteFunc(c.objectsAfter(0), func(o platform.Object) bool { return o.Removed })
-	return objects, c.revision, nil
+	return objects, s.revision, nil
 }
 
 // ListStale implements platform.API.
@@ -138,8 +143,9 @@
 	if o.Version != ifVersion || len(value) > platform.MaxValueSize {
 		return o, false, platform.ErrConflict
 	}
-	c.revision++
-	o = platform.Object{Kind: kind, Name: name, Version: ifVersion + 1, Revision: c.revision, Value: bytes.Clone(value)}
+	s.recordPastChange(kind, name)
+	s.revision++
+	o = platform.Object{Kind: kind, Name: name, Version: s.revision, Revision: s.revision, Value: bytes.Clone(value)}
 	c.objects[name] = o
 	responseLost = s.faults.LoseResponses > 0
 	if responseLost {
@@ -164,8 +170,9 @@
 	case o.Version != ifVersion:
 		return platform.ErrConflict
 	}
-	c.revision++
-	c.objects[name] = platform.Object{Kind: kind, Name: name, Version: o.Version + 1, Revision: c.revision, Removed: true}
+	s.recordPastChange(kind, name)
+	s.revision++
+	c.objects[name] = platform.Object{Kind: kind, Name: name, Version: s.revision, Revision: s.revision, Removed: true}
 	s.notifyWatchers()
 	return nil
 }
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -18,7 +18,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.collectionFor(kind)
-	c.compactedRevision = c.revision
+	c.compactedRevision = s.revision
 }
 
 // Watch implements platform.API. It waits at most ten seconds.
@@ -32,7 +32,11 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	era := s.Era()
 	for {
+		if s.Era() != era {
+			return nil, 0, platform.ErrUnavailable
+		}
 		objects, revision, changed, err := s.changesAfter(kind, after)
 		suppressEvents := s.Faults().SuppressWatchEvents
 		if err != nil || len(objects) > 0 && !suppressEvents {
@@ -58,10 +62,10 @@
 	switch {
 	case s.faults.Outage:
 		return nil, 0, nil, platform.ErrUnavailable
-	case after < c.compactedRevision || after > c.revision:
+	case after < c.compactedRevision || after > s.revision:
 		return nil, 0, nil, platform.ErrCompacted
 	}
-	return c.objectsAfter(after), c.revision, s.changed, nil
+	return c.objectsAfter(after), s.revision, s.changed, nil
 }
 
 // objectsAfter returns the objects changed after a revision, in order of their revisions.
