--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -35,7 +35,7 @@
 	// may still take effect. sentAtVersion is the object version on which that
 	// update is conditional.
 	inDoubt       bool
-	sentAtVersion int64
+	sentAtVersion platform.Revision
 }
 
 // Check validates a document as Apply does, without storing it. The error is a
--- a/internal/config/base.go
+++ b/internal/config/base.go
@@ -12,7 +12,7 @@
 	Envelope
 	// objectVersion is the version that the platform assigned to the object.
 	// Conditional updates refer to it.
-	objectVersion int64
+	objectVersion platform.Revision
 }
 
 // readBase reads a document from the platform. If the current version on this
@@ -39,7 +39,7 @@
 
 // putEnvelope stores an envelope if the object still has the version that was
 // read.
-func (s *Store) putEnvelope(ctx context.Context, name string, e Envelope, objectVersion int64) error {
+func (s *Store) putEnvelope(ctx context.Context, name string, e Envelope, objectVersion platform.Revision) error {
 	value, err := e.encode()
 	if err != nil {
 		return err
--- a/internal/config/envelope.go
+++ b/internal/config/envelope.go
@@ -68,11 +68,11 @@
 
 // decodeObject decodes a stored object. A value that is not an envelope is the
 // text of a document that was stored by other means; its version is the
-// object's version.
+// object's, era included, so that it never falls.
 func decodeObject(o platform.Object) (Envelope, error) {
 	value := bytes.TrimSpace(o.Value)
 	if !bytes.HasPrefix(value, []byte("{")) {
-		return Envelope{Change: Change{Version: o.Version, By: "platform"}, Text: string(o.Value)}, nil
+		return Envelope{Change: Change{Version: int64(o.Version), By: "platform"}, Text: string(o.Value)}, nil
 	}
 	var e Envelope
 	if err := json.Unmarshal(value, &e); err != nil {
--- a/internal/config/platformlink_test.go
+++ b/internal/config/platformlink_test.go
@@ -90,14 +90,14 @@
 	return l.API.Get(ctx, k, name)
 }
 
-func (l *platformLink) List(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (l *platformLink) List(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	if _, err := l.requireConnected(); err != nil {
 		return nil, 0, err
 	}
 	return l.API.List(ctx, k)
 }
 
-func (l *platformLink) Put(ctx context.Context, k platform.Kind, name string, value []byte, v int64) (platform.Object, error) {
+func (l *platformLink) Put(ctx context.Context, k platform.Kind, name string, value []byte, v platform.Revision) (platform.Object, error) {
 	if _, err := l.requireConnected(); err != nil {
 		return platform.Object{}, err
 	}
@@ -110,7 +110,7 @@
 	return l.API.Put(ctx, k, name, value, v)
 }
 
-func (l *platformLink) Watch(ctx context.Context, k platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (l *platformLink) Watch(ctx context.Context, k platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	linkCtx, err := l.requireConnected()
 	if err != nil {
 		return nil, 0, err
--- a/internal/config/replaceable_test.go
+++ b/internal/config/replaceable_test.go
@@ -33,23 +33,23 @@
 	return p.current().Get(ctx, k, name)
 }
 
-func (p *replaceablePlatform) List(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (p *replaceablePlatform) List(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return p.current().List(ctx, k)
 }
 
-func (p *replaceablePlatform) Delete(ctx context.Context, k platform.Kind, name string, v int64) error {
+func (p *replaceablePlatform) Delete(ctx context.Context, k platform.Kind, name string, v platform.Revision) error {
 	return p.current().Delete(ctx, k, name, v)
 }
 
-func (p *replaceablePlatform) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (p *replaceablePlatform) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return p.current().ListStale(ctx, k)
 }
 
-func (p *replaceablePlatform) Put(ctx context.Context, k platform.Kind, name string, value []byte, v int64) (platform.Object, error) {
+func (p *replaceablePlatform) Put(ctx context.Context, k platform.Kind, name string, value []byte, v platform.Revision) (platform.Object, error) {
 	return p.current().Put(ctx, k, name, value, v)
 }
 
-func (p *replaceablePlatform) Watch(ctx context.Context, k platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (p *replaceablePlatform) Watch(ctx context.Context, k platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	return p.current().Watch(ctx, k, after)
 }
 
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -25,7 +25,7 @@
 // watcher lists and watches the platform's documents.
 type watcher struct {
 	store    *Store
-	revision int64
+	revision platform.Revision
 	backoff  time.Duration
 	// failing reports that the last list or watch failed.
 	failing bool
--- a/internal/directory/bench_test.go
+++ b/internal/directory/bench_test.go
@@ -21,13 +21,13 @@
 	var all []platform.Object
 	for n := range 1800 {
 		value, _ := json.Marshal(platform.Upstream{ID: fmt.Sprint("m", n), Group: fmt.Sprint("g", n/3), Address: fmt.Sprint("10.0.0.", n), Slots: 3})
-		all = append(all, platform.Object{Name: fmt.Sprint("m", n), Revision: int64(n), Value: value})
+		all = append(all, platform.Object{Name: fmt.Sprint("m", n), Revision: platform.Revision(n), Value: value})
 	}
 	sink := upstreamSink{d}
 	sink.ApplyList(all)
 	b.ResetTimer()
 	for n := range b.N {
 		value, _ := json.Marshal(platform.Upstream{ID: "m7", Group: "g2", Address: "10.0.0.7", Slots: 3, Leaving: n%2 == 0})
-		sink.ApplyChanges([]platform.Object{{Name: "m7", Revision: int64(2000 + n), Value: value}})
+		sink.ApplyChanges([]platform.Object{{Name: "m7", Revision: platform.Revision(2000 + n), Value: value}})
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -211,7 +211,7 @@
 		d.log.Warn("Cannot decode member's entry; ignoring it.", "member", o.Name, "error", err)
 		return
 	}
-	if !d.members.update(u, o.Revision) {
+	if !d.members.update(u, o.Revision, now) {
 		return
 	}
 	d.log.Info("Member's entry changed.", "member", u.ID, "group", u.Group, "address", u.Address, "leaving", u.Leaving, "leads", u.ClaimsPrimary)
--- a/internal/directory/membertable.go
+++ b/internal/directory/membertable.go
@@ -20,29 +20,58 @@
 	// became reachable.
 	platformReachable bool
 	reachableSince    time.Time
+	// returnedAt is when the platform's store last returned from an older copy. departed holds the
+	// members that had left by then or have left since.
+	returnedAt time.Time
+	departed   map[string]departedMember
+}
+
+// departedMember is a member whose entry was removed after it left.
+type departedMember struct {
+	started int64
+	at      time.Time
 }
 
 type memberEntry struct {
 	upstream platform.Upstream
-	revision int64
+	revision platform.Revision
 	// missingSince is when the entry was found missing; zero while it exists.
 	missingSince time.Time
 }
 
-func newMemberTable() *memberTable { return &memberTable{entries: make(map[string]*memberEntry)} }
+func newMemberTable() *memberTable {
+	return &memberTable{entries: make(map[string]*memberEntry), departed: make(map[string]departedMember)}
+}
 
 // update stores a member's entry, unless its revision is older than the stored one, and reports
 // whether anything changed.
-func (t *memberTable) update(u platform.Upstream, revision int64) bool {
+func (t *memberTable) update(u platform.Upstream, revision platform.Revision, now time.Time) bool {
 	e := t.entries[u.ID]
 	if e != nil && revision < e.revision {
 		return false
 	}
+	if t.afterReturn(now) {
+		if d, left := t.departed[u.ID]; left && d.started == u.Started {
+			return false
+		}
+		// The entry is from the copy: the same process of the member has reported since that it leaves.
+		u.Leaving = u.Leaving || e != nil && e.upstream.Leaving && e.upstream.Started == u.Started
+	}
 	changed := e == nil || e.upstream != u || !e.missingSince.IsZero()
 	t.entries[u.ID] = &memberEntry{upstream: u, revision: revision}
 	return changed
 }
 
+// recordReturn records that the platform's store has returned from an older copy. Members that are
+// alive write their entries again, as after an outage.
+func (t *memberTable) recordReturn(now time.Time) { t.returnedAt, t.reachableSince = now, now }
+
+// afterReturn reports whether the platform's store returned from an older copy so recently that
+// members may not have written their entries again.
+func (t *memberTable) afterReturn(now time.Time) bool {
+	return !t.returnedAt.IsZero() && now.Sub(t.returnedAt) <= missingGrace
+}
+
 // markMissing records that a member's entry no longer exists.
 func (t *memberTable) markMissing(id string, now time.Time) {
 	if e := t.entries[id]; e != nil && e.missingSince.IsZero() {
@@ -137,7 +166,24 @@
 		if !t.isRemoved(e, now) {
 			return true
 		}
+		t.recordDeparture(id, e, now)
 		delete(t.entries, id)
 	}
 	return false
 }
+
+// departureMemory is how long a departed member is remembered. It exceeds the age of the copies
+// that the platform's store returns from.
+const departureMemory = time.Minute
+
+// recordDeparture remembers a member that left, and forgets those that left long ago.
+func (t *memberTable) recordDeparture(id string, e *memberEntry, now time.Time) {
+	for other, d := range t.departed {
+		if now.Sub(d.at) > departureMemory {
+			delete(t.departed, other)
+		}
+	}
+	if e.upstream.Leaving {
+		t.departed[id] = departedMember{started: e.upstream.Started, at: now}
+	}
+}
--- a/internal/directory/membertable_test.go
+++ b/internal/directory/membertable_test.go
@@ -19,8 +19,8 @@
 	start := time.Unix(1000, 0)
 	table := newMemberTable()
 	table.setPlatformReachable(true, start)
-	table.update(platform.Upstream{ID: "left", Address: "1", Leaving: true}, 1)
-	table.update(platform.Upstream{ID: "lost", Address: "2"}, 2)
+	table.update(platform.Upstream{ID: "left", Address: "1", Leaving: true}, 1, start)
+	table.update(platform.Upstream{ID: "lost", Address: "2"}, 2, start)
 	present := func(at time.Time) (addresses string) {
 		for _, u := range table.present(at) {
 			addresses += u.Address
@@ -36,7 +36,7 @@
 	is.Equal(present(removedAt.Add(missingGrace)), "2")
 	is.Equal(present(removedAt.Add(missingGrace+1)), "")
 
-	table.update(platform.Upstream{ID: "left", Address: "1", Leaving: true}, 3)
+	table.update(platform.Upstream{ID: "left", Address: "1", Leaving: true}, 3, start)
 	table.setPlatformReachable(false, removedAt)
 	reachableAgain := removedAt.Add(time.Minute)
 	table.setPlatformReachable(true, reachableAgain)
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -46,6 +46,13 @@
 	s.d.publish()
 }
 
+// PlatformReturned implements objectwatch.ReturnSink.
+func (s upstreamSink) PlatformReturned() {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	s.d.members.recordReturn(s.d.config.Clock.Now())
+}
+
 // SetReachable implements objectwatch.Sink.
 func (s upstreamSink) SetReachable(reachable bool) {
 	s.d.mu.Lock()
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -14,7 +14,7 @@
 // claim is a term that the platform granted to this instance.
 type claim struct {
 	record  Record
-	version int64
+	version platform.Revision
 	// sentAt is when the claim was first sent; no other instance can have read it earlier.
 	sentAt time.Time
 }
@@ -71,7 +71,7 @@
 
 // readRecord returns the group's record and the version of its object, both zero if
 // the object does not exist yet.
-func (m *primaryMonitor) readRecord(ctx context.Context) (Record, int64, error) {
+func (m *primaryMonitor) readRecord(ctx context.Context) (Record, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.claimer.Settings.PlatformTimeout)
 	defer cancel()
 	o, err := m.claimer.Platform.Get(ctx, platform.KindGroup, m.claimer.Group)
@@ -113,7 +113,7 @@
 // object then holds this claim, another claim, or is unchanged. In the last case
 // putClaim sends the same update again; if the first one is still in transit, the
 // version check lets only one of the two take effect.
-func (m *primaryMonitor) putClaim(ctx context.Context, r Record, version int64) (claim, error) {
+func (m *primaryMonitor) putClaim(ctx context.Context, r Record, version platform.Revision) (claim, error) {
 	value, err := r.encode()
 	if err != nil {
 		return claim{}, err
@@ -142,14 +142,14 @@
 	}
 }
 
-func (m *primaryMonitor) putRecord(ctx context.Context, value []byte, version int64) (platform.Object, error) {
+func (m *primaryMonitor) putRecord(ctx context.Context, value []byte, version platform.Revision) (platform.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.claimer.Settings.PlatformTimeout)
 	defer cancel()
 	return m.claimer.Platform.Put(ctx, platform.KindGroup, m.claimer.Group, value, version)
 }
 
 // readRecordWithRetry reads the record until the platform answers or ctx ends.
-func (m *primaryMonitor) readRecordWithRetry(ctx context.Context) (Record, int64, error) {
+func (m *primaryMonitor) readRecordWithRetry(ctx context.Context) (Record, platform.Revision, error) {
 	for {
 		r, version, err := m.readRecord(ctx)
 		if err == nil || errors.Is(err, ErrBadRecord) {
--- a/internal/failover/claim_model_test.go
+++ b/internal/failover/claim_model_test.go
@@ -42,7 +42,7 @@
 // platformCall is a claimer's call to the platform that the model has not answered yet.
 type platformCall struct {
 	put       []byte // nil for a Get
-	ifVersion int64
+	ifVersion platform.Revision
 	answer    chan platformAnswer
 }
 
@@ -74,7 +74,7 @@
 }
 
 // Put implements platform.API.
-func (c *modelClaimer) Put(_ context.Context, _ platform.Kind, _ string, value []byte, ifVersion int64) (platform.Object, error) {
+func (c *modelClaimer) Put(_ context.Context, _ platform.Kind, _ string, value []byte, ifVersion platform.Revision) (platform.Object, error) {
 	return c.call(&platformCall{put: value, ifVersion: ifVersion})
 }
 
--- a/internal/failover/lateclaim_test.go
+++ b/internal/failover/lateclaim_test.go
@@ -21,7 +21,7 @@
 }
 
 // Put implements platform.API.
-func (p *slowPlatform) Put(_ context.Context, _ platform.Kind, _ string, value []byte, _ int64) (platform.Object, error) {
+func (p *slowPlatform) Put(_ context.Context, _ platform.Kind, _ string, value []byte, _ platform.Revision) (platform.Object, error) {
 	p.stored = value
 	p.clock.now = p.clock.now.Add(time.Second)
 	return platform.Object{}, platform.ErrOutcomeUnknown
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,6 +102,7 @@
 
 func (n *Instance) build() {
 	o := n.options
+	o.Platform.Eras().Subscribe(n.logEra)
 	s := o.Settings
 	n.peers = peer.NewServer(o.Logger)
 	n.client = peer.NewClient(s.Instance.ID, o.Network)
@@ -172,6 +173,16 @@
 	n.admin = n.newAdmin()
 }
 
+// logEra logs that a later era of the platform's store was seen.
+func (n *Instance) logEra(previous, latest int64) {
+	log := n.options.Logger.Named("platform")
+	if previous == 0 {
+		log.Info("The era of the platform's store is known.", "era", latest)
+		return
+	}
+	log.Warn("The platform's store is back from an older copy.", "era", latest, "known_era", previous)
+}
+
 func (n *Instance) self() platform.Instance {
 	s := n.options.Settings
 	return platform.Instance{
--- a/internal/instance/instancelistwait_test.go
+++ b/internal/instance/instancelistwait_test.go
@@ -52,7 +52,7 @@
 }
 
 // List implements platform.API.
-func (d delayedInstanceList) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (d delayedInstanceList) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	if kind == platform.KindInstances && time.Now().Before(d.listedFrom) {
 		return nil, 0, platform.ErrUnavailable
 	}
@@ -60,7 +60,7 @@
 }
 
 // ListStale implements platform.API.
-func (d delayedInstanceList) ListStale(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (d delayedInstanceList) ListStale(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return d.List(ctx, kind)
 }
 
--- a/internal/objectwatch/changessince_test.go
+++ b/internal/objectwatch/changessince_test.go
@@ -64,12 +64,12 @@
 	self := platform.Instance{ID: "s", FailureDomain: "a"}
 	const maxAge = 2300 * time.Millisecond
 	// noRevision is the expected result if no response proves that the objects are current.
-	const noRevision = int64(-1)
+	const noRevision = platform.Revision(-1)
 	for name, c := range map[string]struct {
 		self    platform.Instance
 		readers []platform.Instance
 		peer    fakePeer
-		want    int64
+		want    platform.Revision
 	}{
 		"same revision, fresh":   {self, []platform.Instance{localReader, remoteReader}, fakePeer{response: response{Revision: 5, AgeMS: 900}}, 5},
 		"later revision":         {self, []platform.Instance{localReader}, fakePeer{response: response{Revision: 6, AgeMS: 900}}, 6},
@@ -81,10 +81,19 @@
 		"no readers are known":   {self, nil, fakePeer{response: response{Revision: 5, AgeMS: 1}}, noRevision},
 		"peer has an older one":  {self, []platform.Instance{localReader}, fakePeer{response: response{Revision: 4, AgeMS: 1}}, 5},
 	} {
-		s := NewSharing(SharingConfig{Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
+		s := NewSharing(SharingConfig{API: eralessAPI{eras: platform.NewEraTracker()}, Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
 		_, got, err := s.API(platform.KindManifest, maxAge).ChangesSince(context.Background(), 5)
 		if (err == nil) != (c.want != noRevision) || err == nil && got != c.want {
 			t.Errorf("%s: %v, %v", name, got, err)
 		}
 	}
 }
+
+// eralessAPI is the API of a platform that reports no eras.
+type eralessAPI struct {
+	platform.API
+	eras *platform.EraTracker
+}
+
+// Eras implements platform.API.
+func (a eralessAPI) Eras() *platform.EraTracker { return a.eras }
--- a/internal/objectwatch/encoding.go
+++ b/internal/objectwatch/encoding.go
@@ -30,10 +30,24 @@
 
 var errDecode = errors.New("objectwatch: the response cannot be decoded")
 
-// objectHeader is an object without its value, and the value's length.
+// objectHeader is an object without its value, and the value's length. The response that contains
+// it names the era of its revision.
 type objectHeader struct {
-	platform.Object
-	Length int `json:"length"`
+	Kind     platform.Kind `json:"kind"`
+	Name     string        `json:"name"`
+	Version  int64         `json:"version"`
+	Revision int64         `json:"revision"`
+	Removed  bool          `json:"removed,omitempty"`
+	Length   int           `json:"length"`
+}
+
+func newObjectHeader(o platform.Object) objectHeader {
+	return objectHeader{Kind: o.Kind, Name: o.Name, Version: o.Version.Number(), Revision: o.Revision.Number(), Removed: o.Removed, Length: len(o.Value)}
+}
+
+// object returns the object that a header in a response of an era describes, without its value.
+func (h objectHeader) object(era int64) platform.Object {
+	return platform.Object{Kind: h.Kind, Name: h.Name, Version: platform.NewRevision(era, h.Version), Revision: platform.NewRevision(era, h.Revision), Removed: h.Removed}
 }
 
 // encodeObjects encodes objects for the transfer between instances: a reader on a small machine
@@ -57,8 +71,8 @@
 	return w.EncodeAll(payload, nil), nil
 }
 
-// decodeObjects reverses encodeObjects with the same base.
-func decodeObjects(encoded, base []byte) ([]platform.Object, error) {
+// decodeObjects reverses encodeObjects with the same base, for a response of the given era.
+func decodeObjects(encoded, base []byte, era int64) ([]platform.Object, error) {
 	if len(encoded) == 0 {
 		return nil, nil
 	}
@@ -72,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return unmarshalObjects(payload)
+	return unmarshalObjects(payload, era)
 }
 
 func decompressDelta(encoded, base []byte) ([]byte, error) {
@@ -90,8 +104,7 @@
 	headers := make([]objectHeader, len(objects))
 	size := 0
 	for i, o := range objects {
-		headers[i] = objectHeader{Object: o, Length: len(o.Value)}
-		headers[i].Value = nil
+		headers[i] = newObjectHeader(o)
 		size += len(o.Value)
 	}
 	headerJSON, err := json.Marshal(headers)
@@ -107,7 +120,7 @@
 }
 
 // unmarshalObjects reverses marshalObjects.
-func unmarshalObjects(payload []byte) ([]platform.Object, error) {
+func unmarshalObjects(payload []byte, era int64) ([]platform.Object, error) {
 	length, n := binary.Uvarint(payload)
 	if n <= 0 || length > uint64(len(payload)-n) {
 		return nil, errDecode
@@ -122,7 +135,7 @@
 		if h.Length < 0 || h.Length > len(values) {
 			return nil, errDecode
 		}
-		objects[i] = h.Object
+		objects[i] = h.object(era)
 		objects[i].Value = values[:h.Length:h.Length]
 		values = values[h.Length:]
 	}
--- a/internal/objectwatch/encoding_test.go
+++ b/internal/objectwatch/encoding_test.go
@@ -37,7 +37,7 @@
 }
 
 func largeObject(version int) platform.Object {
-	return platform.Object{Kind: platform.KindManifest, Name: platform.ManifestName, Version: int64(version), Revision: int64(version), Value: largeValue(version)}
+	return platform.Object{Kind: platform.KindManifest, Name: platform.ManifestName, Version: platform.Revision(version), Revision: platform.Revision(version), Value: largeValue(version)}
 }
 
 // Guards against responses that decode to something other than what was encoded.
@@ -50,16 +50,16 @@
 		for _, base := range [][]byte{nil, first.Value, second.Value} {
 			encoded, err := encodeObjects(objects, base)
 			is.NoErr(err)
-			decoded, err := decodeObjects(encoded, base)
+			decoded, err := decodeObjects(encoded, base, 0)
 			is.NoErr(err)
 			want, _ := json.Marshal(objects)
 			got, _ := json.Marshal(decoded)
 			is.Equal(strings.ReplaceAll(string(got), `"value":""`, `"value":null`), strings.ReplaceAll(string(want), `"value":""`, `"value":null`))
 		}
 	}
-	_, err := decodeObjects([]byte("no answer"), nil)
+	_, err := decodeObjects([]byte("no answer"), nil, 0)
 	is.True(err != nil)
-	_, err = decodeObjects([]byte("no answer"), first.Value)
+	_, err = decodeObjects([]byte("no answer"), first.Value, 0)
 	is.True(err != nil)
 }
 
@@ -89,19 +89,19 @@
 	known.update([]platform.Object{largeObject(1)})
 	sent := 0
 	for version := 2; version <= 11; version++ {
-		f.applyWatch([]platform.Object{largeObject(version)}, int64(version-1), int64(version))
+		f.applyWatch([]platform.Object{largeObject(version)}, platform.Revision(version-1), platform.Revision(version))
 		base := known.get()
-		req := request{Kind: platform.KindManifest, After: int64(version - 1), DeltaBase: &versionRef{Name: base.Name, Revision: base.Revision}}
+		req := request{Kind: platform.KindManifest, After: int64(version - 1), DeltaBase: newVersionRef(base)}
 		var got response
 		for range 49 {
-			objects, revision, err := f.waitForChanges(context.Background(), req.After)
+			objects, revision, err := f.waitForChanges(context.Background(), req.after())
 			is.NoErr(err)
-			got, err = f.encodeResponse(objects, req.After, revision, req)
+			got, err = f.encodeResponse(objects, req.after(), revision, req)
 			is.NoErr(err)
 			sent += len(got.Encoded) * 4 / 3
 		}
 		is.True(got.Delta)
-		objects, err := decodeObjects(got.Encoded, base.Value)
+		objects, err := decodeObjects(got.Encoded, base.Value, 0)
 		is.NoErr(err)
 		is.Equal(string(objects[0].Value), string(largeValue(version)))
 		known.update(objects)
@@ -117,14 +117,14 @@
 	f := newFeed()
 	f.applyList([]platform.Object{largeObject(1)}, 1, time.Now())
 	for version := 2; version <= 4; version++ {
-		f.applyWatch([]platform.Object{largeObject(version)}, int64(version-1), int64(version))
+		f.applyWatch([]platform.Object{largeObject(version)}, platform.Revision(version-1), platform.Revision(version))
 	}
 	objects, revision, err := f.waitForChanges(context.Background(), 1)
 	is.NoErr(err)
 	got, err := f.encodeResponse(objects, 1, revision, request{After: 1, DeltaBase: &versionRef{Name: platform.ManifestName, Revision: 1}})
 	is.NoErr(err)
 	is.True(!got.Delta)
-	decoded, err := decodeObjects(got.Encoded, nil)
+	decoded, err := decodeObjects(got.Encoded, nil, 0)
 	is.NoErr(err)
 	is.Equal(len(decoded), 3)
 }
@@ -135,7 +135,7 @@
 	f := newFeed()
 	f.applyList([]platform.Object{largeObject(1)}, 1, time.Now())
 	for version := 2; version <= 60; version++ {
-		f.applyWatch([]platform.Object{largeObject(version)}, int64(version-1), int64(version))
+		f.applyWatch([]platform.Object{largeObject(version)}, platform.Revision(version-1), platform.Revision(version))
 	}
 	size := 0
 	for _, c := range f.changes {
--- a/internal/objectwatch/fallback_test.go
+++ b/internal/objectwatch/fallback_test.go
@@ -57,7 +57,7 @@
 }
 
 // List implements platform.API.
-func (a cutAPI) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (a cutAPI) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	if err := a.failIfCut(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -65,7 +65,7 @@
 }
 
 // Watch implements platform.API.
-func (a cutAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (a cutAPI) Watch(ctx context.Context, kind platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	if err := a.failIfCut(ctx); err != nil {
 		return nil, after, err
 	}
--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -23,7 +23,7 @@
 // it.
 type change struct {
 	object   platform.Object
-	revision int64
+	revision platform.Revision
 }
 
 // feed holds the objects and recent changes of one kind, as received from the platform's lists
@@ -35,14 +35,14 @@
 	loaded, reachable bool
 	objects           map[string]platform.Object
 	// revision is the revision of the last known change.
-	revision int64
+	revision platform.Revision
 	// asOf is the send time of the latest request for a list that the platform answered. Watches
 	// do not advance it: a watch may miss changes for seconds.
 	asOf time.Time
 	// changes is the history, oldest first. It holds all changes after the revision
 	// historyStart.
 	changes      []change
-	historyStart int64
+	historyStart platform.Revision
 	// advanced is closed and replaced when revision increases.
 	advanced chan struct{}
 	// previous holds the preceding version of each large object.
@@ -60,14 +60,17 @@
 }
 
 // applyList updates the feed with a list of all objects that was requested at requestedAt.
-func (f *feed) applyList(objects []platform.Object, revision int64, requestedAt time.Time) {
+func (f *feed) applyList(objects []platform.Object, revision platform.Revision, requestedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if revision.Era() < f.revision.Era() {
+		return
+	}
 	f.reachable = true
 	if requestedAt.After(f.asOf) {
 		f.asOf = requestedAt
 	}
-	if !f.loaded {
+	if !f.loaded || revision.Era() > f.revision.Era() {
 		f.reset(objects, revision)
 		return
 	}
@@ -76,9 +79,16 @@
 	}
 }
 
-// reset starts the feed anew from a list. The caller holds f.mu.
-func (f *feed) reset(objects []platform.Object, revision int64) {
+// reset starts the feed anew from a list. Large objects that it replaces remain the base of deltas.
+// The caller holds f.mu.
+func (f *feed) reset(objects []platform.Object, revision platform.Revision) {
 	f.loaded = true
+	clear(f.previous)
+	for name, o := range f.objects {
+		if len(o.Value) >= minBaseBytes {
+			f.previous[name] = o
+		}
+	}
 	clear(f.objects)
 	for _, o := range objects {
 		f.objects[o.Name] = o
@@ -89,7 +99,7 @@
 
 // applyListDiff records the changes that a list shows and no watch has reported. A list without
 // changes leaves the revision as it is, so that followers are not woken. The caller holds f.mu.
-func (f *feed) applyListDiff(objects []platform.Object, revision int64) {
+func (f *feed) applyListDiff(objects []platform.Object, revision platform.Revision) {
 	listed := make(map[string]bool, len(objects))
 	var changes []platform.Object
 	for _, o := range objects {
@@ -114,7 +124,7 @@
 
 // applyWatch updates the feed with the response to a watch that resumed from the
 // revision after.
-func (f *feed) applyWatch(objects []platform.Object, after, revision int64) {
+func (f *feed) applyWatch(objects []platform.Object, after, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reachable = true
@@ -134,7 +144,7 @@
 }
 
 // applyChange records one change. The caller holds f.mu.
-func (f *feed) applyChange(o platform.Object, revision int64) {
+func (f *feed) applyChange(o platform.Object, revision platform.Revision) {
 	if current, ok := f.objects[o.Name]; ok && len(current.Value) >= minBaseBytes && current.Revision != o.Revision {
 		f.previous[o.Name] = current
 	}
@@ -169,7 +179,7 @@
 
 // advanceRevision sets the revision if it is a later one, and wakes the waiting requests. The
 // caller holds f.mu.
-func (f *feed) advanceRevision(revision int64) {
+func (f *feed) advanceRevision(revision platform.Revision) {
 	if revision <= f.revision {
 		return
 	}
@@ -223,7 +233,7 @@
 
 // waitForChanges waits until there are changes after a revision, and returns them. It returns
 // none if ctx ends first. Its errors are platform.ErrUnavailable and platform.ErrCompacted.
-func (f *feed) waitForChanges(ctx context.Context, revision int64) ([]platform.Object, int64, error) {
+func (f *feed) waitForChanges(ctx context.Context, revision platform.Revision) ([]platform.Object, platform.Revision, error) {
 	for {
 		objects, next, advanced, err := f.changesAfter(revision)
 		if err != nil || next > revision {
@@ -237,19 +247,27 @@
 	}
 }
 
-// changesAfter returns the changes after a revision. If there are none yet, it returns a channel
+// era returns the era of the store that the feed follows.
+func (f *feed) era() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision.Era()
+}
+
+// changesAfter returns the changes after a revision, and with platform.ErrCompacted the feed's
+// revision. A feed that has not seen the revision's era yet is unavailable. If there are none yet, it returns a channel
 // that is closed when the revision advances.
-func (f *feed) changesAfter(revision int64) ([]platform.Object, int64, <-chan struct{}, error) {
+func (f *feed) changesAfter(revision platform.Revision) ([]platform.Object, platform.Revision, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case !f.loaded || !f.reachable:
+	case !f.loaded || !f.reachable || revision.Era() > f.revision.Era():
 		return nil, 0, nil, platform.ErrUnavailable
 	case f.revision <= revision:
 		// The requester may have a later revision than this feed.
 		return nil, revision, f.advanced, nil
 	case revision < f.historyStart:
-		return nil, 0, nil, platform.ErrCompacted
+		return nil, f.revision, nil, platform.ErrCompacted
 	}
 	var objects []platform.Object
 	for _, c := range f.changes {
@@ -269,7 +287,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, o := range []platform.Object{f.objects[r.Name], f.previous[r.Name]} {
-		if o.Name == r.Name && o.Revision == r.Revision {
+		if o.Name == r.Name && o.Revision == r.revision() {
 			return o.Value
 		}
 	}
@@ -279,7 +297,7 @@
 // encodeResponse returns a response to req with the objects that changed between the revisions
 // from and to, or with all objects if from is fullList. It is delta-encoded if the feed has the
 // requester's base.
-func (f *feed) encodeResponse(objects []platform.Object, from, to int64, req request) (response, error) {
+func (f *feed) encodeResponse(objects []platform.Object, from, to platform.Revision, req request) (response, error) {
 	key := responseKey{from: from, to: to}
 	base := f.baseValue(req.DeltaBase)
 	if len(base) > 0 {
@@ -291,5 +309,5 @@
 	if err != nil {
 		return response{}, err
 	}
-	return response{Encoded: encoded, Delta: len(base) > 0, Revision: to}, nil
+	return response{Encoded: encoded, Delta: len(base) > 0, Revision: to.Number(), Era: to.Era()}, nil
 }
--- a/internal/objectwatch/feed_test.go
+++ b/internal/objectwatch/feed_test.go
@@ -19,14 +19,14 @@
 	is := is.New(t)
 	f := newFeed()
 	f.applyList(nil, 10, time.Time{})
-	for k := range int64(feedHistoryLength + 20) {
+	for k := range platform.Revision(feedHistoryLength + 20) {
 		f.applyWatch([]platform.Object{{Name: fmt.Sprint("m", k%3)}}, 10+k, 11+k)
 	}
 	_, _, err := f.waitForChanges(context.Background(), 10)
 	is.True(errors.Is(err, platform.ErrCompacted))
 	objects, next, err := f.waitForChanges(context.Background(), 10+feedHistoryLength)
 	is.NoErr(err)
-	is.Equal(next, int64(10+feedHistoryLength+20))
+	is.Equal(next, platform.Revision(10+feedHistoryLength+20))
 	is.Equal(len(objects), 20)
 }
 
@@ -42,7 +42,7 @@
 	list := f.snapshot()
 	is.True(list.valid)
 	is.Equal(len(list.objects), 3)
-	is.Equal(list.revision, int64(13))
+	is.Equal(list.revision, platform.Revision(13))
 }
 
 // A watch misses changes for a while, and a list reveals them: one object changed and one was
@@ -56,12 +56,12 @@
 	f.applyList([]platform.Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}, {Name: "c", Revision: 5}}, 20, first.Add(time.Second))
 	_, revision, _, err := f.changesAfter(10)
 	is.NoErr(err)
-	is.Equal(revision, int64(10))
+	is.Equal(revision, platform.Revision(10))
 	is.Equal(f.age(first.Add(3*time.Second)), 2*time.Second)
 	f.applyList([]platform.Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 25}}, 30, first.Add(2*time.Second))
 	objects, next, err := f.waitForChanges(context.Background(), 10)
 	is.NoErr(err)
-	is.Equal(next, int64(30))
+	is.Equal(next, platform.Revision(30))
 	is.Equal(len(objects), 2)
 	is.Equal(objects[0].Name, "b")
 	is.True(objects[1].Removed)
@@ -78,6 +78,6 @@
 	f.applyWatch([]platform.Object{{Name: "a", Revision: 12}, {Name: "b", Revision: 14}}, 10, 14)
 	list := f.snapshot()
 	is.True(list.valid)
-	is.Equal(list.revision, int64(14))
+	is.Equal(list.revision, platform.Revision(14))
 	is.Equal(len(list.objects), 2)
 }
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -37,11 +37,17 @@
 	SetReachable(reachable bool)
 }
 
+// ReturnSink is a Sink that is told when the platform's store has returned from an older copy.
+type ReturnSink interface {
+	// PlatformReturned is called before the first list of the store's next era is applied.
+	PlatformReturned()
+}
+
 // Peers are other instances that follow the same kind.
 type Peers interface {
 	// ChangesSince returns the changes after a revision and the revision that they lead to. It
 	// returns an error if no peer can prove that its state is recent enough.
-	ChangesSince(ctx context.Context, after int64) ([]platform.Object, int64, error)
+	ChangesSince(ctx context.Context, after platform.Revision) ([]platform.Object, platform.Revision, error)
 }
 
 // Config configures a Follower.
@@ -74,16 +80,16 @@
 	Config
 	// backoff is the previous pause after a failed list or watch.
 	backoff time.Duration
+	// compacted is the revision of the last watch that could not be resumed.
+	compacted platform.Revision
 
 	// mu serializes the calls to Sink and guards the fields below.
 	mu        sync.Mutex
 	reachable bool
 	// delivered is the latest revision that was delivered to the sink.
-	delivered int64
+	delivered platform.Revision
 	// ignoredLists is how many lists in a row were older than delivered.
 	ignoredLists int
-	// compacted is the revision of the last watch that could not be resumed.
-	compacted int64
 	// failingSince is the time of the first failure since the last response; zero if there was
 	// none. lastAnswer is the time of the last response from the platform or a peer.
 	failingSince, lastAnswer time.Time
@@ -143,7 +149,7 @@
 }
 
 // listForCheck lists the objects for runChecks.
-func (f *Follower) listForCheck(ctx context.Context) ([]platform.Object, int64, error) {
+func (f *Follower) listForCheck(ctx context.Context) ([]platform.Object, platform.Revision, error) {
 	if f.AllowStaleLists {
 		return f.API.ListStale(ctx, f.Kind)
 	}
@@ -154,7 +160,7 @@
 // that was answered slowly or is stale may predate a change that the watch has delivered;
 // delivering the list would revert that change until the next list. The sink already has
 // everything in such a list.
-func (f *Follower) deliverList(objects []platform.Object, revision int64) {
+func (f *Follower) deliverList(objects []platform.Object, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if revision < f.delivered {
@@ -162,30 +168,43 @@
 		return
 	}
 	if f.ignoredLists > 1 {
-		f.Log.Info("Lists are current again.", "revision", revision, "known", f.delivered, "ignored", f.ignoredLists)
+		f.Log.Info("Lists are current again.", "era", revision.Era(), "revision", revision.Number(), "ignored", f.ignoredLists)
 	}
 	f.ignoredLists = 0
+	if f.delivered != 0 && revision.Era() > f.delivered.Era() {
+		f.recordReturn(revision)
+	}
 	f.delivered = revision
 	f.Sink.ApplyList(objects)
 }
 
+// recordReturn tells the sink that a list is the first one after a return of the platform's store.
+// The caller holds f.mu.
+func (f *Follower) recordReturn(revision platform.Revision) {
+	f.Log.Warn("The platform's store is back from an older copy; its list replaces what was known.",
+		"era", revision.Era(), "revision", revision.Number(), "known_era", f.delivered.Era(), "known_revision", f.delivered.Number())
+	if s, ok := f.Sink.(ReturnSink); ok {
+		s.PlatformReturned()
+	}
+}
+
 // ignoreList counts a list that is older than what was delivered. One such list is late; several
 // in a row show that the platform or a reader has an older state, which is logged once. The
 // caller holds f.mu.
-func (f *Follower) ignoreList(revision int64) {
+func (f *Follower) ignoreList(revision platform.Revision) {
 	f.ignoredLists++
 	f.Metrics.ignoredLists.WithLabelValues(string(f.Kind)).Inc()
 	if f.ignoredLists == 2 {
-		f.Log.Warn("Ignoring lists that are older than the known revision.", "revision", revision, "known", f.delivered)
+		f.Log.Warn("Ignoring lists that are older than the known revision.", "era", revision.Era(), "revision", revision.Number(), "known_era", f.delivered.Era(), "known_revision", f.delivered.Number())
 	}
 }
 
 // deliverChanges passes the changes up to a revision to the sink unless the sink already has
 // that revision. Late changes are part of what the sink has, and would revert later ones.
-func (f *Follower) deliverChanges(objects []platform.Object, revision int64) {
+func (f *Follower) deliverChanges(objects []platform.Object, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(objects) == 0 || revision <= f.delivered {
+	if len(objects) == 0 || revision <= f.delivered || revision.Era() != f.delivered.Era() {
 		return
 	}
 	f.delivered = revision
@@ -193,7 +212,7 @@
 }
 
 // deliveredRevision returns the latest revision that was delivered to the sink.
-func (f *Follower) deliveredRevision() int64 {
+func (f *Follower) deliveredRevision() platform.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.delivered
@@ -206,17 +225,29 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		f.backoff = 0
 		f.markReachable()
 		f.deliverList(objects, revision)
 		// Resume from the delivered revision: if the list was too old to be delivered, its own
 		// revision is an earlier one.
-		f.watch(ctx, f.deliveredRevision())
+		from := f.deliveredRevision()
+		if from == f.compacted {
+			// The platform cannot resume from its own list either.
+			f.pauseAfterFailure(ctx)
+		}
+		f.watch(ctx, from)
+		if from.Era() < f.API.Eras().Latest() {
+			// All instances learn of a return of the store at the same time.
+			_ = clock.Sleep(ctx, f.Clock, time.Duration(f.Rand.Int64N(int64(returnSpread))))
+		}
 	}
 }
 
+// returnSpread is the time over which the instances list again after a return of the platform's
+// store.
+const returnSpread = 200 * time.Millisecond
+
 // watch delivers changes until its revision is compacted or ctx ends.
-func (f *Follower) watch(ctx context.Context, revision int64) {
+func (f *Follower) watch(ctx context.Context, revision platform.Revision) {
 	for ctx.Err() == nil {
 		objects, next, err := f.API.Watch(ctx, f.Kind, revision)
 		switch {
@@ -241,15 +272,13 @@
 }
 
 // recordCompaction counts a watch that cannot be resumed, and logs it once for each revision.
-func (f *Follower) recordCompaction(revision int64) {
+func (f *Follower) recordCompaction(revision platform.Revision) {
 	f.Metrics.compactions.WithLabelValues(string(f.Kind)).Inc()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.compacted == revision {
 		return
 	}
 	f.compacted = revision
-	f.Log.Info("Revision was compacted; the objects are listed again.", "revision", revision)
+	f.Log.Info("Revision was compacted; the objects are listed again.", "era", revision.Era(), "revision", revision.Number())
 }
 
 // markReachable records a response from the platform or a peer. Lists call it too, because a
@@ -295,6 +324,11 @@
 		return
 	}
 	f.markUnreachable(err)
+	f.pauseAfterFailure(ctx)
+}
+
+// pauseAfterFailure pauses longer after each failure in a row.
+func (f *Follower) pauseAfterFailure(ctx context.Context) {
 	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
 	half := f.backoff / 2
 	_ = clock.Sleep(ctx, f.Clock, half+time.Duration(f.Rand.Int64N(int64(half)+1)))
--- a/internal/objectwatch/follower_test.go
+++ b/internal/objectwatch/follower_test.go
@@ -114,7 +114,7 @@
 }
 
 // List implements platform.API.
-func (s delayedLists) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (s delayedLists) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	objects, revision, err := s.API.List(ctx, kind)
 	time.Sleep(s.delay)
 	return objects, revision, err
@@ -168,12 +168,12 @@
 // fakePeers returns fixed changes up to a revision, or an error.
 type fakePeers struct {
 	changes  []platform.Object
-	revision int64
+	revision platform.Revision
 	err      error
 }
 
 // ChangesSince implements Peers.
-func (p *fakePeers) ChangesSince(context.Context, int64) ([]platform.Object, int64, error) {
+func (p *fakePeers) ChangesSince(context.Context, platform.Revision) ([]platform.Object, platform.Revision, error) {
 	return p.changes, p.revision, p.err
 }
 
@@ -181,7 +181,7 @@
 type silentWatchAPI struct{ platform.API }
 
 // Watch implements platform.API.
-func (silentWatchAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (silentWatchAPI) Watch(ctx context.Context, _ platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	<-ctx.Done()
 	return nil, after, ctx.Err()
 }
@@ -193,8 +193,8 @@
 		peers fakePeers
 		lists int
 	}{
-		"they know of a change": {fakePeers{changes: []platform.Object{{Name: "a", Value: []byte("2"), Revision: 50}}, revision: 50}, 1},
-		"they know of none":     {fakePeers{revision: 1}, 1},
+		"they know of a change": {fakePeers{changes: []platform.Object{{Name: "a", Value: []byte("2"), Revision: platform.NewRevision(1, 50)}}, revision: platform.NewRevision(1, 50)}, 1},
+		"they know of none":     {fakePeers{revision: platform.NewRevision(1, 1)}, 1},
 		"they go back less far": {fakePeers{err: platform.ErrCompacted}, 2},
 		"they cannot tell":      {fakePeers{err: errFeedUnavailable}, 2},
 	} {
--- a/internal/objectwatch/relayedlist.go
+++ b/internal/objectwatch/relayedlist.go
@@ -14,7 +14,7 @@
 	mu       sync.Mutex
 	loaded   bool
 	objects  map[string]platform.Object
-	revision int64
+	revision platform.Revision
 	// asOf is when the list that the objects are based on was requested from the platform.
 	asOf time.Time
 	// loadedCh is closed when the first list is stored.
@@ -24,7 +24,7 @@
 func newRelayedList() *relayedList { return &relayedList{loadedCh: make(chan struct{})} }
 
 // applyList stores a list unless a later one is stored.
-func (l *relayedList) applyList(objects []platform.Object, revision int64, asOf time.Time) {
+func (l *relayedList) applyList(objects []platform.Object, revision platform.Revision, asOf time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.loaded && revision < l.revision {
@@ -44,7 +44,7 @@
 // applyChanges applies the changes between the revisions after and revision. It ignores them if
 // the stored revision is before the first, because changes would be skipped, or beyond the
 // second.
-func (l *relayedList) applyChanges(objects []platform.Object, after, revision int64) {
+func (l *relayedList) applyChanges(objects []platform.Object, after, revision platform.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.loaded || after > l.revision || revision < l.revision {
--- a/internal/objectwatch/responsecache.go
+++ b/internal/objectwatch/responsecache.go
@@ -10,12 +10,12 @@
 // responseKey identifies the content of a response: the changes between two revisions, or all
 // objects if from is fullList, encoded against one version of an object or none.
 type responseKey struct {
-	from, to int64
+	from, to platform.Revision
 	base     versionRef
 }
 
 // fullList is the from value of a response with all objects.
-const fullList = -1
+const fullList platform.Revision = -1
 
 // responseCache holds the most recently encoded responses. It is guarded by feed.cacheMu.
 type responseCache struct {
--- a/internal/objectwatch/resume.go
+++ b/internal/objectwatch/resume.go
@@ -22,7 +22,7 @@
 		}
 		// A call that does not wait detects an unresponsive reader sooner than a long poll.
 		got, ok := a.askReader(ctx, reader, methodSince, req, readerTimeout)
-		if ok && !got.Compacted && got.Revision <= req.After {
+		if ok && !got.Compacted && got.revision() <= req.after() {
 			got, ok = a.watchReader(ctx, reader, req)
 		}
 		if ok && !got.Compacted {
--- a/internal/objectwatch/resume_test.go
+++ b/internal/objectwatch/resume_test.go
@@ -28,7 +28,7 @@
 }
 
 // List implements platform.API.
-func (l *laterFirstList) List(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (l *laterFirstList) List(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	if !l.listed.Swap(true) {
 		time.Sleep(l.delay)
 		if _, err := l.Put(ctx, k, "between", []byte(`{}`), 0); err != nil {
@@ -137,9 +137,9 @@
 func TestCompactedFollowerAsksTheOtherReader(t *testing.T) {
 	for name, c := range map[string]struct {
 		other       func(context.Context, string) (response, error)
-		watch       int64
+		watch       platform.Revision
 		watchLimit  time.Duration
-		since       int64
+		since       platform.Revision
 		isCompacted bool
 	}{
 		"ahead":     {other: aheadReader, watch: 7, since: 7},
@@ -157,7 +157,7 @@
 					calls := scriptedReaders{"r0": c.other, "r1": c.other}
 					calls[orderReaders(readers, self.ID)[0].ID] = compactedReader
 					newAPI := func() *SharedAPI {
-						s := NewSharing(SharingConfig{Fleet: fakeFleet{self, readers}, Caller: calls, Clock: clock.System{},
+						s := NewSharing(SharingConfig{API: eralessAPI{eras: platform.NewEraTracker()}, Fleet: fakeFleet{self, readers}, Caller: calls, Clock: clock.System{},
 							Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, calls)
 						return s.API(platform.KindUpstreams, 0)
 					}
--- a/internal/objectwatch/scaling_test.go
+++ b/internal/objectwatch/scaling_test.go
@@ -34,19 +34,19 @@
 }
 
 // List implements platform.API.
-func (c *countingAPI) List(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (c *countingAPI) List(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	c.calls.Add(1)
 	return c.API.List(ctx, k)
 }
 
 // ListStale implements platform.API.
-func (c *countingAPI) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (c *countingAPI) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	c.calls.Add(1)
 	return c.API.ListStale(ctx, k)
 }
 
 // Watch implements platform.API.
-func (c *countingAPI) Watch(ctx context.Context, k platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (c *countingAPI) Watch(ctx context.Context, k platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	c.calls.Add(1)
 	return c.API.Watch(ctx, k, after)
 }
@@ -79,7 +79,7 @@
 	return d
 }
 
-func (d *entryDomain) putEntry(name string, version int64) {
+func (d *entryDomain) putEntry(name string, version platform.Revision) {
 	_, err := d.store.Put(context.Background(), platform.KindUpstreams, name, d.newEntryValue(), version)
 	d.is.NoErr(err)
 }
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -55,23 +55,23 @@
 }
 
 // listFunc is one of the platform's list calls.
-type listFunc func(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error)
+type listFunc func(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error)
 
 // List implements platform.API.
-func (a *SharedAPI) List(ctx context.Context, _ platform.Kind) ([]platform.Object, int64, error) {
+func (a *SharedAPI) List(ctx context.Context, _ platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return a.list(ctx, a.API.List)
 }
 
 // ListStale implements platform.API.
-func (a *SharedAPI) ListStale(ctx context.Context, _ platform.Kind) ([]platform.Object, int64, error) {
+func (a *SharedAPI) ListStale(ctx context.Context, _ platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return a.list(ctx, a.API.ListStale)
 }
 
-func (a *SharedAPI) list(ctx context.Context, listPlatform listFunc) ([]platform.Object, int64, error) {
+func (a *SharedAPI) list(ctx context.Context, listPlatform listFunc) ([]platform.Object, platform.Revision, error) {
 	got, err := a.listFromReaders(ctx)
 	if err == nil {
 		a.hasList.Store(true)
-		return got.objects, got.Revision, nil
+		return got.objects, got.revision(), nil
 	}
 	// If its own readers do not answer, the instance asks readers in other failure domains
 	// before it calls the platform. After a network partition it must not wait until a direct
@@ -79,7 +79,7 @@
 	isFollower := a.hasList.Load() && len(a.sharing.readers()) > 0
 	if isFollower {
 		if got, ok := a.askFallbackReaders(ctx, 1, a.listFromReader); ok {
-			return got.objects, got.Revision, nil
+			return got.objects, got.revision(), nil
 		}
 	}
 	if !errors.Is(err, errNoReader) {
@@ -98,7 +98,7 @@
 		return nil, 0, err
 	}
 	if got, ok := a.askFallbackReaders(ctx, fallbackReaderCount, a.listFromReader); ok {
-		return got.objects, got.Revision, nil
+		return got.objects, got.revision(), nil
 	}
 	return nil, 0, err
 }
@@ -146,8 +146,8 @@
 }
 
 // Watch implements platform.API.
-func (a *SharedAPI) Watch(ctx context.Context, _ platform.Kind, after int64) ([]platform.Object, int64, error) {
-	req := request{Kind: a.kind, After: after}
+func (a *SharedAPI) Watch(ctx context.Context, _ platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
+	req := newRequest(a.kind, after)
 	var answering platform.Instance
 	watch := func(ctx context.Context, reader platform.Instance) (response, bool) {
 		answering = reader
@@ -191,7 +191,7 @@
 
 // watchPlatform watches the platform directly, for directWatchTimeout at most if the instance
 // has readers.
-func (a *SharedAPI) watchPlatform(ctx context.Context, after int64) ([]platform.Object, int64, error) {
+func (a *SharedAPI) watchPlatform(ctx context.Context, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	if len(a.sharing.readers()) == 0 {
 		return a.API.Watch(ctx, a.kind, after)
 	}
@@ -205,22 +205,22 @@
 }
 
 // watchResult converts a response to the result of a watch.
-func watchResult(got response, after int64) ([]platform.Object, int64, error) {
+func watchResult(got response, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	if got.Compacted {
 		return nil, after, platform.ErrCompacted
 	}
-	return got.objects, max(after, got.Revision), nil
+	return got.objects, max(after, got.revision()), nil
 }
 
 // ChangesSince implements Peers. It asks the readers in this failure domain, and then one in
 // another failure domain if none of them answers. Its error is platform.ErrCompacted if the
 // history of none of those that answer reaches back to the revision.
-func (a *SharedAPI) ChangesSince(ctx context.Context, after int64) ([]platform.Object, int64, error) {
+func (a *SharedAPI) ChangesSince(ctx context.Context, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	readers := a.sharing.readers()
 	if len(readers) == 0 {
 		return nil, after, errNoReader
 	}
-	req := request{Kind: a.kind, After: after}
+	req := newRequest(a.kind, after)
 	since := func(ctx context.Context, reader platform.Instance) (response, bool) {
 		got, ok := a.askReader(ctx, reader, methodSince, req, readerTimeout)
 		return got, ok && a.freshEnough(got)
@@ -313,17 +313,21 @@
 	defer cancel()
 	base := a.base.get()
 	if base.Name != "" {
-		req.DeltaBase = &versionRef{Name: base.Name, Revision: base.Revision}
+		req.DeltaBase = newVersionRef(base)
 	}
 	var got response
 	if err := a.sharing.Caller.Call(ctx, target.PeerAddress, method, req, &got); err != nil {
 		return got, err
 	}
+	if got.Era < a.API.Eras().Latest() {
+		return got, errEarlierEra
+	}
+	a.API.Eras().Observe(got.Era)
 	var dictionary []byte
 	if got.Delta {
 		dictionary = base.Value
 	}
-	objects, err := decodeObjects(got.Encoded, dictionary)
+	objects, err := decodeObjects(got.Encoded, dictionary, got.Era)
 	if err != nil {
 		return got, err
 	}
@@ -337,8 +341,8 @@
 func (a *SharedAPI) updateRelayed(method string, req request, got response) {
 	switch {
 	case method == methodList:
-		a.relayed.applyList(got.objects, got.Revision, a.sharing.Clock.Now().Add(-got.age()))
+		a.relayed.applyList(got.objects, got.revision(), a.sharing.Clock.Now().Add(-got.age()))
 	case !got.Compacted:
-		a.relayed.applyChanges(got.objects, req.After, got.Revision)
+		a.relayed.applyChanges(got.objects, req.after(), got.revision())
 	}
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -56,6 +56,10 @@
 //   - Its watch misses changes without notice. Its responses to checks carry the age of its last
 //     list, which bounds how stale a follower can be.
 //   - The platform refuses it but serves others. It asks readers of all failure domains.
+//   - It has not seen that the platform's store returned from an older copy. Requests and responses
+//     name the era of their revisions. A reader has nothing for a request of a later era, and a
+//     follower uses no response of an earlier one, nor one without an era once it knows of any: that
+//     is from an instance that is older than eras.
 type Sharing struct {
 	SharingConfig
 
@@ -222,6 +226,11 @@
 	if f == nil {
 		return nil, req, errFeedUnavailable
 	}
+	if req.Era == 0 {
+		// The requester is older than eras. It knows no return of the store.
+		req.Era = f.era()
+	}
+	s.SharingConfig.API.Eras().Observe(req.Era)
 	return f, req, nil
 }
 
@@ -236,7 +245,7 @@
 	} else {
 		list = s.directList(ctx, f)
 	}
-	if !list.valid {
+	if !list.valid || list.revision.Era() < s.SharingConfig.API.Eras().Latest() {
 		return nil, errFeedUnavailable
 	}
 	got, err := f.encodeResponse(list.objects, fullList, list.revision, req)
@@ -269,7 +278,7 @@
 	if err != nil {
 		return nil, err
 	}
-	objects, revision, _, err := f.changesAfter(req.After)
+	objects, revision, _, err := f.changesAfter(req.after())
 	got, err := s.changesResponse(f, objects, revision, req, err)
 	if err != nil {
 		return nil, err
@@ -285,21 +294,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, longPollWait)
 	defer cancel()
-	objects, revision, err := f.waitForChanges(ctx, req.After)
+	objects, revision, err := f.waitForChanges(ctx, req.after())
 	return s.changesResponse(f, objects, revision, req, err)
 }
 
 // changesResponse builds the response with the changes after a revision from the results of the
 // feed.
-func (s *Sharing) changesResponse(f *feed, objects []platform.Object, revision int64, req request, err error) (response, error) {
+func (s *Sharing) changesResponse(f *feed, objects []platform.Object, revision platform.Revision, req request, err error) (response, error) {
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
-		return response{Compacted: true}, nil
+		return response{Compacted: true, Era: revision.Era()}, nil
 	case err != nil:
 		return response{}, errFeedUnavailable
 	}
 	if len(objects) == 0 {
-		return response{Revision: revision}, nil
+		return response{Revision: revision.Number(), Era: revision.Era()}, nil
 	}
-	return f.encodeResponse(objects, req.After, revision, req)
+	return f.encodeResponse(objects, req.after(), revision, req)
 }
--- a/internal/objectwatch/sharing_test.go
+++ b/internal/objectwatch/sharing_test.go
@@ -24,7 +24,9 @@
 			is.Equal(d.putAndCount(is, fmt.Sprint("m", k), 200*time.Millisecond), 8)
 		}
 		is.True(d.watchCount()-before <= 2*21)
-		is.NoErr(d.store.Delete(context.Background(), platform.KindUpstreams, "m3", 1))
+		m3, err := d.store.Get(context.Background(), platform.KindUpstreams, "m3")
+		is.NoErr(err)
+		is.NoErr(d.store.Delete(context.Background(), platform.KindUpstreams, "m3", m3.Version))
 		time.Sleep(200 * time.Millisecond)
 		for _, i := range d.instances {
 			is.True(!i.knows("m3"))
@@ -93,7 +95,7 @@
 }
 
 // List implements platform.API.
-func (c countedLists) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (c countedLists) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	c.lists.Add(1)
 	return c.API.List(ctx, kind)
 }
@@ -175,7 +177,7 @@
 }
 
 // Watch implements platform.API.
-func (o *openWatches) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (o *openWatches) Watch(ctx context.Context, kind platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	o.n.Add(1)
 	defer o.n.Add(-1)
 	return o.API.Watch(ctx, kind, after)
@@ -237,7 +239,7 @@
 }
 
 // List implements platform.API.
-func (u *unresponsiveAPI) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (u *unresponsiveAPI) List(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	if err := u.blockIfUnresponsive(ctx); err != nil {
@@ -247,7 +249,7 @@
 }
 
 // Watch implements platform.API.
-func (u *unresponsiveAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (u *unresponsiveAPI) Watch(ctx context.Context, kind platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, 26*time.Second)
 	defer cancel()
 	if err := u.blockIfUnresponsive(ctx); err != nil {
--- a/internal/objectwatch/snapshot.go
+++ b/internal/objectwatch/snapshot.go
@@ -11,7 +11,7 @@
 // snapshot holds all known objects of a kind at one point in time.
 type snapshot struct {
 	objects  []platform.Object
-	revision int64
+	revision platform.Revision
 	// asOf is when the list that the objects are based on was requested from the platform.
 	asOf time.Time
 	// valid is false if no list is known, or if the instance cannot reach the platform that it
@@ -20,6 +20,6 @@
 }
 
 // newSnapshot returns a valid snapshot of the objects in a map.
-func newSnapshot(objects map[string]platform.Object, revision int64, asOf time.Time) snapshot {
+func newSnapshot(objects map[string]platform.Object, revision platform.Revision, asOf time.Time) snapshot {
 	return snapshot{objects: slices.Collect(maps.Values(objects)), revision: revision, asOf: asOf, valid: true}
 }
--- a/internal/objectwatch/storereturn_test.go
+++ b/internal/objectwatch/storereturn_test.go
@@ -1,6 +1,7 @@
 package objectwatch
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -60,7 +61,7 @@
 		})
 		advance(2 * time.Second)
 		is.Equal(fmt.Sprint(sink.values), "map[a:2 c:4]")
-		objects, _, err := s.List(t.Context(), platform.KindGroup)
+		objects, _, err := s.List(context.Background(), platform.KindGroup)
 		is.NoErr(err)
 		is.Equal(len(objects), 2)
 	})
--- a/internal/objectwatch/testdomain_test.go
+++ b/internal/objectwatch/testdomain_test.go
@@ -41,7 +41,7 @@
 }
 
 // Watch counts a watch and passes it to the platform.
-func (i *testInstance) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (i *testInstance) Watch(ctx context.Context, kind platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	i.watchCalls.Add(1)
 	return i.view.Watch(ctx, kind, after)
 }
@@ -53,7 +53,7 @@
 }
 
 // Watch implements platform.API.
-func (c countedAPI) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (c countedAPI) Watch(ctx context.Context, kind platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	return c.testInstance.Watch(ctx, kind, after)
 }
 
--- a/internal/platform/counted.go
+++ b/internal/platform/counted.go
@@ -30,6 +30,7 @@
 	bytes *prometheus.CounterVec
 	// revisions holds the revision of the last list of each kind.
 	revisions *prometheus.GaugeVec
+	era       prometheus.Gauge
 }
 
 // NewInstrumentedAPI wraps an API with counters and registers their metrics.
@@ -46,10 +47,17 @@
 		}, []string{"kind", "verb", "direction"}),
 		revisions: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "topazrock_platform_revision",
-			Help: "Revision of the last list from the platform's object API.",
+			Help: "Revision of the last list from the platform's object API, within the era of its store.",
 		}, []string{"kind"}),
+		era: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "topazrock_platform_era",
+			Help: "Latest era of the platform's store that this instance has seen. It rises when the store returns from an older copy.",
+		}),
+	}
+	r.MustRegister(c.calls, c.bytes, c.revisions, c.era)
+	if a != nil {
+		a.Eras().Subscribe(func(_, latest int64) { c.era.Set(float64(latest)) })
 	}
-	r.MustRegister(c.calls, c.bytes, c.revisions)
 	return c
 }
 
@@ -65,9 +73,9 @@
 	c.bytes.WithLabelValues(string(kind), verb, directionReceived).Add(float64(size))
 }
 
-func (c *InstrumentedAPI) recordRevision(kind Kind, revision int64, err error) {
+func (c *InstrumentedAPI) recordRevision(kind Kind, revision Revision, err error) {
 	if err == nil {
-		c.revisions.WithLabelValues(string(kind)).Set(float64(revision))
+		c.revisions.WithLabelValues(string(kind)).Set(float64(revision.Number()))
 	}
 }
 
@@ -80,7 +88,7 @@
 }
 
 // List implements API.
-func (c *InstrumentedAPI) List(ctx context.Context, kind Kind) ([]Object, int64, error) {
+func (c *InstrumentedAPI) List(ctx context.Context, kind Kind) ([]Object, Revision, error) {
 	c.countCall(kind, verbList)
 	all, revision, err := c.API.List(ctx, kind)
 	c.countReceived(kind, verbList, all...)
@@ -89,7 +97,7 @@
 }
 
 // ListStale implements API.
-func (c *InstrumentedAPI) ListStale(ctx context.Context, kind Kind) ([]Object, int64, error) {
+func (c *InstrumentedAPI) ListStale(ctx context.Context, kind Kind) ([]Object, Revision, error) {
 	c.countCall(kind, verbListStale)
 	all, revision, err := c.API.ListStale(ctx, kind)
 	c.countReceived(kind, verbListStale, all...)
@@ -98,20 +106,20 @@
 }
 
 // Put implements API.
-func (c *InstrumentedAPI) Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion int64) (Object, error) {
+func (c *InstrumentedAPI) Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion Revision) (Object, error) {
 	c.countCall(kind, verbPut)
 	c.bytes.WithLabelValues(string(kind), verbPut, directionSent).Add(float64(len(value)))
 	return c.API.Put(ctx, kind, name, value, ifVersion)
 }
 
 // Delete implements API.
-func (c *InstrumentedAPI) Delete(ctx context.Context, kind Kind, name string, ifVersion int64) error {
+func (c *InstrumentedAPI) Delete(ctx context.Context, kind Kind, name string, ifVersion Revision) error {
 	c.countCall(kind, verbDelete)
 	return c.API.Delete(ctx, kind, name, ifVersion)
 }
 
 // Watch implements API.
-func (c *InstrumentedAPI) Watch(ctx context.Context, kind Kind, after int64) ([]Object, int64, error) {
+func (c *InstrumentedAPI) Watch(ctx context.Context, kind Kind, after Revision) ([]Object, Revision, error) {
 	c.countCall(kind, verbWatch)
 	changed, revision, err := c.API.Watch(ctx, kind, after)
 	c.countReceived(kind, verbWatch, changed...)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,8 +1,12 @@
 // Package platform defines the interface between topazrock and the platform's object API
 // and instance list.
 //
-// An object has a kind, a name, a value and a version that only increases. Each change of
-// an object gets a revision of its kind, and a watch resumes from a revision.
+// An object has a kind, a name, a value and the revision of its last change. A watch resumes
+// from a revision, and a change can be conditional on one.
+//
+// The store behind the API loses nothing that it has acknowledged unless it returns from an older
+// copy, which begins its next era. A Revision names its era, and no call relies on one of an
+// earlier era: a watch from it has to list again, a change conditional on it conflicts.
 package platform
 
 import "context"
@@ -36,12 +40,13 @@
 
 // Object is one stored object.
 type Object struct {
-	Kind    Kind   `json:"kind"`
-	Name    string `json:"name"`
-	Version int64  `json:"version"`
-	// Revision is the kind's revision at the last change of this object.
-	Revision int64  `json:"revision"`
-	Value    []byte `json:"value"`
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Version is the revision to require in a conditional change of this object, and Revision
+	// that of its last change.
+	Version  Revision `json:"version"`
+	Revision Revision `json:"revision"`
+	Value    []byte   `json:"value"`
 	// Removed reports in the response to a watch that the object was deleted.
 	Removed bool `json:"removed,omitempty"`
 }
@@ -84,21 +89,24 @@
 // response was lost.
 type API interface {
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
-	// List returns all objects of a kind and the kind's revision.
-	List(ctx context.Context, kind Kind) ([]Object, int64, error)
+	// List returns all objects of a kind and the store's revision.
+	List(ctx context.Context, kind Kind) ([]Object, Revision, error)
 	// ListStale is like List, but the result may be some seconds old. It may be cheaper
 	// for the platform.
-	ListStale(ctx context.Context, kind Kind) ([]Object, int64, error)
+	ListStale(ctx context.Context, kind Kind) ([]Object, Revision, error)
 	// Put stores value if the object's version is ifVersion (0: it must not exist) and
 	// returns the stored object.
-	Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion int64) (Object, error)
+	Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion Revision) (Object, error)
 	// Delete removes an object if its version is ifVersion. It returns ErrNotFound if the
 	// object does not exist.
-	Delete(ctx context.Context, kind Kind, name string, ifVersion int64) error
+	Delete(ctx context.Context, kind Kind, name string, ifVersion Revision) error
 	// Watch waits for changes of a kind after a revision and returns them with the
 	// revision to resume from. An empty result means that there were none within the
-	// platform's time limit.
-	Watch(ctx context.Context, kind Kind, after int64) ([]Object, int64, error)
+	// platform's time limit. A watch that waits ends with ErrCompacted when a later era of the
+	// store is seen.
+	Watch(ctx context.Context, kind Kind, after Revision) ([]Object, Revision, error)
 	// Inventory returns the list of instances and upstreams.
 	Inventory(ctx context.Context) (Inventory, error)
+	// Eras returns the eras of the store as this instance has seen them.
+	Eras() *EraTracker
 }
--- a/internal/registry/sweeper_test.go
+++ b/internal/registry/sweeper_test.go
@@ -104,7 +104,7 @@
 }
 
 // Put implements platform.API.
-func (p *putCounter) Put(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (p *putCounter) Put(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion platform.Revision) (platform.Object, error) {
 	p.puts.Add(1)
 	return p.API.Put(ctx, kind, name, value, ifVersion)
 }
--- a/internal/shares/fakeplatform_test.go
+++ b/internal/shares/fakeplatform_test.go
@@ -46,7 +46,7 @@
 	return object, nil
 }
 
-func (p instancePlatform) Put(ctx context.Context, _ platform.Kind, _ string, value []byte, ifVersion int64) (platform.Object, error) {
+func (p instancePlatform) Put(ctx context.Context, _ platform.Kind, _ string, value []byte, ifVersion platform.Revision) (platform.Object, error) {
 	if err := p.simulateCall(ctx); err != nil {
 		return platform.Object{}, err
 	}
@@ -57,7 +57,7 @@
 	return object, err
 }
 
-func (p instancePlatform) putWithFault(value []byte, ifVersion int64) (platform.Object, error) {
+func (p instancePlatform) putWithFault(value []byte, ifVersion platform.Revision) (platform.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writes++
@@ -80,7 +80,7 @@
 }
 
 // storeLedger applies an update. The caller holds mu.
-func (sim *simulation) storeLedger(value []byte, ifVersion int64) error {
+func (sim *simulation) storeLedger(value []byte, ifVersion platform.Revision) error {
 	if sim.object.Version != ifVersion {
 		return platform.ErrConflict
 	}
@@ -113,19 +113,19 @@
 	return inventory, nil
 }
 
-func (p instancePlatform) List(context.Context, platform.Kind) ([]platform.Object, int64, error) {
+func (p instancePlatform) List(context.Context, platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return nil, 0, platform.ErrUnavailable
 }
 
-func (p instancePlatform) Delete(context.Context, platform.Kind, string, int64) error {
+func (p instancePlatform) Delete(context.Context, platform.Kind, string, platform.Revision) error {
 	return platform.ErrUnavailable
 }
 
-func (p instancePlatform) ListStale(context.Context, platform.Kind) ([]platform.Object, int64, error) {
+func (p instancePlatform) ListStale(context.Context, platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return nil, 0, platform.ErrUnavailable
 }
 
-func (p instancePlatform) Watch(context.Context, platform.Kind, int64) ([]platform.Object, int64, error) {
+func (p instancePlatform) Watch(context.Context, platform.Kind, platform.Revision) ([]platform.Object, platform.Revision, error) {
 	return nil, 0, platform.ErrUnavailable
 }
 
@@ -138,3 +138,6 @@
 	}
 	sim.delayed = nil
 }
+
+// Eras implements platform.API.
+func (p instancePlatform) Eras() *platform.EraTracker { return p.eras }
--- a/internal/shares/simulation_test.go
+++ b/internal/shares/simulation_test.go
@@ -32,6 +32,7 @@
 	holderExpiry   time.Duration
 	sampleInterval time.Duration
 
+	eras         *platform.EraTracker
 	mu           sync.Mutex
 	object       platform.Object
 	platformDown bool
@@ -65,7 +66,7 @@
 )
 
 func newSimulation(t interface{ Fatal(args ...any) }) *simulation {
-	return &simulation{t: t, inventory: make(map[string]bool), instances: make(map[string]*fakeInstance)}
+	return &simulation{t: t, eras: platform.NewEraTracker(), inventory: make(map[string]bool), instances: make(map[string]*fakeInstance)}
 }
 
 // readLedger returns the ledger that the platform stores.
--- a/internal/shares/store.go
+++ b/internal/shares/store.go
@@ -28,7 +28,7 @@
 type unconfirmedChange struct {
 	id      string
 	value   []byte
-	version int64
+	version platform.Revision
 }
 
 // ledgerStore reads and changes the ledger of one group. It is used by one goroutine.
@@ -46,14 +46,14 @@
 }
 
 // read returns the ledger and its version; the version is 0 if there is no ledger.
-func (s *ledgerStore) read(ctx context.Context) (Ledger, int64, error) {
+func (s *ledgerStore) read(ctx context.Context) (Ledger, platform.Revision, error) {
 	if _, err := s.resolvePending(ctx); err != nil {
 		return Ledger{}, 0, err
 	}
 	return s.get(ctx)
 }
 
-func (s *ledgerStore) get(ctx context.Context) (Ledger, int64, error) {
+func (s *ledgerStore) get(ctx context.Context) (Ledger, platform.Revision, error) {
 	object, err := s.api.Get(ctx, platform.KindShares, s.group)
 	if errors.Is(err, platform.ErrNotFound) {
 		return Ledger{}, 0, nil
@@ -106,7 +106,7 @@
 
 // put stores a changed ledger. It returns false without an error if another writer came
 // first.
-func (s *ledgerStore) put(ctx context.Context, l *Ledger, version int64) (bool, error) {
+func (s *ledgerStore) put(ctx context.Context, l *Ledger, version platform.Revision) (bool, error) {
 	id := s.newID()
 	l.recordChange(id)
 	value, err := json.Marshal(l)
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -43,7 +43,7 @@
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
-	o, err := s.Get(r.Context(), requestedKind(r), r.PathValue("name"))
+	o, _, err := s.get(r.Context(), requestedKind(r), r.PathValue("name"))
 	writeReply(w, toAPIObject(o), err)
 }
 
@@ -54,7 +54,7 @@
 		return
 	}
 	objects, revision, err := s.listWithInventory(r.Context(), requestedKind(r))
-	p := objectPage{Items: []object{}, StoreRevision: revision}
+	p := objectPage{Items: []object{}, StoreRevision: revision.Number()}
 	after := r.FormValue("after")
 	for _, o := range objects {
 		if o.Name <= after {
@@ -80,7 +80,7 @@
 		wait = time.Duration(ms) * time.Millisecond
 	}
 	objects, revision, err := s.watch(r.Context(), requestedKind(r), after, wait)
-	response := eventList{Events: []event{}, StoreRevision: revision}
+	response := eventList{Events: []event{}, StoreRevision: revision.Number()}
 	for _, o := range objects {
 		response.Events = append(response.Events, event{Object: toAPIObject(o), Removed: o.Removed})
 	}
@@ -102,7 +102,7 @@
 	if r.Method == http.MethodPost {
 		o.Meta.Revision = 0
 	}
-	stored, err := s.Put(r.Context(), requestedKind(r), o.Meta.Name, specValue(requestedKind(r), o.Spec), o.Meta.Revision)
+	stored, _, err := s.put(r.Context(), requestedKind(r), o.Meta.Name, specValue(requestedKind(r), o.Spec), o.Meta.Revision)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler)
 	}
@@ -115,7 +115,8 @@
 		http.Error(w, "Revision must be a number", http.StatusBadRequest)
 		return
 	}
-	writeReply(w, struct{}{}, s.Delete(r.Context(), requestedKind(r), r.PathValue("name"), revision))
+	_, err = s.remove(r.Context(), requestedKind(r), r.PathValue("name"), revision)
+	writeReply(w, struct{}{}, err)
 }
 
 func (s *Store) serveSetInventory(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -67,7 +67,7 @@
 }
 
 func toAPIObject(o platform.Object) object {
-	p := object{Meta: meta{Name: o.Name, Revision: o.Revision}, Spec: o.Value}
+	p := object{Meta: meta{Name: o.Name, Revision: o.Revision.Number()}, Spec: o.Value}
 	if writtenExternally(o.Kind) {
 		return p
 	}
@@ -81,8 +81,8 @@
 
 // listWithInventory lists the objects of a kind, sorted by name. Lists of instances and
 // upstreams also include the machines that tests set with SetInventory.
-func (s *Store) listWithInventory(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
-	objects, revision, err := s.List(ctx, kind)
+func (s *Store) listWithInventory(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
+	objects, revision, err := s.list(ctx, kind)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/standin/platform/return.go
+++ b/internal/standin/platform/return.go
@@ -39,7 +39,6 @@
 // wait are cut off.
 func (s *Store) ReturnFromCopy(age time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	taken := time.Now().Add(-age)
 	for len(s.undo) > 0 {
 		last := s.undo[len(s.undo)-1]
@@ -52,8 +51,9 @@
 	for _, c := range s.kinds {
 		c.compactedRevision = min(c.compactedRevision, s.revision)
 	}
-	s.era++
 	s.notifyWatchers()
+	s.mu.Unlock()
+	s.eras.Observe(s.Era() + 1)
 }
 
 // revert undoes a change. The caller holds s.mu.
@@ -68,8 +68,4 @@
 }
 
 // Era returns the store's era. It rises by one each time that the store returns from a copy.
-func (s *Store) Era() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era
-}
+func (s *Store) Era() int64 { return s.eras.Latest() }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -27,15 +27,20 @@
 	compactedRevision int64
 }
 
-// Store implements platform.API in memory.
+// Store is the platform's store in memory. As a platform.API it acts as a client that always knows
+// the store's present era; a View learns it from responses.
+//
+// Its objects hold revisions without the era. Responses name the era in which they were made.
 type Store struct {
+	client
+	// eras holds the present era.
+	eras *platform.EraTracker
+
 	hook atomic.Pointer[func(point string)]
 
 	mu sync.Mutex
-	// revision is the revision of the last change of any object, era the number of the copy that
-	// the store runs from. undo reverts the latest changes.
+	// revision is the number of the last change of any object. undo reverts the latest changes.
 	revision  int64
-	era       int64
 	undo      []pastChange
 	kinds     map[platform.Kind]*collection
 	inventory []datedInventory
@@ -49,12 +54,15 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{
-		era:     firstEra,
+	s := &Store{
+		eras:    platform.NewEraTracker(),
 		kinds:   map[platform.Kind]*collection{},
 		calls:   map[Call]int{},
 		changed: make(chan struct{}),
 	}
+	s.eras.Observe(firstEra)
+	s.client = client{store: s, eras: s.eras}
+	return s
 }
 
 // SetHook makes Put call f at the points KIND.put.before (before the value is stored) and
@@ -68,71 +76,67 @@
 	s.inventory = append(s.inventory, datedInventory{time.Now(), i})
 }
 
-// Get implements platform.API.
-func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// get serves a read of one object. Like all calls it also returns the era of the response, zero
+// if there is none.
+func (s *Store) get(ctx context.Context, kind platform.Kind, name string) (platform.Object, int64, error) {
 	if err := s.beginCall(ctx, CallGet); err != nil {
-		return platform.Object{}, err
+		return platform.Object{}, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.collectionFor(kind).objects[name]
 	if !ok || o.Removed {
-		return platform.Object{}, platform.ErrNotFound
+		return platform.Object{}, s.Era(), platform.ErrNotFound
 	}
-	return o, nil
+	return s.inEra(o), s.Era(), nil
 }
 
-// List implements platform.API.
-func (s *Store) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+// list serves a list.
+func (s *Store) list(ctx context.Context, kind platform.Kind) ([]platform.Object, platform.Revision, error) {
 	if err := s.beginCall(ctx, CallList); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.collectionFor(kind)
-	objects := slices.DeleteFunc(c.objectsAfter(0), func(o platform.Object) bool { return o.Removed })
-	return objects, s.revision, nil
-}
-
-// ListStale implements platform.API.
-func (s *Store) ListStale(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
-	return s.List(ctx, kind)
+	objects := slices.DeleteFunc(s.changedSince(kind, 0), func(o platform.Object) bool { return o.Removed })
+	return objects, s.currentRevision(), nil
 }
 
-// Put implements platform.API.
-func (s *Store) Put(ctx context.Context, kind platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
+// put serves a change that is conditional on the number of a revision, in whatever era the store
+// is when it arrives.
+func (s *Store) put(ctx context.Context, kind platform.Kind, name string, value []byte, ifNumber int64) (platform.Object, int64, error) {
 	if err := s.beginCall(ctx, CallPut); err != nil {
-		return platform.Object{}, err
+		return platform.Object{}, 0, err
 	}
 	s.callHook(string(kind) + ".put.before")
-	if s.deferPut(kind, name, value, ifVersion) {
-		return platform.Object{}, platform.ErrOutcomeUnknown
+	if s.deferPut(kind, name, value, ifNumber) {
+		return platform.Object{}, 0, platform.ErrOutcomeUnknown
 	}
-	o, responseLost, err := s.applyPut(kind, name, value, ifVersion)
+	o, responseLost, err := s.applyPut(kind, name, value, ifNumber)
 	if err != nil {
-		return platform.Object{}, err
+		return platform.Object{}, s.Era(), err
 	}
 	s.callHook(string(kind) + ".put.after_before_answer")
 	if responseLost || ctx.Err() != nil {
-		return platform.Object{}, platform.ErrOutcomeUnknown
+		return platform.Object{}, 0, platform.ErrOutcomeUnknown
 	}
-	return o, nil
+	return o, o.Revision.Era(), nil
 }
 
 // deferPut returns false if DelayedPuts is zero. Otherwise it decrements DelayedPuts,
 // schedules the change to be applied after PutDelay, and returns true.
-func (s *Store) deferPut(kind platform.Kind, name string, value []byte, ifVersion int64) bool {
+func (s *Store) deferPut(kind platform.Kind, name string, value []byte, ifNumber int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.DelayedPuts == 0 {
 		return false
 	}
 	s.faults.DelayedPuts--
-	time.AfterFunc(s.faults.PutDelay, func() { _, _, _ = s.applyPut(kind, name, value, ifVersion) })
+	time.AfterFunc(s.faults.PutDelay, func() { _, _, _ = s.applyPut(kind, name, value, ifNumber) })
 	return true
 }
 
-func (s *Store) applyPut(kind platform.Kind, name string, value []byte, ifVersion int64) (o platform.Object, responseLost bool, err error) {
+func (s *Store) applyPut(kind platform.Kind, name string, value []byte, ifNumber int64) (o platform.Object, responseLost bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.collectionFor(kind)
@@ -140,25 +144,25 @@
 	if o.Removed {
 		o.Version = 0
 	}
-	if o.Version != ifVersion || len(value) > platform.MaxValueSize {
-		return o, false, platform.ErrConflict
+	if o.Version.Number() != ifNumber || len(value) > platform.MaxValueSize {
+		return s.inEra(o), false, platform.ErrConflict
 	}
 	s.recordPastChange(kind, name)
 	s.revision++
-	o = platform.Object{Kind: kind, Name: name, Version: s.revision, Revision: s.revision, Value: bytes.Clone(value)}
+	o = platform.Object{Kind: kind, Name: name, Version: platform.Revision(s.revision), Revision: platform.Revision(s.revision), Value: bytes.Clone(value)}
 	c.objects[name] = o
 	responseLost = s.faults.LoseResponses > 0
 	if responseLost {
 		s.faults.LoseResponses--
 	}
 	s.notifyWatchers()
-	return o, responseLost, nil
+	return s.inEra(o), responseLost, nil
 }
 
-// Delete implements platform.API.
-func (s *Store) Delete(ctx context.Context, kind platform.Kind, name string, ifVersion int64) error {
+// remove serves a removal that is conditional on the number of a revision.
+func (s *Store) remove(ctx context.Context, kind platform.Kind, name string, ifNumber int64) (int64, error) {
 	if err := s.beginCall(ctx, CallDelete); err != nil {
-		return err
+		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,15 +170,15 @@
 	o, ok := c.objects[name]
 	switch {
 	case !ok || o.Removed:
-		return platform.ErrNotFound
-	case o.Version != ifVersion:
-		return platform.ErrConflict
+		return s.Era(), platform.ErrNotFound
+	case o.Version.Number() != ifNumber:
+		return s.Era(), platform.ErrConflict
 	}
 	s.recordPastChange(kind, name)
 	s.revision++
-	c.objects[name] = platform.Object{Kind: kind, Name: name, Version: s.revision, Revision: s.revision, Removed: true}
+	c.objects[name] = platform.Object{Kind: kind, Name: name, Version: platform.Revision(s.revision), Revision: platform.Revision(s.revision), Removed: true}
 	s.notifyWatchers()
-	return nil
+	return s.Era(), nil
 }
 
 // Inventory implements platform.API.
@@ -193,6 +197,18 @@
 	return platform.Inventory{}, nil
 }
 
+// currentRevision returns the revision of the last change. The caller holds s.mu.
+func (s *Store) currentRevision() platform.Revision {
+	return platform.NewRevision(s.Era(), s.revision)
+}
+
+// inEra returns an object with its revisions in the present era. The caller holds s.mu.
+func (s *Store) inEra(o platform.Object) platform.Object {
+	o.Version = platform.NewRevision(s.Era(), o.Version.Number())
+	o.Revision = platform.NewRevision(s.Era(), o.Revision.Number())
+	return o
+}
+
 func (s *Store) callHook(point string) {
 	if f := s.hook.Load(); f != nil && *f != nil {
 		(*f)(point)
--- a/internal/standin/platform/store_test.go
+++ b/internal/standin/platform/store_test.go
@@ -14,7 +14,7 @@
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
-func put(s *Store, name, value string, version int64) (platform.Object, error) {
+func put(s *Store, name, value string, version platform.Revision) (platform.Object, error) {
 	return s.Put(context.Background(), platform.KindGroup, name, []byte(value), version)
 }
 
@@ -24,7 +24,7 @@
 		s := NewStore()
 		o, err := put(s, "a", "1", 0)
 		is.NoErr(err)
-		is.Equal(o.Version, int64(1))
+		is.Equal(o.Version, platform.NewRevision(firstEra, 1))
 		_, err = put(s, "a", "2", 0)
 		is.Equal(err, platform.ErrConflict)
 		time.AfterFunc(time.Second, func() { _, _ = put(s, "b", "1", 0) })
--- a/internal/standin/platform/view.go
+++ b/internal/standin/platform/view.go
@@ -18,6 +18,7 @@
 // View is one instance's connection to the platform. It can be cut or frozen.
 type View struct {
 	store *Store
+	client
 
 	mu           sync.Mutex
 	disconnected bool
@@ -26,7 +27,9 @@
 }
 
 // NewView returns a connected view of a store.
-func NewView(s *Store) *View { return &View{store: s} }
+func NewView(s *Store) *View {
+	return &View{store: s, client: client{store: s, eras: platform.NewEraTracker()}}
+}
 
 // SetDisconnected disconnects the instance from the platform, or reconnects it.
 func (v *View) SetDisconnected(disconnected bool) {
@@ -74,52 +77,52 @@
 	if err := v.waitReachable(ctx); err != nil {
 		return platform.Object{}, err
 	}
-	return v.store.Get(ctx, k, name)
+	return v.client.Get(ctx, k, name)
 }
 
 // List implements platform.API.
-func (v *View) List(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (v *View) List(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := v.waitReachable(ctx); err != nil {
 		return nil, 0, err
 	}
-	return v.store.List(ctx, k)
+	return v.client.List(ctx, k)
 }
 
 // ListStale implements platform.API.
-func (v *View) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, int64, error) {
+func (v *View) ListStale(ctx context.Context, k platform.Kind) ([]platform.Object, platform.Revision, error) {
 	return v.List(ctx, k)
 }
 
 // Put implements platform.API.
-func (v *View) Put(ctx context.Context, k platform.Kind, name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (v *View) Put(ctx context.Context, k platform.Kind, name string, value []byte, ifVersion platform.Revision) (platform.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := v.waitReachable(ctx); err != nil {
 		return platform.Object{}, err
 	}
-	return v.store.Put(ctx, k, name, value, ifVersion)
+	return v.client.Put(ctx, k, name, value, ifVersion)
 }
 
 // Delete implements platform.API.
-func (v *View) Delete(ctx context.Context, k platform.Kind, name string, ifVersion int64) error {
+func (v *View) Delete(ctx context.Context, k platform.Kind, name string, ifVersion platform.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := v.waitReachable(ctx); err != nil {
 		return err
 	}
-	return v.store.Delete(ctx, k, name, ifVersion)
+	return v.client.Delete(ctx, k, name, ifVersion)
 }
 
 // Watch implements platform.API.
-func (v *View) Watch(ctx context.Context, k platform.Kind, after int64) ([]platform.Object, int64, error) {
+func (v *View) Watch(ctx context.Context, k platform.Kind, after platform.Revision) ([]platform.Object, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	if err := v.waitReachable(ctx); err != nil {
 		return nil, after, err
 	}
-	return v.store.Watch(ctx, k, after)
+	return v.client.Watch(ctx, k, after)
 }
 
 // Inventory implements platform.API.
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -21,12 +21,9 @@
 	c.compactedRevision = s.revision
 }
 
-// Watch implements platform.API. It waits at most ten seconds.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64) ([]platform.Object, int64, error) {
-	return s.watch(ctx, kind, after, defaultWait)
-}
-
-func (s *Store) watch(ctx context.Context, kind platform.Kind, after int64, wait time.Duration) ([]platform.Object, int64, error) {
+// watch serves a watch from the number of a revision. The revision that it returns names the era
+// of the response, also with ErrCompacted.
+func (s *Store) watch(ctx context.Context, kind platform.Kind, after int64, wait time.Duration) ([]platform.Object, platform.Revision, error) {
 	if err := s.beginCall(ctx, CallWatch); err != nil {
 		return nil, 0, err
 	}
@@ -43,7 +40,7 @@
 			return objects, revision, err
 		}
 		if suppressEvents {
-			revision = after
+			revision = platform.NewRevision(era, after)
 		}
 		select {
 		case <-changed:
@@ -55,7 +52,7 @@
 	}
 }
 
-func (s *Store) changesAfter(kind platform.Kind, after int64) ([]platform.Object, int64, <-chan struct{}, error) {
+func (s *Store) changesAfter(kind platform.Kind, after int64) ([]platform.Object, platform.Revision, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.collectionFor(kind)
@@ -63,17 +60,18 @@
 	case s.faults.Outage:
 		return nil, 0, nil, platform.ErrUnavailable
 	case after < c.compactedRevision || after > s.revision:
-		return nil, 0, nil, platform.ErrCompacted
+		return nil, s.currentRevision(), nil, platform.ErrCompacted
 	}
-	return c.objectsAfter(after), s.revision, s.changed, nil
+	return s.changedSince(kind, after), s.currentRevision(), s.changed, nil
 }
 
-// objectsAfter returns the objects changed after a revision, in order of their revisions.
-func (c *collection) objectsAfter(revision int64) []platform.Object {
+// changedSince returns the objects changed after the number of a revision, in the order of the
+// changes. The caller holds s.mu.
+func (s *Store) changedSince(kind platform.Kind, after int64) []platform.Object {
 	objects := []platform.Object{}
-	for _, o := range c.objects {
-		if o.Revision > revision {
-			objects = append(objects, o)
+	for _, o := range s.collectionFor(kind).objects {
+		if o.Revision.Number() > after {
+			objects = append(objects, s.inEra(o))
 		}
 	}
 	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Revision, b.Revision) })
