Fencing tokens and claims survive a return of the platform's store

Callers would see two primaries appointed for one group, or a write acknowledged by the earlier one: a claim that was acknowledged may be missing from the copy that the store returns from, so that another instance is granted the same term, with the same fencing token, while the first still acts.

- The token of a claim is above the revision, era included, of the record that it replaces.
The era is above all tokens that the store forgot, and within an era only one claim can replace a revision, also where a late claim of an earlier era has overwritten the record together with its token.
- Until the attempts of lost claims have ended, counted from when the instance learned of the return, no claim is made for a group without a claim of the present era.
An instance that starts while the era is beyond the first counts from its start.
- A claim that was stored in another era than it was decided in is lost, also if the store holds it.
- The instance that carried out a promotion stores its record again if the store has an earlier one.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -28,6 +28,8 @@
 	targetChosen chan struct{}
 	target       string
 	promoted     chan struct{}
+	// recorded is the record of the promotion once it is stored.
+	recorded Record
 	// abort cancels the attempt with a reason.
 	abort context.CancelCauseFunc
 }
@@ -207,6 +209,7 @@
 	}
 	for range maxRecordTries {
 		if a.tryRecordPrimary(ctx, value) {
+			a.recorded = r
 			a.claimer.callHook(StepRecorded)
 			return
 		}
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -35,13 +35,16 @@
 	if m.claimPending(current, s) && !m.claimExpired(current, s) {
 		return claim{}, ErrRivalClaim
 	}
+	if m.mayHaveLostClaim(current) {
+		return claim{}, errForgottenClaim
+	}
 	// Querying the witnesses and reading the platform took time, or this process was
 	// paused in between. A claim based on an outdated failure would depose a primary
 	// that has recovered, so check again immediately before the update.
 	if !m.causeHolds(s, a) {
 		return claim{}, errRecovered
 	}
-	next := Record{Term: m.nextTerm(current, s), Number: current.Number + 1, Claim: m.newClaimID(), Claimer: m.claimer.Self.ID, Cause: a.cause}
+	next := Record{Term: m.nextTerm(current, s), Number: nextNumber(current, version), Claim: m.newClaimID(), Claimer: m.claimer.Self.ID, Cause: a.cause}
 	won, err := m.putClaim(ctx, next, version)
 	if err == nil && !m.causeHolds(s, a) {
 		return claim{}, errRecovered
@@ -49,6 +52,34 @@
 	return won, err
 }
 
+// nextNumber returns the fencing token of a claim that replaces a record of the given revision. A
+// store that returned from a copy may have lost claims, and their numbers with them; the revision
+// exceeds all revisions of earlier eras, and only one claim can replace it.
+func nextNumber(current Record, replaced platform.Revision) uint64 {
+	return max(current.Number, uint64(replaced)) + 1
+}
+
+// numberEra returns the era of the store in which a record with a number was claimed.
+func numberEra(number uint64) int64 { return platform.Revision(number).Era() }
+
+// mayHaveLostClaim reports whether the store may have lost a claim whose attempt has not ended
+// yet: the store returned from a copy, and no claim has been made since. The claimer of a lost
+// claim continues until its attempt expires.
+func (m *primaryMonitor) mayHaveLostClaim(r Record) bool {
+	eras := m.claimer.Platform.Eras()
+	return numberEra(r.Number) < eras.Latest() && m.claimer.Clock.Now().Before(m.lostClaimsEnd())
+}
+
+// lostClaimsEnd returns when the attempts of all claims that the store has lost have ended; the
+// zero time if it never lost any.
+func (m *primaryMonitor) lostClaimsEnd() time.Time {
+	returnedAt := m.claimer.Platform.Eras().ReturnedAt()
+	if returnedAt.IsZero() {
+		return returnedAt
+	}
+	return returnedAt.Add(max(m.claimer.Settings.AttemptTimeout, m.claimer.Settings.TakeoverTimeout))
+}
+
 // claimPending reports whether a claim may still lead to a promotion. Where members
 // assign terms themselves, they enter the claimed term before any of them becomes
 // primary in it, so only a primary's own report ends the claim.
@@ -69,14 +100,14 @@
 	return max(current.Term, s.Term) + 1
 }
 
-// readRecord returns the group's record and the version of its object, both zero if
-// the object does not exist yet.
+// readRecord returns the group's record and the version of its object. If the object does not
+// exist yet, the record is zero and the version has the number zero.
 func (m *primaryMonitor) readRecord(ctx context.Context) (Record, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.claimer.Settings.PlatformTimeout)
 	defer cancel()
 	o, err := m.claimer.Platform.Get(ctx, platform.KindGroup, m.claimer.Group)
 	if errors.Is(err, platform.ErrNotFound) {
-		return Record{}, 0, nil
+		return Record{}, platform.NewRevision(m.claimer.Platform.Eras().Latest(), 0), nil
 	}
 	if err != nil {
 		return Record{}, 0, err
@@ -112,7 +143,8 @@
 // putClaim stores the claim. If the answer is lost, it reads the object back: the
 // object then holds this claim, another claim, or is unchanged. In the last case
 // putClaim sends the same update again; if the first one is still in transit, the
-// version check lets only one of the two take effect.
+// version check lets only one of the two take effect. A claim that was stored in a later era of
+// the store than it was decided in may have replaced another one and is lost.
 func (m *primaryMonitor) putClaim(ctx context.Context, r Record, version platform.Revision) (claim, error) {
 	value, err := r.encode()
 	if err != nil {
@@ -122,6 +154,8 @@
 	for {
 		o, err := m.putRecord(ctx, value, version)
 		switch {
+		case err == nil && o.Version.Era() != version.Era():
+			return claim{}, ErrLostClaim
 		case err == nil:
 			return claim{record: r, version: o.Version, sentAt: sentAt}, nil
 		case errors.Is(err, platform.ErrConflict):
@@ -134,7 +168,7 @@
 		switch {
 		case err != nil:
 			return claim{}, err
-		case current.Claim == r.Claim:
+		case current.Claim == r.Claim && currentVersion.Era() == version.Era():
 			return claim{record: r, version: currentVersion, sentAt: sentAt}, nil
 		case currentVersion != version:
 			return claim{}, ErrLostClaim
--- a/internal/failover/claim_model_test.go
+++ b/internal/failover/claim_model_test.go
@@ -59,6 +59,7 @@
 	view    *fixedView
 	calls   chan *platformCall
 	done    chan claimResult
+	eras    *platform.EraTracker
 	// pending is the unanswered call; nil when no claim is in progress.
 	pending *platformCall
 }
@@ -68,6 +69,9 @@
 	err error
 }
 
+// Eras implements platform.API.
+func (c *modelClaimer) Eras() *platform.EraTracker { return c.eras }
+
 // Get implements platform.API.
 func (c *modelClaimer) Get(context.Context, platform.Kind, string) (platform.Object, error) {
 	return c.call(&platformCall{})
@@ -106,7 +110,7 @@
 		won:     map[logpos.Term]string{},
 	}
 	for i := range 3 {
-		c := &modelClaimer{view: &fixedView{snapshot: lostPrimary(1)}, calls: make(chan *platformCall), done: make(chan claimResult)}
+		c := &modelClaimer{view: &fixedView{snapshot: lostPrimary(1)}, calls: make(chan *platformCall), done: make(chan claimResult), eras: platform.NewEraTracker(m.clock)}
 		settings := DefaultSettings()
 		settings.PlatformTimeout = time.Hour // the model decides which calls are late
 		c.monitor = newPrimaryMonitor(New(Config{
--- a/internal/failover/errors.go
+++ b/internal/failover/errors.go
@@ -9,6 +9,8 @@
 	ErrRivalClaim = errors.New("failover: another claim is in progress")
 	// ErrLostClaim means that another claimer was granted the term.
 	ErrLostClaim = errors.New("failover: the term was granted to another claim")
+	// errForgottenClaim means that the platform's store may have lost a claim that is still in progress.
+	errForgottenClaim = errors.New("failover: a claim that the platform has lost may be in progress")
 	// errRecovered means that the cause of a claim no longer applies.
 	errRecovered = errors.New("failover: the cause of the claim no longer applies")
 	// errTermSuperseded aborts an attempt once a higher term is known.
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -21,6 +21,10 @@
 	backoff  backoff
 	// earliestClaim is the time before which no claim is made.
 	earliestClaim time.Time
+	// recorded is the record of the last promotion by this instance, and recordedEra the era of the
+	// platform's store that has it.
+	recorded    Record
+	recordedEra int64
 }
 
 func newPrimaryMonitor(c *Claimer) *primaryMonitor {
@@ -35,6 +39,7 @@
 func (m *primaryMonitor) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := m.claimer.View.Changes()
+		m.restoreRecord(ctx)
 		now, s := m.claimer.Clock.Now(), m.claimer.View.Snapshot()
 		a := m.detector.assess(now, s, m.claimer.rank(s))
 		due := a.due
@@ -75,7 +80,10 @@
 	c.callHook(StepClaimed)
 	gap := Timings{Group: c.Group, Term: won.record.Term, Cause: a.cause,
 		Detect: decidedAt.Sub(a.since), Claim: c.Clock.Now().Sub(decidedAt)}
-	if err := newAttempt(c, won, s).run(ctx, &gap); err != nil {
+	attempt := newAttempt(c, won, s)
+	err = attempt.run(ctx, &gap)
+	m.recorded, m.recordedEra = attempt.recorded, won.version.Era()
+	if err != nil {
 		c.log.Warn("Failover attempt for the claimed term was abandoned.", "term", won.record.Term, "error", err)
 		c.Metrics.countClaim(a.cause, outcomeAbandoned)
 		m.delayClaims(m.backoff.nextDelay())
@@ -108,6 +116,11 @@
 	case errors.Is(err, ErrRivalClaim):
 		outcome = outcomeRival
 		m.earliestClaim = m.rival.deadline
+	case errors.Is(err, errForgottenClaim):
+		outcome = outcomeRival
+		m.earliestClaim = m.lostClaimsEnd()
+		m.claimer.log.Info("Claim waits for the end of claims that the platform's store may have lost.",
+			"era", m.claimer.Platform.Eras().Latest(), "until", m.earliestClaim)
 	case errors.Is(err, ErrLostClaim):
 		outcome = outcomeLost
 		m.delayClaims(m.claimer.Settings.MinBackoff)
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -11,7 +11,8 @@
 type Record struct {
 	// Term is the highest term that was claimed.
 	Term logpos.Term `json:"term"`
-	// Number counts the group's claims; each claim increments it.
+	// Number is the claim's fencing token. It is higher than those of all earlier claims of the
+	// group, including claims that the platform's store has lost.
 	Number uint64 `json:"number,omitempty"`
 	// Claim is the unique ID of the claim. A claimer that lost the answer to its
 	// update compares it to tell its own claim from another instance's.
--- /dev/null
+++ b/internal/failover/restore.go
@@ -0,0 +1,44 @@
+package failover
+
+import (
+	"context"
+
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// restoreRecord writes the record of this instance's last promotion again if the platform's store
+// lost it when it returned from a copy. Nobody else writes it, and without it the next claimer and
+// operators would take the primary of the copy for the last one promoted. It does nothing if the
+// store has a record of the same or a later term. A failed write is retried at the next check.
+func (m *primaryMonitor) restoreRecord(ctx context.Context) {
+	era := m.claimer.Platform.Eras().Latest()
+	if m.recorded.Primary == "" || m.recordedEra >= era {
+		return
+	}
+	current, version, err := m.readRecord(ctx)
+	if err != nil {
+		m.claimer.log.Debug("Reading the group's record failed.", "error", err)
+		return
+	}
+	if current.Term >= m.recorded.Term {
+		m.recordedEra = era
+		return
+	}
+	lost := m.recorded
+	lost.Number = nextNumber(current, version)
+	stored, err := m.storeRecord(ctx, lost, version)
+	if err != nil {
+		m.claimer.log.Warn("Restoring the group's record failed; will retry.", "term", lost.Term, "error", err)
+		return
+	}
+	m.recorded, m.recordedEra = lost, stored.Version.Era()
+	m.claimer.log.Info("The group's record was lost by the platform and is restored.", "term", lost.Term, "primary", lost.Primary, "era", era)
+}
+
+func (m *primaryMonitor) storeRecord(ctx context.Context, r Record, version platform.Revision) (platform.Object, error) {
+	value, err := r.encode()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	return m.putRecord(ctx, value, version)
+}
--- a/internal/objectwatch/changessince_test.go
+++ b/internal/objectwatch/changessince_test.go
@@ -81,7 +81,7 @@
 		"no readers are known":   {self, nil, fakePeer{response: response{Revision: 5, AgeMS: 1}}, noRevision},
 		"peer has an older one":  {self, []platform.Instance{localReader}, fakePeer{response: response{Revision: 4, AgeMS: 1}}, 5},
 	} {
-		s := NewSharing(SharingConfig{API: eralessAPI{eras: platform.NewEraTracker()}, Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
+		s := NewSharing(SharingConfig{API: eralessAPI{eras: platform.NewEraTracker(clock.System{})}, Fleet: fakeFleet{c.self, c.readers}, Caller: &c.peer, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, &c.peer)
 		_, got, err := s.API(platform.KindManifest, maxAge).ChangesSince(context.Background(), 5)
 		if (err == nil) != (c.want != noRevision) || err == nil && got != c.want {
 			t.Errorf("%s: %v, %v", name, got, err)
--- a/internal/objectwatch/resume_test.go
+++ b/internal/objectwatch/resume_test.go
@@ -157,7 +157,7 @@
 					calls := scriptedReaders{"r0": c.other, "r1": c.other}
 					calls[orderReaders(readers, self.ID)[0].ID] = compactedReader
 					newAPI := func() *SharedAPI {
-						s := NewSharing(SharingConfig{API: eralessAPI{eras: platform.NewEraTracker()}, Fleet: fakeFleet{self, readers}, Caller: calls, Clock: clock.System{},
+						s := NewSharing(SharingConfig{API: eralessAPI{eras: platform.NewEraTracker(clock.System{})}, Fleet: fakeFleet{self, readers}, Caller: calls, Clock: clock.System{},
 							Rand: rand.New(rand.NewPCG(1, 1)), Log: hclog.NewNullLogger()}, calls)
 						return s.API(platform.KindUpstreams, 0)
 					}
--- a/internal/platform/eratracker.go
+++ b/internal/platform/eratracker.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"sync"
+	"time"
+
+	"github.com/topazrock/topazrock/internal/clock"
 )
 
+// firstEra is the era of a store that has never returned from a copy.
+const firstEra = 1
+
 // EraTracker holds the latest era of the platform's store that this instance has seen.
 //
 // The store begins an era when it returns from an older copy: whatever was written after the copy
@@ -12,14 +18,19 @@
 // in an earlier era therefore proves nothing about the present store. EraTracker decides which
 // calls and responses a return makes invalid. It is safe for concurrent use.
 type EraTracker struct {
+	clock clock.Clock
+
 	mu          sync.Mutex
 	latest      int64
+	since       time.Time
 	changed     chan struct{}
 	subscribers []func(previous, latest int64)
 }
 
 // NewEraTracker returns a tracker that has not seen any era.
-func NewEraTracker() *EraTracker { return &EraTracker{changed: make(chan struct{})} }
+func NewEraTracker(c clock.Clock) *EraTracker {
+	return &EraTracker{clock: c, changed: make(chan struct{})}
+}
 
 // Latest returns the latest era; zero if none is known.
 func (t *EraTracker) Latest() int64 {
@@ -28,6 +39,18 @@
 	return t.latest
 }
 
+// ReturnedAt returns when this instance learned that the store returned from a copy, at the latest;
+// the zero time if it never did, as far as this instance can tell. An instance that starts learns
+// it from any era beyond the first.
+func (t *EraTracker) ReturnedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latest <= firstEra {
+		return time.Time{}
+	}
+	return t.since
+}
+
 // Changed returns a channel that is closed when a later era is observed.
 func (t *EraTracker) Changed() <-chan struct{} {
 	t.mu.Lock()
@@ -51,7 +74,7 @@
 		return
 	}
 	previous := t.latest
-	t.latest = era
+	t.latest, t.since = era, t.clock.Now()
 	close(t.changed)
 	t.changed = make(chan struct{})
 	subscribers := t.subscribers
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -94,8 +94,8 @@
 	// ListStale is like List, but the result may be some seconds old. It may be cheaper
 	// for the platform.
 	ListStale(ctx context.Context, kind Kind) ([]Object, Revision, error)
-	// Put stores value if the object's version is ifVersion (0: it must not exist) and
-	// returns the stored object.
+	// Put stores value if the object's version is ifVersion and returns the stored object. The
+	// number zero means that the object must not exist; the zero Revision, in whatever era.
 	Put(ctx context.Context, kind Kind, name string, value []byte, ifVersion Revision) (Object, error)
 	// Delete removes an object if its version is ifVersion. It returns ErrNotFound if the
 	// object does not exist.
--- a/internal/shares/simulation_test.go
+++ b/internal/shares/simulation_test.go
@@ -8,6 +8,7 @@
 
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -66,7 +67,7 @@
 )
 
 func newSimulation(t interface{ Fatal(args ...any) }) *simulation {
-	return &simulation{t: t, eras: platform.NewEraTracker(), inventory: make(map[string]bool), instances: make(map[string]*fakeInstance)}
+	return &simulation{t: t, eras: platform.NewEraTracker(clock.System{}), inventory: make(map[string]bool), instances: make(map[string]*fakeInstance)}
 }
 
 // readLedger returns the ledger that the platform stores.
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -55,7 +56,7 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	s := &Store{
-		eras:    platform.NewEraTracker(),
+		eras:    platform.NewEraTracker(clock.System{}),
 		kinds:   map[platform.Kind]*collection{},
 		calls:   map[Call]int{},
 		changed: make(chan struct{}),
--- a/internal/standin/platform/view.go
+++ b/internal/standin/platform/view.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -28,7 +29,7 @@
 
 // NewView returns a connected view of a store.
 func NewView(s *Store) *View {
-	return &View{store: s, client: client{store: s, eras: platform.NewEraTracker()}}
+	return &View{store: s, client: client{store: s, eras: platform.NewEraTracker(clock.System{})}}
 }
 
 // SetDisconnected disconnects the instance from the platform, or reconnects it.
