Instances whose entry was lost in a return stay listed

Callers would see requests delayed: homes of groups move away from an instance that is alive and back, because the copy that the platform's store returned from is older than its entry, and it wrote the entry again only after 3 s and a peer's answer.

Entries that the first list after a return lacks count for 5 s; their instances write them again within 1.5 s, spread at random.

--- a/internal/directory/storereturn_test.go
+++ b/internal/directory/storereturn_test.go
@@ -44,3 +44,62 @@
 	_, version := h.directory.Services()
 	return version
 }
+
+// Guards against new work for a member that has announced to leave, because the copy has its entry
+// from before.
+func TestMemberKnownToLeaveGetsNoWorkAfterAReturn(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		time.Sleep(5 * time.Second)
+		h.putMember(2, "10.0.0.2:1", true)
+		time.Sleep(time.Second)
+		h.is.True(h.leaving("i-2"))
+		h.returnFromCopy(300*time.Millisecond, 3*time.Second)
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			h.is.True(h.leaving("i-2"))
+		}
+	})
+}
+
+// Guards against new work for a member that has left, because the copy still has its entry.
+func TestDepartedMemberGetsNoWorkAfterAReturn(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		time.Sleep(5 * time.Second)
+		h.putMember(2, "10.0.0.2:1", true)
+		time.Sleep(time.Second)
+		h.removeMember(2)
+		time.Sleep(time.Second)
+		h.is.Equal(h.countMembers(), 2)
+		h.returnFromCopy(300*time.Millisecond, 4*time.Second)
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			h.is.Equal(h.countMembers(), 2)
+		}
+	})
+}
+
+// Guards against members that are taken for gone before they had the time to write their entries
+// again, and against such that stay although they do not.
+func TestEntryLostInAReturnCountsUntilItCanBeWrittenAgain(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		time.Sleep(5 * time.Second)
+		h.putMember(3, "10.0.0.3:1", false)
+		time.Sleep(time.Second)
+		h.is.Equal(h.countMembers(), 4)
+		h.returnFromCopy(300*time.Millisecond, 3*time.Second)
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			h.is.Equal(h.countMembers(), 4)
+		}
+		time.Sleep(4 * time.Second)
+		h.is.Equal(h.countMembers(), 3)
+	})
+}
+
+// leaving reports whether a member is known to leave.
+func (h *harness) leaving(id string) bool {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	e := h.directory.members.entries[id]
+	return e != nil && e.upstream.Leaving
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,9 @@
 // removeAfter. A request sent to it before that was never accepted and is sent to another
 // instance instead. An instance that was only unreachable sees that its entry was removed and
 // writes it again.
+//
+// When the platform's store returns from an older copy, the entries of instances that started
+// since are missing. They stay listed for returnGrace, in which those instances write them again.
 package registry
 
 import (
@@ -37,6 +40,11 @@
 	// instance that starts may get a list from a peer that has not seen the new entry yet; that
 	// peer sees it after at most two pauses between watches.
 	missingDelay = 3 * watchPause
+	// returnGrace is how long an entry that a return of the platform's store has removed stays
+	// listed. It covers the random delay of up to returnSpread after which the instance writes it
+	// again, a failed attempt, and the watch.
+	returnGrace  = 5 * time.Second
+	returnSpread = 1500 * time.Millisecond
 )
 
 // InstanceSink receives the list of known instances.
@@ -71,6 +79,11 @@
 	// mu guards entries and is not held across calls.
 	mu      sync.Mutex
 	entries map[string]platform.Instance
+	// returned is set from a return of the platform's store until the first list after it. kept
+	// holds the entries that this list lacks, which count until keptUntil.
+	returned  bool
+	kept      map[string]platform.Instance
+	keptUntil time.Time
 }
 
 // New returns a Registry; Run starts it.
@@ -101,6 +114,7 @@
 	}
 	if r.Peers != nil {
 		loops.Go(func() { r.restoreOwnEntry(ctx) })
+		loops.Go(func() { r.expireKeptEntries(ctx) })
 		loops.Go(func() { newSweeper(r).run(ctx) })
 	}
 	objectwatch.New(objectwatch.Config{
@@ -154,12 +168,17 @@
 // is reachable. If it were written earlier, it would be removed again, and homes would change
 // each time.
 func (r *Registry) restoreOwnEntry(ctx context.Context) {
+	random := rand.New(rand.NewPCG(r.Seed, 4))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.ownEntryMissing:
 		}
+		if r.lostOwnEntryInReturn() {
+			r.rewriteOwnEntry(ctx, random)
+			continue
+		}
 		if clock.Sleep(ctx, r.Clock, missingDelay) != nil {
 			return
 		}
@@ -213,6 +232,9 @@
 // ApplyList implements objectwatch.Sink.
 func (r *Registry) ApplyList(objects []platform.Object) {
 	r.mu.Lock()
+	if r.returned {
+		r.keepEntries(objects)
+	}
 	clear(r.entries)
 	r.mu.Unlock()
 	r.ApplyChanges(objects)
@@ -248,6 +270,7 @@
 	switch {
 	case o.Removed:
 		delete(r.entries, o.Name)
+		delete(r.kept, o.Name)
 	case err != nil || i.ID != o.Name || i.PeerAddress == "":
 		r.Log.Warn("Ignoring invalid instance entry.", "instance", o.Name, "error", err)
 	default:
@@ -263,6 +286,11 @@
 	for _, i := range r.entries {
 		all = append(all, i)
 	}
+	for id, i := range r.kept {
+		if _, listed := r.entries[id]; !listed {
+			all = append(all, i)
+		}
+	}
 	slices.SortFunc(all, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
