An instance that starts after a return takes its peers' manifest

Callers would be served with a database or key that the operator had removed: an instance that starts while the platform's store has only the manifest of its older copy knows no later one, for up to two seconds, although its peers do.

Where the store's era is beyond the first, an instance asks three others for a later manifest before it puts its first one in force (300 ms at most), and again when it sees a return. TestStartingInstanceTakesTheManifestOfItsPeersAfterAReturn fails without.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,10 +45,16 @@
 	mu            sync.Mutex
 	manifest      Manifest
 	manifestKnown bool
+	// manifestObject is the object that manifest was decoded from.
+	manifestObject platform.Object
+	// manifestConfirmed is set once a manifest may be in force; see confirmManifest.
+	manifestConfirmed bool
 	// manifestCount is the number of manifests applied so far.
 	manifestCount int
 	// sharing shares platform reads with other instances; nil if sharing is disabled.
-	sharing     *objectwatch.Sharing
+	sharing *objectwatch.Sharing
+	// peers are asked for later manifests; nil if there are none.
+	peers       *manifestPeers
 	members     *memberTable
 	subscribers []func()
 }
@@ -101,6 +107,9 @@
 	loops.Go(func() { d.newManifestFollower().Run(ctx) })
 	loops.Go(func() { d.newUpstreamFollower().Run(ctx) })
 	loops.Go(func() { d.checkMissing(ctx) })
+	if d.peers != nil {
+		loops.Go(func() { d.runManifestChecks(ctx) })
+	}
 	loops.Wait()
 	return ctx.Err()
 }
@@ -147,6 +156,11 @@
 // changed.
 func (d *Directory) publish() {
 	d.mu.Lock()
+	if !d.confirmManifest() {
+		d.mu.Unlock()
+		d.requestManifestCheck()
+		return
+	}
 	previous := d.current.Load()
 	present := d.members.present(d.config.Clock.Now())
 	if previous.manifestCount == d.manifestCount && slices.Equal(previous.present, present) {
@@ -175,7 +189,7 @@
 	d.mu.Lock()
 	current, isNewer := d.manifest.Version, !d.manifestKnown || m.Version > d.manifest.Version
 	if isNewer {
-		d.manifest, d.manifestKnown = m, true
+		d.manifest, d.manifestKnown, d.manifestObject = m, true, o
 		d.manifestCount++
 	}
 	d.mu.Unlock()
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -16,6 +16,14 @@
 	s.d.publish()
 }
 
+// PlatformReturned implements objectwatch.ReturnSink. Another instance may have a manifest that the
+// store lost before this instance received it.
+func (s manifestSink) PlatformReturned() {
+	if s.d.peers != nil {
+		s.d.requestManifestCheck()
+	}
+}
+
 // SetReachable implements objectwatch.Sink. It does nothing: a manifest stays in force while the
 // platform is unreachable.
 func (manifestSink) SetReachable(bool) {}
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/objectwatch"
+	"github.com/topazrock/topazrock/internal/peer"
 	"github.com/topazrock/topazrock/internal/workspace"
 )
 
@@ -35,6 +36,11 @@
 	UseSharing(s *objectwatch.Sharing)
 }
 
+// peerUser is implemented by Documents that exchange documents with other instances.
+type peerUser interface {
+	UsePeers(f objectwatch.Fleet, c peer.Caller, r peer.HandlerRegistry)
+}
+
 // VersionedGroup is a group and the version of the document that defines it.
 type VersionedGroup struct {
 	document.Group
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -148,6 +148,9 @@
 	if d, ok := n.documents.(sharingUser); ok {
 		d.UseSharing(sharing)
 	}
+	if d, ok := n.documents.(peerUser); ok {
+		d.UsePeers(n.members, n.client, n.peers)
+	}
 	n.protocol = n.postgres()
 	if o.Protocol != nil {
 		n.protocol = *o.Protocol
