Shares of connections survive a return of the platform's store

Members would get more connections and statements than a group may have: the copy that the store returns from lacks the latest loans and holders, so that a lender uses again what a borrower still has.

Before a return, the sizes in use summed to no more than the total. So each holder keeps its size and writes it again, first what it lent, which makes room for what others borrowed; what cannot be restored within 5 s is given up, and for 10 s nobody takes, lends or raises anything. Not covered: a holder that is cut off from the platform for more than 10 s after the return, with what it borrowed in the lost seconds.

--- a/internal/config/settle.go
+++ b/internal/config/settle.go
@@ -76,6 +76,12 @@
 	if b.Version != p.ifVersion {
 		return Outcome{State: Settling, Detail: "the document's history does not reach back to the change"}, true
 	}
+	if b.objectVersion.Era() != p.sentAtVersion.Era() && b.objectVersion.Number() <= p.sentAtVersion.Number() {
+		// The platform's store returned from a copy and may still reach the number that the original
+		// update requires. Whether the document is past it shows at the next attempt.
+		_ = s.putEnvelope(ctx, p.name, b.Envelope, b.objectVersion)
+		return Outcome{}, false
+	}
 	if b.objectVersion == p.sentAtVersion && s.putEnvelope(ctx, p.name, b.Envelope, b.objectVersion) != nil {
 		return Outcome{}, false
 	}
--- a/internal/shares/borrowing.go
+++ b/internal/shares/borrowing.go
@@ -21,7 +21,7 @@
 	m.connectionUsage.addSample(now, inUse, waiting)
 	inUse, waiting = m.cfg.Slots.Usage()
 	m.slotUsage.addSample(now, inUse, waiting)
-	if m.ledger.shareOf(m.self) == nil {
+	if m.ledger.shareOf(m.self) == nil || m.restoring != nil {
 		return
 	}
 	m.notifyRefusedBorrowers(ctx)
--- a/internal/shares/close.go
+++ b/internal/shares/close.go
@@ -23,6 +23,8 @@
 	}
 	m.setShareHeld(false)
 	for {
+		// Releasing is right in every era: this Manager uses nothing.
+		m.store.era = m.cfg.Platform.Eras().Latest()
 		err := m.releaseShare(ctx)
 		if err == nil {
 			return nil
--- a/internal/shares/doc.go
+++ b/internal/shares/doc.go
@@ -23,6 +23,10 @@
 // between instances only request a loan or announce the change; losing one causes a delay
 // and cannot create capacity.
 //
+// The platform's store may return from an older copy, whose ledger lacks the latest changes. The
+// holders then write again what they held before; see restoration. Until they have had the time
+// for that, nobody takes, lends or raises anything.
+//
 // A Manager does all its work in the goroutine of Run. Lock order: Manager.mu, which
 // guards the fields that other goroutines read, and Directory.mu are both leaf locks.
 package shares
--- a/internal/shares/fakeinstance_test.go
+++ b/internal/shares/fakeinstance_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/peer"
+	"github.com/topazrock/topazrock/internal/platform"
 )
 
 // fakeInstance is one process of an instance, with one manager and its resources.
@@ -23,6 +24,8 @@
 	connections *fakeResource
 	slots       *fakeResource
 	stop        context.CancelFunc
+	// eras are those that this process has seen.
+	eras *platform.EraTracker
 
 	// The following fields are guarded by simulation.mu.
 	held           Amount
@@ -44,7 +47,7 @@
 func (sim *simulation) newInstance(id, domain string) *fakeInstance {
 	sim.mu.Lock()
 	old := sim.instances[id]
-	inst := &fakeInstance{sim: sim, id: id, domain: domain}
+	inst := &fakeInstance{sim: sim, id: id, domain: domain, eras: platform.NewEraTracker(clock.System{})}
 	if old != nil {
 		inst.incarnation = old.incarnation + 1
 	}
@@ -80,6 +83,22 @@
 	ctx, stop := context.WithCancel(context.Background())
 	inst.stop = stop
 	go inst.manager.Run(ctx)
+	go inst.pollPlatform(ctx)
+}
+
+// platformPoll is the interval of the calls to the platform that other parts of an instance make.
+const platformPoll = 2 * time.Second
+
+// pollPlatform lets the process see the platform's era as other parts of an instance do.
+func (inst *fakeInstance) pollPlatform(ctx context.Context) {
+	for clock.Sleep(ctx, clock.System{}, platformPoll) == nil {
+		inst.sim.mu.Lock()
+		era, reachable := inst.sim.era, !inst.sim.platformDown && !inst.platformCut && inst.frozen == nil
+		inst.sim.mu.Unlock()
+		if reachable {
+			inst.eras.Observe(era)
+		}
+	}
 }
 
 func (m *fakeInstance) incarnationName() string { return m.id + "/" + string(rune('a'+m.incarnation)) }
--- a/internal/shares/fakeplatform_test.go
+++ b/internal/shares/fakeplatform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -36,21 +37,31 @@
 	p.mu.Lock()
 	p.reads++
 	object := p.object
+	object.Version = platform.NewRevision(p.era, object.Version.Number())
+	era := p.era
 	p.mu.Unlock()
+	p.instance.eras.Observe(era)
 	if err := p.instance.blockWhileFrozen(ctx); err != nil {
 		return platform.Object{}, err
 	}
-	if object.Version == 0 {
+	if object.Version.Number() == 0 {
 		return object, platform.ErrNotFound
 	}
 	return object, nil
 }
 
 func (p instancePlatform) Put(ctx context.Context, _ platform.Kind, _ string, value []byte, ifVersion platform.Revision) (platform.Object, error) {
+	if err := p.instance.eras.CheckChange(ifVersion); err != nil {
+		return platform.Object{}, err
+	}
 	if err := p.simulateCall(ctx); err != nil {
 		return platform.Object{}, err
 	}
 	object, err := p.putWithFault(value, ifVersion)
+	p.instance.eras.Observe(object.Version.Era())
+	if err == nil {
+		err = p.instance.eras.CheckChangeResponse(ifVersion, object.Version.Era())
+	}
 	if frozen := p.instance.blockWhileFrozen(ctx); frozen != nil {
 		return platform.Object{}, platform.ErrOutcomeUnknown
 	}
@@ -76,12 +87,14 @@
 	if fault == loseAnswer {
 		return platform.Object{}, platform.ErrOutcomeUnknown
 	}
-	return p.object, nil
+	object := p.object
+	object.Version = platform.NewRevision(p.era, object.Version.Number())
+	return object, nil
 }
 
 // storeLedger applies an update. The caller holds mu.
 func (sim *simulation) storeLedger(value []byte, ifVersion platform.Revision) error {
-	if sim.object.Version != ifVersion {
+	if sim.object.Version.Number() != ifVersion.Number() {
 		return platform.ErrConflict
 	}
 	var l Ledger
@@ -91,6 +104,7 @@
 	if sum := l.Sum(); !sum.Within(l.Total.Max(sim.newestLedger.Sum())) {
 		sim.recordViolation("the ledger sums to %+v of %+v", sum, l.Total)
 	}
+	sim.past = append(sim.past, pastLedger{at: time.Now(), object: sim.object, ledger: sim.newestLedger})
 	sim.newestLedger = l
 	sim.object.Version++
 	sim.object.Value = value
@@ -140,4 +154,4 @@
 }
 
 // Eras implements platform.API.
-func (p instancePlatform) Eras() *platform.EraTracker { return p.eras }
+func (p instancePlatform) Eras() *platform.EraTracker { return p.instance.eras }
--- a/internal/shares/lending.go
+++ b/internal/shares/lending.go
@@ -35,7 +35,7 @@
 // of the ledger shows the outcome.
 func (m *Manager) handleLoanRequest(ctx context.Context, q BorrowRequest) BorrowReply {
 	mine, borrower := m.ledger.shareOf(m.self), m.ledger.shareOf(q.Borrower)
-	if mine == nil || borrower == nil {
+	if mine == nil || borrower == nil || m.restoring != nil {
 		m.requestRefresh()
 		return m.refuseLoan(refusedNoShare)
 	}
--- a/internal/shares/manager.go
+++ b/internal/shares/manager.go
@@ -34,6 +34,8 @@
 	suspicions map[string]suspicion
 	// refusedBorrowers holds the addresses of borrowers that were refused a loan.
 	refusedBorrowers map[string]struct{}
+	// restoring is set from a return of the platform's store until the ledger is restored.
+	restoring *restoration
 	// changeFailed is set when a change failed, so that the ledger is read again soon.
 	changeFailed bool
 	// announcedHeld is the value last passed to OnHeldChanged.
--- a/internal/shares/metrics.go
+++ b/internal/shares/metrics.go
@@ -10,6 +10,7 @@
 	changeLend              = "lent"
 	changeBorrow            = "taken_from_free_seat"
 	changeReturn            = "given_back"
+	changeRestore           = "restored"
 	changeRaiseToTargets    = "raised_to_target"
 	changeApplyAllocation   = "laid_out"
 	changeTakeOverExpired   = "seat_aged_out"
--- a/internal/shares/run.go
+++ b/internal/shares/run.go
@@ -13,9 +13,12 @@
 	defer refresh.Stop()
 	defer sample.Stop()
 	for {
+		eraChanged := m.cfg.Platform.Eras().Changed()
 		select {
 		case <-ctx.Done():
 			return
+		case <-eraChanged:
+			m.observeEra()
 		case <-m.refreshRequested:
 			refresh.Reset(m.refreshLedger(ctx))
 		case <-refresh.C:
@@ -23,6 +26,7 @@
 		case q := <-m.loanRequests:
 			q.reply <- m.handleLoanRequest(ctx, q.request)
 		case <-sample.C:
+			m.observeEra()
 			m.sampleAndBorrow(ctx)
 			sample.Reset(m.cfg.SampleInterval)
 		}
@@ -38,11 +42,18 @@
 func (m *Manager) refreshLedger(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
 	defer cancel()
+	if m.restoring != nil {
+		return m.restoreShare(ctx)
+	}
 	l, _, err := m.store.read(ctx)
 	if err != nil {
 		m.recordCallFailure("platform", err)
 		return m.retryDelay()
 	}
+	m.observeEra()
+	if m.restoring != nil {
+		return m.restoreShare(ctx)
+	}
 	m.adoptLedger(l)
 	if !m.ensureShare(ctx) {
 		m.acquireBackoff = min(max(2*m.acquireBackoff, maxRetryDelay), m.cfg.RefreshInterval)
--- a/internal/shares/simulation_test.go
+++ b/internal/shares/simulation_test.go
@@ -8,7 +8,6 @@
 
 	"time"
 
-	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -33,7 +32,6 @@
 	holderExpiry   time.Duration
 	sampleInterval time.Duration
 
-	eras         *platform.EraTracker
 	mu           sync.Mutex
 	object       platform.Object
 	platformDown bool
@@ -48,9 +46,15 @@
 	maxHeld Amount
 	// newestLedger is the stored ledger; violation describes the first violation.
 	newestLedger Ledger
-	violation    string
-	writes       int
-	reads        int
+	// era is the era of the platform's store, and past what its ledger was before each change.
+	// returned is set once the store returned from a copy: instances may then use what the store
+	// has lost, as long as the total holds.
+	era       int64
+	past      []pastLedger
+	returned  bool
+	violation string
+	writes    int
+	reads     int
 }
 
 // updateFault is a fault of one update of the ledger.
@@ -67,7 +71,7 @@
 )
 
 func newSimulation(t interface{ Fatal(args ...any) }) *simulation {
-	return &simulation{t: t, eras: platform.NewEraTracker(clock.System{}), inventory: make(map[string]bool), instances: make(map[string]*fakeInstance)}
+	return &simulation{t: t, era: 1, inventory: make(map[string]bool), instances: make(map[string]*fakeInstance)}
 }
 
 // readLedger returns the ledger that the platform stores.
@@ -112,6 +116,12 @@
 	sim.maxHeld = sim.maxHeld.Max(sim.held)
 	inst.held = inst.held.Plus(a)
 	sim.checkHeld(inst)
+	if sim.returned {
+		if bound := sim.newestLedger.Total; (Amount{}).Within(a) && !sim.held.Within(bound) {
+			sim.recordViolation("members hold %+v of %+v", sim.held, bound)
+		}
+		return
+	}
 	if sum := sim.newestLedger.Sum(); (Amount{}).Within(a) && !sim.held.Within(sum) {
 		sim.recordViolation("members hold %+v, the shares sum to %+v", sim.held, sum)
 	}
@@ -119,6 +129,9 @@
 
 // checkHeld checks that an instance holds no more than its share. The caller holds mu.
 func (sim *simulation) checkHeld(inst *fakeInstance) {
+	if sim.returned {
+		return
+	}
 	var size Amount
 	if s := sim.newestLedger.shareOf(inst.manager.self); s != nil {
 		size = s.Size
--- a/internal/shares/store.go
+++ b/internal/shares/store.go
@@ -24,6 +24,10 @@
 // errContended means that another writer came first in every attempt.
 var errContended = errors.New("shares: ledger update kept conflicting with other writers")
 
+// errEraChanged means that the platform's store returned from a copy, so that the change was not
+// decided on its ledger.
+var errEraChanged = errors.New("shares: the platform's store has returned from a copy")
+
 // unconfirmedChange is a change of the ledger whose answer was lost.
 type unconfirmedChange struct {
 	id      string
@@ -40,6 +44,8 @@
 	// idPrefix and idsIssued form IDs that no other process uses.
 	idPrefix  string
 	idsIssued int
+	// era is the era of the platform's store in which this Manager reads and changes the ledger.
+	era int64
 	// pending is nil or a change that must be resolved before any other operation: until
 	// a later version of the ledger has been read, its update may still take effect.
 	pending *unconfirmedChange
@@ -77,6 +83,9 @@
 		if err != nil {
 			return Ledger{}, false, err
 		}
+		if s.era != 0 && s.era != s.api.Eras().Latest() {
+			return Ledger{}, false, errEraChanged
+		}
 		after := before.clone()
 		if !change(&after) {
 			return before, false, nil
@@ -135,17 +144,20 @@
 func (s *ledgerStore) resolvePending(ctx context.Context) (bool, error) {
 	for s.pending != nil {
 		l, version, err := s.get(ctx)
-		if err == nil && version > s.pending.version {
+		if err == nil && s.isPassed(version) {
 			stored := slices.Contains(l.Changes, s.pending.id)
 			s.pending = nil
 			return stored, nil
 		}
-		if err == nil {
+		if err == nil && version.Era() != s.pending.version.Era() {
+			// Store the ledger as it stands until its number is past the lost change's.
+			err = s.touch(ctx, l, version)
+		} else if err == nil {
 			_, err = s.api.Put(ctx, platform.KindShares, s.group, s.pending.value, s.pending.version)
-		}
-		if err == nil {
-			s.pending = nil
-			return true, nil
+			if err == nil {
+				s.pending = nil
+				return true, nil
+			}
 		}
 		if err := s.sleepJittered(ctx, resolvePause); err != nil {
 			return false, err
@@ -154,6 +166,24 @@
 	return false, nil
 }
 
+// isPassed reports whether a ledger of this version shows the outcome of the pending change. In a
+// later era of the store the change can still take effect while the version's number is not past
+// the one that it requires.
+func (s *ledgerStore) isPassed(version platform.Revision) bool {
+	required := s.pending.version
+	return version > required && (version.Era() == required.Era() || version.Number() > required.Number())
+}
+
+// touch stores a ledger as it stands.
+func (s *ledgerStore) touch(ctx context.Context, l Ledger, version platform.Revision) error {
+	value, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	_, err = s.api.Put(ctx, platform.KindShares, s.group, value, version)
+	return err
+}
+
 // sleepJittered sleeps for a random time between half of d and d.
 func (s *ledgerStore) sleepJittered(ctx context.Context, d time.Duration) error {
 	return clock.Sleep(ctx, s.clock, d/2+time.Duration(s.rand.Int64N(int64(d/2)+1)))
