--- a/internal/directory/manifestpeers.go
+++ b/internal/directory/manifestpeers.go
@@ -125,13 +125,13 @@
 	return others[:min(askedPeers, len(others))]
 }
 
-// confirmManifest reports whether the first manifest may be put in force. It may not yet if the
-// platform's store has ever returned from a copy and no other instance was asked for a later one.
-// The caller holds d.mu.
+// confirmManifest confirms the first manifest and reports whether the state may be published. It
+// may not if the platform's store has ever returned from a copy and no other instance was asked for
+// a later manifest yet. The caller holds d.mu.
 func (d *Directory) confirmManifest() bool {
-	if d.manifestConfirmed || d.peers == nil || d.config.API.Eras().ReturnedAt().IsZero() {
-		d.manifestConfirmed = d.manifestConfirmed || d.manifestKnown
+	if !d.manifestKnown || d.manifestConfirmed {
 		return true
 	}
-	return !d.manifestKnown
+	d.manifestConfirmed = d.peers == nil || d.config.API.Eras().ReturnedAt().IsZero()
+	return d.manifestConfirmed
 }
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -25,6 +25,8 @@
 	// platform's store that has it.
 	recorded    Record
 	recordedEra int64
+	// restoreFrom is the time before which recorded is not written again.
+	restoreFrom time.Time
 }
 
 func newPrimaryMonitor(c *Claimer) *primaryMonitor {
@@ -82,7 +84,9 @@
 		Detect: decidedAt.Sub(a.since), Claim: c.Clock.Now().Sub(decidedAt)}
 	attempt := newAttempt(c, won, s)
 	err = attempt.run(ctx, &gap)
-	m.recorded, m.recordedEra = attempt.recorded, won.version.Era()
+	if attempt.recorded.Primary != "" {
+		m.recorded, m.recordedEra = attempt.recorded, won.version.Era()
+	}
 	if err != nil {
 		c.log.Warn("Failover attempt for the claimed term was abandoned.", "term", won.record.Term, "error", err)
 		c.Metrics.countClaim(a.cause, outcomeAbandoned)
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -230,9 +230,11 @@
 		// Resume from the delivered revision: if the list was too old to be delivered, its own
 		// revision is an earlier one.
 		from := f.deliveredRevision()
-		if from == f.compacted {
+		if from != 0 && from == f.compacted {
 			// The platform cannot resume from its own list either.
 			f.pauseAfterFailure(ctx)
+		} else {
+			f.backoff = 0
 		}
 		f.watch(ctx, from)
 		if from.Era() < f.API.Eras().Latest() {
--- a/internal/objectwatch/messages.go
+++ b/internal/objectwatch/messages.go
@@ -75,6 +75,9 @@
 // age returns the time since the list on which the response is based was requested.
 func (r response) age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
 
+// errInvalidEra reports a message with a number that is no era.
+var errInvalidEra = result.New(result.NotReady, "the message names an invalid era of the platform")
+
 // errEarlierEra reports that an instance has not seen the present era of the platform's store.
 var errEarlierEra = result.New(result.NotReady, "the other instance follows an earlier era of the platform")
 
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -319,6 +319,9 @@
 	if err := a.sharing.Caller.Call(ctx, target.PeerAddress, method, req, &got); err != nil {
 		return got, err
 	}
+	if !platform.ValidEra(got.Era) {
+		return got, errInvalidEra
+	}
 	if got.Era < a.API.Eras().Latest() {
 		return got, errEarlierEra
 	}
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -226,6 +226,9 @@
 	if f == nil {
 		return nil, req, errFeedUnavailable
 	}
+	if !platform.ValidEra(req.Era) {
+		return nil, req, errInvalidEra
+	}
 	if req.Era == 0 {
 		// The requester is older than eras. It knows no return of the store.
 		req.Era = f.era()
--- a/internal/shares/store.go
+++ b/internal/shares/store.go
@@ -150,8 +150,9 @@
 			return stored, nil
 		}
 		if err == nil && version.Era() != s.pending.version.Era() {
-			// Store the ledger as it stands until its number is past the lost change's.
-			err = s.touch(ctx, l, version)
+			// Store the ledger as it stands until its number is past the lost change's, which the
+			// next read shows.
+			_ = s.touch(ctx, l, version)
 		} else if err == nil {
 			_, err = s.api.Put(ctx, platform.KindShares, s.group, s.pending.value, s.pending.version)
 			if err == nil {
