topazrock explain shows a return of the platform's store

The lines that name a return, and what it replaced, were not among those that the report shows as changes of what an instance believes; kind and era stand beside them now.

--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -23,6 +23,9 @@
 	Request   string `json:"request"`
 	Member    string `json:"member"`
 	Cause     string `json:"cause"`
+	// Kind is a kind of the platform's objects, and Era an era of its store.
+	Kind string `json:"kind"`
+	Era  int64  `json:"era"`
 	// FailureDomain is set only in the line that an instance logs when it starts.
 	FailureDomain string `json:"failure_domain"`
 
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -33,6 +34,17 @@
 	"Drain timed out. Closing the remaining sessions.": true, messageShutdownTimedOut: true,
 	"Home of a group was started.": true, "Home of a group is retired.": true, "Entry of an unresponsive instance was removed.": true,
 	"The instance's entry was removed.": true, "Opening a connection failed.": true, "Relaying a unit to another home failed.": true,
+	"The platform's store is back from an older copy.":                                   true,
+	"The platform's store is back from an older copy; its list replaces what was known.": true,
+	"The platform's store is back from an older copy; the share is written again.":       true,
+	"Ignoring lists that are older than the known revision.":                             true,
+	"Lists are current again.":                                                                       true,
+	"Revision was compacted; the objects are listed again.":                                          true,
+	"Another instance has a later manifest than the platform.":                                       true,
+	"Entries of instances were lost by the platform; they stay listed until they are written again.": true,
+	"Claim waits for the end of claims that the platform's store may have lost.":                     true,
+	"The group's record was lost by the platform and is restored.":                                   true,
+	"Part of the share was not restored and is given up.":                                            true,
 	// Instances of earlier builds write these; during an upgrade, logs of both builds are read.
 	"Too few replicas get on.": true, "Replicas get on again.": true, "Term rose.": true, "Others reach the primary.": true,
 	"Claimed term was left.": true, "Idle callers are sent elsewhere.": true, "Unit was passed on and not served.": true,
@@ -171,7 +183,13 @@
 
 // stateChangeDetail returns the fields that distinguish state changes with the same
 // message.
-func stateChangeDetail(l logLine) string { return strings.TrimSpace(l.Member + " " + l.Cause) }
+func stateChangeDetail(l logLine) string {
+	words := []string{l.Member, l.Cause, l.Kind}
+	if l.Era > 0 {
+		words = append(words, "era "+strconv.FormatInt(l.Era, 10))
+	}
+	return strings.Join(slices.DeleteFunc(words, func(w string) bool { return w == "" }), " ")
+}
 
 func (b *reportBuilder) build() Report {
 	for _, r := range b.refusals {
--- a/internal/explain/report_test.go
+++ b/internal/explain/report_test.go
@@ -86,3 +86,16 @@
 		}
 	}
 }
+
+// Guards against a report that does not show that the platform's store returned from an older copy.
+func TestReportShowsAReturnOfTheStore(t *testing.T) {
+	is := is.New(t)
+	const log = `5.1 edge-1 {"@message":"The platform's store is back from an older copy.","era":2,"known_era":1}
+5.2 edge-1 {"@message":"Ignoring lists that are older than the known revision.","kind":"manifest","era":1,"revision":20}
+`
+	r, err := Read(Filter{}, strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(len(r.StateChanges), 2)
+	is.Equal(r.StateChanges[0].Detail, "manifest era 1")
+	is.Equal(r.StateChanges[1].Detail, "era 2")
+}
