Usage of each instance in its metrics and in one log line each ten seconds

Cause: nothing showed which role or message of a fleet is expensive: calls were counted at the caller only, and what a reader sends to the others not at all.

Each instance now counts the calls that it serves by method, the bytes of lists and of changes that it sends by kind, and the views that it builds.

Ruled out: bytes of answers by method at the server, which would marshal each answer twice.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -168,6 +168,7 @@
 		return
 	}
 	d.current.Store(d.buildView(previous, present))
+	d.config.Metrics.views.Inc()
 	subscribers := d.subscribers
 	d.mu.Unlock()
 	for _, f := range subscribers {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -33,6 +33,7 @@
 	Era  int64  `json:"era"`
 	// FailureDomain is set only in the line that an instance logs when it starts.
 	FailureDomain string `json:"failure_domain"`
+	usageFields
 
 	// offset is the time in the prefix or, without one, the time since the first line.
 	offset time.Duration
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -118,6 +118,7 @@
 	StateChanges []StateChange  `json:"beliefs"`
 	// FailureDomains maps instances to their failure domains, if these were logged.
 	FailureDomains map[string]string `json:"failure_domains"`
+	Usage          Usage             `json:"usage"`
 }
 
 // maxLineBytes limits the length of a log line.
@@ -129,13 +130,14 @@
 	report       Report
 	refusals     map[RefusalCount]*RefusalCount
 	stateChanges map[StateChange]*StateChange
+	usage        *usageBuilder
 }
 
 // Read builds a report from the logs of one or more instances. It reads the streams one
 // after the other.
 func Read(filter Filter, streams ...io.Reader) (Report, error) {
 	builder := &reportBuilder{filter: filter, report: Report{ByCode: make(map[string]int), FailureDomains: make(map[string]string)},
-		refusals: make(map[RefusalCount]*RefusalCount), stateChanges: make(map[StateChange]*StateChange)}
+		refusals: make(map[RefusalCount]*RefusalCount), stateChanges: make(map[StateChange]*StateChange), usage: newUsageBuilder()}
 	p := &lineParser{}
 	for _, stream := range streams {
 		if err := builder.readStream(p, stream); err != nil {
@@ -168,6 +170,8 @@
 func (b *reportBuilder) addLine(l logLine) {
 	second := int(l.offset / time.Second)
 	switch {
+	case isUsage(l):
+		b.usage.add(l)
 	case l.Message == messageRefused:
 		b.report.ByCode[l.Code]++
 		key := RefusalCount{Second: second, Code: l.Code, Group: l.Group, Instance: l.writer, Class: l.Class}
@@ -216,6 +220,7 @@
 		return cmp.Or(cmp.Compare(a.Second, b.Second), cmp.Compare(a.Message, b.Message), cmp.Compare(a.Group, b.Group),
 			cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Detail, b.Detail))
 	})
+	b.report.Usage = b.usage.build()
 	return b.report
 }
 
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -119,6 +119,7 @@
 		writeCounts(out, "  failure domains", worst.FailureDomains)
 		writeCounts(out, "  believed from the second before on", worst.StateChanges)
 	}
+	r.Usage.write(out)
 	return out.Flush()
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -41,6 +41,8 @@
 	// registry maintains the list of instances if the platform does not; it is nil
 	// otherwise.
 	registry *registry.Registry
+	// sharing shares reads from the platform with other instances.
+	sharing *objectwatch.Sharing
 	// listWait is used by runHomes only.
 	listWait instanceListWait
 	// cutOff is set while the instance is cut off from most groups, as reachDetector
@@ -109,6 +111,7 @@
 	n.features = features.New(s.Features, o.Logger, n.metrics.features)
 	n.features.Observe(o.Conditions)
 	n.peers = peer.NewServer(o.Logger)
+	n.peers.Metrics = n.metrics.peer
 	n.client = peer.NewClient(s.Instance.ID, o.Network)
 	n.client.Metrics = n.metrics.peer
 	n.members = membership.New(membership.Options{
@@ -134,13 +137,13 @@
 		Log:      o.Logger,
 		Metrics:  n.metrics.config,
 	})
-	sharing := objectwatch.NewSharing(objectwatch.SharingConfig{
+	n.sharing = objectwatch.NewSharing(objectwatch.SharingConfig{
 		API: o.Platform, Fleet: n.members, Caller: n.client, Clock: o.Clock, Rand: n.random("objectwatch"), Log: o.Logger,
 		Metrics: n.metrics.objectwatch,
 	}, n.peers)
 	if o.SelfRegister {
 		n.registry = registry.New(registry.Config{
-			API: o.Platform, EntriesAPI: sharing.API(platform.KindInstances, 0), Self: n.self(), InstanceSink: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
+			API: o.Platform, EntriesAPI: n.sharing.API(platform.KindInstances, 0), Self: n.self(), InstanceSink: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
 			Peers: n.client, WatchMetrics: n.metrics.objectwatch,
 		})
 		n.registry.RegisterHandlers(n.peers)
@@ -150,7 +153,7 @@
 		n.documents = newStoredDocuments(n.store, n.members)
 	}
 	if d, ok := n.documents.(sharingUser); ok {
-		d.UseSharing(sharing)
+		d.UseSharing(n.sharing)
 	}
 	if d, ok := n.documents.(peerUser); ok {
 		d.UsePeers(n.members, n.client, n.peers)
@@ -239,6 +242,7 @@
 	n.running.Go(func() { n.serveMetrics(background) })
 	n.running.Go(func() { n.watchReach(background) })
 	n.running.Go(func() { n.watchOtherDomains(background) })
+	n.running.Go(func() { n.reportUsage(background) })
 	n.running.Go(func() { n.quotaGuard.Run(background) })
 	n.running.Go(func() { _ = n.peers.Serve(peers) })
 	n.running.Go(func() { _ = n.callers.Serve(callers) })
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -12,6 +12,7 @@
 	leaving     prometheus.Gauge
 	refreshes   *prometheus.CounterVec
 	lastRefresh prometheus.Gauge
+	views       prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with r unless r is nil.
@@ -25,14 +26,17 @@
 			Help: "Readings of the platform's instance list by outcome."}, []string{"outcome"}),
 		lastRefresh: prometheus.NewGauge(prometheus.GaugeOpts{Name: "topazrock_membership_last_refresh_timestamp_seconds",
 			Help: "When the platform gave the instance list in use, to this instance or to a peer."}),
+		views: prometheus.NewCounter(prometheus.CounterOpts{Name: "topazrock_membership_views_total",
+			Help: "Views of the instance list that were built."}),
 	}
 	if r != nil {
-		r.MustRegister(m.live, m.leaving, m.refreshes, m.lastRefresh)
+		r.MustRegister(m.live, m.leaving, m.refreshes, m.lastRefresh, m.views)
 	}
 	return m
 }
 
 func (m *Metrics) observeSnapshot(s *snapshot) {
+	m.views.Inc()
 	m.live.Set(float64(len(s.live)))
 	m.leaving.Set(float64(len(s.leaving)))
 }
--- a/internal/objectwatch/metrics.go
+++ b/internal/objectwatch/metrics.go
@@ -1,11 +1,23 @@
 package objectwatch
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
 
-// Metrics counts what keeps followers from being up to date, by kind of object.
+	"github.com/topazrock/topazrock/internal/platform"
+)
+
+// Contents of a response to another instance, as values of a metric label.
+const (
+	contentList    = "list"
+	contentChanges = "changes"
+)
+
+// Metrics counts what keeps followers from being up to date, and what other instances are sent, by
+// kind of object.
 type Metrics struct {
 	ignoredLists *prometheus.CounterVec
 	compactions  *prometheus.CounterVec
+	servedBytes  *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with r unless r is nil.
@@ -19,9 +31,22 @@
 			Name: "topazrock_watch_compacted_total",
 			Help: "Watches that could not resume from their revision, so that the objects were listed again.",
 		}, []string{"kind"}),
+		servedBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_watch_served_bytes_total",
+			Help: "Bytes of encoded objects that were sent to other instances.",
+		}, []string{"kind", "content"}),
 	}
 	if r != nil {
-		r.MustRegister(m.ignoredLists, m.compactions)
+		r.MustRegister(m.ignoredLists, m.compactions, m.servedBytes)
 	}
 	return m
 }
+
+// countServed counts the bytes of a response to a request.
+func (m *Metrics) countServed(req request, from platform.Revision, bytes int) {
+	content := contentChanges
+	if from == fullList {
+		content = contentList
+	}
+	m.servedBytes.WithLabelValues(string(req.Kind), content).Add(float64(bytes))
+}
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -89,6 +89,9 @@
 // NewSharing returns a Sharing and registers its methods.
 func NewSharing(c SharingConfig, r peer.HandlerRegistry) *Sharing {
 	c.Log = c.Log.Named("objectwatch")
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics(nil)
+	}
 	s := &Sharing{SharingConfig: c, feeds: make(map[platform.Kind]*feed), relayed: make(map[platform.Kind]*relayedList), unresponsiveUntil: make(map[string]time.Time)}
 	r.Handle(methodList, s.serveList)
 	r.Handle(methodAfter, s.serveAfter)
@@ -167,6 +170,12 @@
 	return orderReaders(readers, s.Fleet.Self().ID)
 }
 
+// IsReader reports whether this instance reads from the platform for its failure domain.
+func (s *Sharing) IsReader() bool {
+	_, isReader := SelectLocal(s.Fleet, readersKey, readersPerDomain)
+	return isReader
+}
+
 // orderReaders sorts readers in an order that depends on the instance, so that each reader
 // serves part of the failure domain. With one order for all instances, the first reader would
 // send every change to all of them.
@@ -255,6 +264,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Metrics.countServed(req, fullList, len(got.Encoded))
 	got.AgeMS = s.Clock.Now().Sub(list.asOf).Milliseconds()
 	return got, nil
 }
@@ -313,5 +323,7 @@
 	if len(objects) == 0 {
 		return response{Revision: revision.Number(), Era: revision.Era()}, nil
 	}
-	return f.encodeResponse(objects, req.after(), revision, req)
+	got, err := f.encodeResponse(objects, req.after(), revision, req)
+	s.Metrics.countServed(req, req.after(), len(got.Encoded))
+	return got, err
 }
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -8,11 +8,12 @@
 	directionReceived = "received"
 )
 
-// Metrics counts an instance's outgoing calls to peers and their bytes, by method. A nil
-// Metrics counts nothing.
+// Metrics counts an instance's calls to peers and their bytes, and the calls that it serves, by
+// method. A nil Metrics counts nothing.
 type Metrics struct {
-	calls *prometheus.CounterVec
-	bytes *prometheus.CounterVec
+	calls  *prometheus.CounterVec
+	bytes  *prometheus.CounterVec
+	served *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the metrics.
@@ -26,8 +27,12 @@
 			Name: "topazrock_peer_bytes_total",
 			Help: "Bytes of the parameters and answers of calls to peers.",
 		}, []string{"method", "direction"}),
+		served: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_peer_served_calls_total",
+			Help: "Calls of peers that were served.",
+		}, []string{"method"}),
 	}
-	r.MustRegister(m.calls, m.bytes)
+	r.MustRegister(m.calls, m.bytes, m.served)
 	return m
 }
 
@@ -45,3 +50,10 @@
 	}
 	m.bytes.WithLabelValues(method, directionReceived).Add(float64(bytes))
 }
+
+func (m *Metrics) countServed(method string) {
+	if m == nil {
+		return
+	}
+	m.served.WithLabelValues(method).Inc()
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,9 @@
 //
 // Lock order: Server.mu is never held together with another lock.
 type Server struct {
+	// Metrics counts the calls; nil disables it. It must be set before Serve.
+	Metrics *Metrics
+
 	logger hclog.Logger
 
 	mu       sync.Mutex
@@ -107,6 +110,7 @@
 	if err := json.Unmarshal(*r.Params, &e); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
+	s.Metrics.countServed(r.Method)
 	reply, err := h(ctx, e.From, e.Params)
 	if err != nil {
 		return nil, encodeError(err)
