One list of instances for a failure domain that starts, announced down a tree

Cause: each instance of a new fleet listed all others from the platform, 985 times 985 entries over the store's one link. An instance without a list takes itself for the only one of its failure domain, so that it is its own reader and lists members and manifest as well; with the link full of answers that nobody waits for any more, no instance had the manifest 14 s after the start ("the manifest is not known yet", first refusals at second -10.5).

An instance that knows nobody now waits for a time that is distributed exponentially over 1.5 s. The few whose time comes first list, and announce the list to the instances of their failure domain: to six, each with the addresses that it passes the announcement on to. Each receives the list from the one that announced it. The readers' history begins with that list, so that followers get what changed since and do not list again. Dead instances and those of earlier builds are skipped; below one that takes the announcement and provides nothing, instances list when their own time comes.

Ruled out: a random order without the exponential distribution, whose number of early lists grows with the fleet; an object of the store that names the readers, two more calls of each instance.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -142,8 +142,9 @@
 		Metrics: n.metrics.objectwatch,
 	}, n.peers)
 	if o.SelfRegister {
+		entries := n.sharing.API(platform.KindInstances, 0)
 		n.registry = registry.New(registry.Config{
-			API: o.Platform, EntriesAPI: n.sharing.API(platform.KindInstances, 0), Self: n.self(), InstanceSink: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
+			API: o.Platform, EntriesAPI: entries, ListRelay: entries, Self: n.self(), InstanceSink: n.members, Clock: o.Clock, Seed: o.Seed, Log: o.Logger,
 			Peers: n.client, WatchMetrics: n.metrics.objectwatch,
 		})
 		n.registry.RegisterHandlers(n.peers)
--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// applyBase gives a feed that has no list yet an earlier one to start from, so that followers that
+// have the earlier list get the changes since then. The list from the platform must follow.
+func (f *feed) applyBase(base snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loaded || !base.valid {
+		return
+	}
+	f.reset(base.objects, base.revision)
+	f.asOf = base.asOf
+}
+
 // reset starts the feed anew from a list. Large objects that it replaces remain the base of deltas.
 // The caller holds f.mu.
 func (f *feed) reset(objects []platform.Object, revision platform.Revision) {
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -68,6 +68,9 @@
 }
 
 func (a *SharedAPI) list(ctx context.Context, listPlatform listFunc) ([]platform.Object, platform.Revision, error) {
+	if list, ok := a.takeProvided(); ok {
+		return list.objects, list.revision, nil
+	}
 	got, err := a.listFromReaders(ctx)
 	if err == nil {
 		a.hasList.Store(true)
@@ -88,6 +91,7 @@
 	requestedAt := a.sharing.Clock.Now()
 	objects, revision, err := listPlatform(ctx, a.kind)
 	if err == nil {
+		a.feed.applyBase(a.relayed.snapshot())
 		a.feed.applyList(objects, revision, requestedAt)
 		a.base.update(objects)
 		a.hasList.Store(true)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -66,6 +66,9 @@
 	// Peers calls the other instances. If it is nil, entries of dead instances stay listed and
 	// a removed own entry is not restored.
 	Peers peer.Caller
+	// ListRelay exchanges lists with other instances. If it is nil, each instance lists the others
+	// itself.
+	ListRelay ListRelay
 	// WatchMetrics may be nil.
 	WatchMetrics *objectwatch.Metrics
 }
@@ -75,6 +78,10 @@
 	Config
 	// ownEntryMissing holds a token when this instance's entry is missing.
 	ownEntryMissing chan struct{}
+	// announced holds the peer address of an instance that provides the list of instances.
+	announced chan string
+	// toAnnounce holds the targets of announcements that are to be made.
+	toAnnounce chan []string
 
 	// mu guards entries and is not held across calls.
 	mu      sync.Mutex
@@ -92,7 +99,7 @@
 		c.EntriesAPI = c.API
 	}
 	c.Log = c.Log.Named("registry")
-	return &Registry{Config: c, ownEntryMissing: make(chan struct{}, 1), entries: make(map[string]platform.Instance)}
+	return &Registry{Config: c, ownEntryMissing: make(chan struct{}, 1), announced: make(chan string, 1), toAnnounce: make(chan []string, maxWaitingAnnouncements), entries: make(map[string]platform.Instance)}
 }
 
 // Run writes this instance's entry, follows the others, and monitors two of them, until ctx is
@@ -101,16 +108,17 @@
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	random := rand.New(rand.NewPCG(r.Seed, 3))
+	if r.sharesLists() {
+		loops.Go(func() { r.announceWhenRequested(ctx) })
+	}
 	r.loadStaleList(ctx)
 	if err := r.writeOwnEntry(ctx); err != nil {
 		r.Log.Warn("Writing the instance's entry failed; will retry.", "error", err)
 		loops.Go(func() { r.retryOwnEntry(ctx) })
 	}
 	if !r.knowsOtherInstances() {
-		// All instances of a new deployment start together: give the others time to write their
-		// entries.
-		_ = clock.Sleep(ctx, r.Clock, watchPause+time.Duration(random.Int64N(int64(watchPause/2))))
-		r.loadStaleList(ctx)
+		// All instances of a new deployment start together.
+		r.discover(ctx, random)
 	}
 	if r.Peers != nil {
 		loops.Go(func() { r.restoreOwnEntry(ctx) })
@@ -126,18 +134,14 @@
 // loadStaleList loads the other instances from a list that may be some seconds old. It costs
 // the platform little and yields the peers that can provide the current list.
 func (r *Registry) loadStaleList(ctx context.Context) {
-	objects, _, err := r.API.ListStale(ctx, platform.KindInstances)
+	objects, revision, err := r.API.ListStale(ctx, platform.KindInstances)
 	if err != nil {
 		r.Log.Info("Listing the instances failed.", "error", err)
 		return
 	}
-	r.mu.Lock()
-	for _, o := range objects {
-		r.applyObject(o)
-	}
-	r.mu.Unlock()
+	r.applyDiscovered(objects)
 	if r.knowsOtherInstances() {
-		r.InstanceSink.SetInstances(r.knownInstances())
+		r.provideList(objects, revision)
 	}
 }
 
--- a/internal/registry/sweeper.go
+++ b/internal/registry/sweeper.go
@@ -29,11 +29,14 @@
 	Instance string `json:"instance"`
 }
 
-// RegisterHandlers handles the probes of other instances.
+// RegisterHandlers handles the probes and announcements of other instances.
 func (r *Registry) RegisterHandlers(s peer.HandlerRegistry) {
 	s.Handle(methodAlive, func(context.Context, string, json.RawMessage) (any, error) {
 		return aliveMessage{Instance: r.Self.ID}, nil
 	})
+	if r.sharesLists() {
+		s.Handle(methodAnnounce, r.serveAnnouncement)
+	}
 }
 
 // sweeper removes the entries of instances that died without removing them, as when a machine
