Homes of many groups wait for the list of instances

Cause: an instance that has not got the list of instances three seconds after its first groups takes itself for the only one, and becomes home to every group: with a thousand groups 3,000 control connections and as many pollers on a fifth of a core and 184 MB. The bound holds only while there are few groups.

Up to 64 groups as before; with more, homes wait for the list without limit. An instance without homes forwards, and without a list it has nobody to forward to, so that it refuses as not ready at once.

--- a/internal/instance/instancelistwait_test.go
+++ b/internal/instance/instancelistwait_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Guards against an instance that becomes home to all groups of a large fleet because it could not
+// list the other instances.
+func TestHomesOfManyGroupsWaitForInstanceListWithoutLimit(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	var w instanceListWait
+	is.True(w.pending(start, maxGroupsWithoutList+1, false))
+	is.True(w.pending(start.Add(time.Hour), maxGroupsWithoutList+1, false))
+	is.True(!w.pending(start.Add(time.Hour), maxGroupsWithoutList, false))
+	is.True(!w.pending(start.Add(time.Hour), maxGroupsWithoutList+1, true))
+}
+
 // delayedInstanceList is a platform that fails to list instances until listedFrom.
 type delayedInstanceList struct {
 	platform.API
