Instances with homes of their own do not ask others what they reach

Cause: an instance that is home to less than half of the groups asked two homes each 500 ms what they reach. With a thousand groups that is every instance, for ever: four calls a second at each, and as the groups came in the order of a map, to two other homes each time, so that each instance came to hold connections to its whole failure domain (28 KB each). Every instance also woke up each 80 ms to find out, by hashing all instances, whether it probes the other failure domains.

An instance that is home to three groups has evidence of its own and asks nobody. The others ask the same homes each time, of different failure domains where their own has none: one domain that is cut off must not look like the loss of this one. An instance without the duty to probe looks for it each 500 ms.

Ruled out: no polls at all, which leaves an instance without homes ready behind a cut (TestNonHomeInstanceDetectsCutOff).

--- a/internal/instance/domainwatch.go
+++ b/internal/instance/domainwatch.go
@@ -24,6 +24,9 @@
 	// domainProbeTimeout bounds an answer; it is many times the response time of an
 	// instance that is short of CPU time.
 	domainProbeInterval = 80 * time.Millisecond
+	// proberCheckInterval is the time after which an instance without that duty checks whether it
+	// has it now.
+	proberCheckInterval = 500 * time.Millisecond
 	domainProbeTimeout  = time.Second
 	// checkReachTimeout bounds the call that requests a reachability check.
 	checkReachTimeout = 200 * time.Millisecond
@@ -56,12 +59,13 @@
 		case domain := <-answers:
 			detector.recordAnswer(domain, n.options.Clock.Now())
 		case <-ticker.C:
-			ticker.Reset(domainProbeInterval)
-			round++
 			if !n.isDomainProber() {
 				detector = newIsolationDetector()
+				ticker.Reset(proberCheckInterval)
 				continue
 			}
+			ticker.Reset(domainProbeInterval)
+			round++
 			n.probeOtherDomains(ctx, round, answers)
 			if detector.detectIsolation(n.options.Clock.Now()) {
 				n.options.Logger.Warn("No other failure domain answers.")
--- a/internal/instance/reachpeers.go
+++ b/internal/instance/reachpeers.go
@@ -1,11 +1,15 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -18,6 +22,9 @@
 	peerReachTimeout  = 200 * time.Millisecond
 	// maxPolledHomes is the maximum number of homes polled: two, because one may be down.
 	maxPolledHomes = 2
+	// minOwnGroups is the number of groups whose reachability shows whether this instance is cut
+	// off: the loss of one group's members is not taken for a cut.
+	minOwnGroups = 3
 	// hintedPeerReachInterval is the time between two polls while a hint is valid.
 	hintedPeerReachInterval = 50 * time.Millisecond
 )
@@ -79,8 +86,12 @@
 	return p.sum
 }
 
-// pollPeerReach asks nearby homes what they reach while this instance is home to less than
-// half of the groups, until ctx ends.
+// needsPeerReach reports whether an instance that is home to some of the groups has too little
+// evidence of its own. In a fleet with many groups no instance is home to a considerable part of
+// them; if all asked others for that reason, these calls would be most of what an instance does.
+func needsPeerReach(homes, groups int) bool { return homes < minOwnGroups && 2*homes < groups }
+
+// pollPeerReach asks nearby homes what they reach while this instance needs it, until ctx ends.
 func (n *Instance) pollPeerReach(ctx context.Context, p *peerReach) {
 	var hintedAt time.Time
 	for {
@@ -97,25 +108,31 @@
 			continue
 		}
 		var sum reachCounts
-		if 2*len(n.homesCopy()) < len(n.documents.Groups()) {
+		if needsPeerReach(len(n.homesCopy()), len(n.documents.Groups())) {
 			sum = n.pollHomes(ctx, n.homesToPoll())
 		}
 		p.set(sum)
 	}
 }
 
-// homesToPoll returns the nearest home of each group that this instance is not home to, at
-// most maxPolledHomes in total. Homes in its own failure domain are the nearest.
+// homesToPoll returns homes of groups that this instance is not home to, at most maxPolledHomes in
+// total. Homes in its own failure domain are preferred. Others are of different failure domains, so
+// that the loss of one domain does not look like the loss of this one.
 func (n *Instance) homesToPoll() []platform.Instance {
 	var chosen []platform.Instance
-	seen := make(map[string]bool)
-	for _, g := range n.documents.Groups() {
-		homes := n.members.Homes(g.Name)
-		if len(homes) == 0 || homes[0].ID == n.self().ID || seen[homes[0].ID] {
+	for _, group := range pollCandidates(n.self().ID, n.documents.Groups()) {
+		homes := n.members.Homes(group)
+		if len(homes) == 0 || homes[0].ID == n.self().ID {
+			continue
+		}
+		home := homes[0]
+		if home.FailureDomain != n.self().FailureDomain {
+			home = otherDomainHome(homes, chosen)
+		}
+		if home.ID == "" || slices.ContainsFunc(chosen, func(c platform.Instance) bool { return c.ID == home.ID }) {
 			continue
 		}
-		seen[homes[0].ID] = true
-		chosen = append(chosen, homes[0])
+		chosen = append(chosen, home)
 		if len(chosen) == maxPolledHomes {
 			break
 		}
@@ -123,6 +140,44 @@
 	return chosen
 }
 
+// otherDomainHome returns the first of the homes whose failure domain none of the chosen ones is in,
+// or the zero value.
+func otherDomainHome(homes, chosen []platform.Instance) platform.Instance {
+	for _, home := range homes {
+		if !slices.ContainsFunc(chosen, func(c platform.Instance) bool { return c.FailureDomain == home.FailureDomain }) {
+			return home
+		}
+	}
+	return platform.Instance{}
+}
+
+// maxPollCandidates is the number of groups from whose homes the polled ones are chosen.
+const maxPollCandidates = 8
+
+// pollCandidates returns the names of some groups. They differ from instance to instance and stay the
+// same for one, which thus keeps connections to few homes.
+func pollCandidates(self string, groups []VersionedGroup) []string {
+	type candidate struct {
+		name string
+		rank uint64
+	}
+	byRank := func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name)) }
+	var list []candidate
+	for _, g := range groups {
+		c := candidate{g.Name, xxhash.Sum64String(self + "\x00" + g.Name)}
+		at, _ := slices.BinarySearchFunc(list, c, byRank)
+		if at < maxPollCandidates {
+			list = slices.Insert(list, at, c)
+			list = list[:min(len(list), maxPollCandidates)]
+		}
+	}
+	var names []string
+	for _, c := range list {
+		names = append(names, c.name)
+	}
+	return names
+}
+
 // pollHomes returns the sum of the homes' counts. A home that does not answer counts as one
 // group that is not reached.
 func (n *Instance) pollHomes(ctx context.Context, homes []platform.Instance) reachCounts {
--- a/internal/instance/reachpeers_test.go
+++ b/internal/instance/reachpeers_test.go
@@ -4,8 +4,40 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/topazrock/topazrock/internal/platform"
 )
 
+// Guards against polls that grow with the number of groups: an instance that is home to ten of a
+// thousand groups has evidence of its own.
+func TestOnlyInstancesWithoutEvidenceAskOthersWhatTheyReach(t *testing.T) {
+	is := is.New(t)
+	is.True(!needsPeerReach(10, 1000))
+	is.True(!needsPeerReach(3, 1000))
+	is.True(needsPeerReach(2, 1000))
+	is.True(needsPeerReach(0, 3))
+	is.True(needsPeerReach(1, 3))
+	is.True(!needsPeerReach(2, 3))
+}
+
+// Guards against an instance that considers itself cut off because the only failure domain it asks
+// is, and against connections to other homes at each poll.
+func TestPolledHomesAreOfDifferentDomainsAndStayTheSame(t *testing.T) {
+	is := is.New(t)
+	groups := groupsIn(1000, "d0", "d1", "d2")
+	first := pollCandidates("i1", groups)
+	is.Equal(len(first), maxPollCandidates)
+	slices.Reverse(groups)
+	is.Equal(pollCandidates("i1", groups), first)
+	is.True(!slices.Equal(pollCandidates("i2", groups), first))
+	a, b := platform.Instance{ID: "a", FailureDomain: "d0"}, platform.Instance{ID: "b", FailureDomain: "d1"}
+	is.Equal(otherDomainHome([]platform.Instance{a, b}, nil), a)
+	is.Equal(otherDomainHome([]platform.Instance{a, b}, []platform.Instance{a}), b)
+	is.Equal(otherDomainHome([]platform.Instance{a}, []platform.Instance{a}), platform.Instance{})
+}
+
 // A failure domain with two instances is cut off. One is home to the group; the other is
 // not, and probes no member itself. If the second one stayed ready, the balancer would keep
 // sending the failure domain's callers to both. It must learn from the home that only a
