Many small groups have one home in each failure domain of their members

Cause: homes were counted by slots and failure domains alone: two in each of five domains. A thousand groups with 2.3 requests a second have 10,000 homes then, each with a request in four seconds: three followed members, connections and a share for each, 30,000 followed members in all. It grows with groups times failure domains and not with requests. Two domains without members had homes that are next to no member.

Where that would make an instance home to more than four groups on average, a group has one home in each failure domain of its members, and never less than two. The decision counts the groups of the manifest, because members become known one after the other, and holds until the average is below two, so that instances that come and go do not move all homes. At 985 instances and 1,000 groups: 3,000 homes for 10,000. At 7,382 and 15,000 groups of five slots: 45,000 for 150,000, six an instance.

Compared by calculation with a number of homes in proportion to instances, which changes by one for all groups at each of seven sizes. By measured demand: not built.

With it: homes found once stay found when another group's placement becomes known (they were all computed anew, groups times instances at each of them), and the instances picked for a duty are kept with the view (each look hashed all instances).

--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -32,6 +32,7 @@
 
 	version       int64
 	manifestKnown bool
+	groupCount    int
 	services      map[string]*document.Service
 	databases     map[string]document.Database
 	// workspaces is shared by all views of the same manifest.
@@ -52,6 +53,7 @@
 		present:       present,
 		version:       d.manifest.Version,
 		manifestKnown: d.manifestKnown,
+		groupCount:    len(d.manifest.Groups),
 		services:      make(map[string]*document.Service, len(d.manifest.Groups)),
 		databases:     previous.databases,
 		workspaces:    d.manifest.Workspaces,
@@ -155,6 +157,9 @@
 	return all, v.version
 }
 
+// GroupCount returns the number of groups in the manifest, those without members included.
+func (d *Directory) GroupCount() int { return d.current.Load().groupCount }
+
 // FindService returns the service of a group.
 func (d *Directory) FindService(group string) (*document.Service, bool) {
 	s, ok := d.current.Load().services[group]
--- a/internal/instance/homecount_test.go
+++ b/internal/instance/homecount_test.go
@@ -68,15 +68,15 @@
 	}
 }
 
-// BenchmarkHomeCounts measures the home counts of one reconciliation where each of 295
+// BenchmarkPlacements measures the placements of one reconciliation where each of 295
 // instances has twice as many groups.
-func BenchmarkHomeCounts(b *testing.B) {
+func BenchmarkPlacements(b *testing.B) {
 	live := fleetOf(295, 5)
 	groups := make([]VersionedGroup, 2*len(live))
 	for i := range groups {
 		groups[i].Group = document.Group{Name: fmt.Sprint(i), MemberConnections: 125, Members: make([]document.Member, 3), Slots: 15}
 	}
 	for b.Loop() {
-		homeCounts(groups, fleetSizeOf(live))
+		placements(groups, fleetSizeOf(live), false)
 	}
 }
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -8,6 +8,7 @@
 	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/features"
+	"github.com/topazrock/topazrock/internal/membership"
 	"github.com/topazrock/topazrock/internal/shares"
 )
 
@@ -43,7 +44,7 @@
 // or whose members changed.
 func (n *Instance) reconcile(ctx context.Context) {
 	n.observeConditions()
-	n.updateHomeCounts()
+	n.updatePlacements()
 	wanted := n.wantedGroups()
 	for name, h := range n.homesCopy() {
 		w, ok := wanted[name]
@@ -62,25 +63,44 @@
 	}
 }
 
-// updateHomeCounts sets how many instances are homes to each group, if members limit their
-// own connections.
-func (n *Instance) updateHomeCounts() {
+// updatePlacements sets how many instances are homes to each group, and in which failure domains,
+// if members limit their own connections.
+func (n *Instance) updatePlacements() {
 	if !n.protocol.MembersLimitConnections {
 		return
 	}
-	n.members.SetHomeCounts(homeCounts(n.documents.Groups(), fleetSizeOf(n.members.Live())))
+	groups := n.documents.Groups()
+	fleet := fleetSizeOf(n.members.Live())
+	few := n.homeDensity.update(groups, n.groupCount(groups), fleet)
+	n.members.SetPlacements(placements(groups, fleet, few))
+}
+
+// groupCounter is implemented by Documents that know of groups before their members are known.
+type groupCounter interface{ GroupCount() int }
+
+// groupCount returns the number of groups, those included whose members are not known.
+func (n *Instance) groupCount(known []VersionedGroup) int {
+	if c, ok := n.documents.(groupCounter); ok {
+		return c.GroupCount()
+	}
+	return len(known)
 }
 
-// homeCounts returns the number of homes per failure domain for each group. Groups whose
-// members do not limit their connections are left out.
-func homeCounts(groups []VersionedGroup, fleet fleetSize) map[string]int {
-	counts := make(map[string]int)
+// placements returns where the homes of each group are. Groups whose members do not limit their
+// connections are left out.
+func placements(groups []VersionedGroup, fleet fleetSize, few bool) map[string]membership.Placement {
+	byGroup := make(map[string]membership.Placement, len(groups))
 	for _, g := range groups {
-		if count := homesPerDomain(g.Group, fleet); count > 0 {
-			counts[g.Name] = count
+		count := homesPerDomain(g.Group, fleet)
+		switch {
+		case count == 0:
+		case few:
+			byGroup[g.Name] = fewHomes(g.Group)
+		default:
+			byGroup[g.Name] = membership.Placement{PerDomain: count}
 		}
 	}
-	return counts
+	return byGroup
 }
 
 // connectionShareOf returns this instance's share of the connections to a member of a
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -43,8 +43,9 @@
 	registry *registry.Registry
 	// sharing shares reads from the platform with other instances.
 	sharing *objectwatch.Sharing
-	// listWait is used by runHomes only.
-	listWait instanceListWait
+	// listWait and homeDensity are used by runHomes only.
+	listWait    instanceListWait
+	homeDensity homeDensity
 	// cutOff is set while the instance is cut off from most groups, as reachDetector
 	// decides.
 	cutOff atomic.Bool
--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/topazrock/topazrock/internal/platform"
+import (
+	"slices"
+
+	"github.com/topazrock/topazrock/internal/platform"
+)
 
 // Homes returns the home instances of a group, those in this instance's failure domain first.
 // The result must not be modified.
@@ -22,7 +26,24 @@
 // instances of a failure domain with fewer. Tasks with different keys are spread over different
 // instances.
 func (m *Members) PickInstances(key string, n int) []platform.Instance {
-	return instancesOf(pickPerDomain(key, m.current.Load().domains, n))
+	return m.current.Load().pick(key, n)
+}
+
+// pick returns n instances of each failure domain for a task. It computes them once for each key: the
+// callers ask for them many times a second, and each computation hashes every instance.
+func (s *snapshot) pick(key string, n int) []platform.Instance {
+	k := pickKey{key, n}
+	s.mu.Lock()
+	picked, ok := s.picked[k]
+	s.mu.Unlock()
+	if ok {
+		return slices.Clone(picked)
+	}
+	picked = instancesOf(pickPerDomain(key, s.domains, n))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picked[k] = picked
+	return slices.Clone(picked)
 }
 
 func (s *snapshot) homesOf(group string) *homeSet {
--- a/internal/membership/homeset.go
+++ b/internal/membership/homeset.go
@@ -16,7 +16,8 @@
 }
 
 func (s *snapshot) newHomeSet(group string) *homeSet {
-	h := &homeSet{scored: pickPerDomain(group, s.domains, s.homeCounts.forGroup(group))}
+	p := s.placements.forGroup(group)
+	h := &homeSet{scored: pickPerDomain(group, s.domainsOf(p), p.PerDomain)}
 	h.ranked = instancesOf(h.scored)
 	h.nearest = slices.Clone(h.ranked)
 	slices.SortStableFunc(h.nearest, func(a, b platform.Instance) int { return s.locality(a) - s.locality(b) })
@@ -29,7 +30,10 @@
 }
 
 // admitsJoining reports whether a joining instance becomes one of the homes.
-func (h *homeSet) admitsJoining(group string, joining platform.Instance, perFailureDomain int) bool {
+func (h *homeSet) admitsJoining(group string, joining platform.Instance, p Placement) bool {
+	if !p.includes(joining.FailureDomain) {
+		return false
+	}
 	r := scoredInstance{instance: joining, score: rendezvousScore(group, joining.ID)}
 	inDomain := 0
 	for _, other := range h.scored {
@@ -41,5 +45,5 @@
 		}
 		inDomain++
 	}
-	return inDomain < perFailureDomain
+	return inDomain < p.PerDomain
 }
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -22,7 +22,7 @@
 	// mu serializes changes of the snapshot and guards the fields below.
 	mu          sync.Mutex
 	list        list
-	homeCounts  homeCounts
+	placements  placements
 	draining    bool
 	subscribers []func()
 }
@@ -40,7 +40,7 @@
 	}
 	m := &Members{options: o, log: o.Log.Named("membership"), metrics: o.Metrics,
 		changeNotified: make(chan struct{}, 1), list: newList(nil, nil, time.Time{}),
-		homeCounts: homeCounts{defaultCount: o.PerFailureDomain}}
+		placements: placements{defaultCount: o.PerFailureDomain}}
 	m.publishSnapshot()
 	m.registerHandlers()
 	return m
@@ -120,7 +120,7 @@
 	m.mu.Lock()
 	self := m.options.Self
 	self.Leaving = m.draining
-	next := newSnapshot(self, m.list, m.homeCounts)
+	next := newSnapshot(self, m.list, m.placements)
 	old := m.current.Load()
 	if old != nil && old.equal(next) {
 		m.mu.Unlock()
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -145,8 +145,8 @@
 func TestDepartureMovesOnlyAffectedGroups(t *testing.T) {
 	is := is.New(t)
 	all := newInstances(30)
-	before := newSnapshot(all[0], newList(all, nil, time.Time{}), homeCounts{defaultCount: 2})
-	after := newSnapshot(all[0], newList(all[:29], nil, time.Time{}), homeCounts{defaultCount: 2})
+	before := newSnapshot(all[0], newList(all, nil, time.Time{}), placements{defaultCount: 2})
+	after := newSnapshot(all[0], newList(all[:29], nil, time.Time{}), placements{defaultCount: 2})
 	for g := range 500 {
 		group := fmt.Sprintf("group-%d", g)
 		old := before.homesOf(group).ranked
@@ -191,7 +191,7 @@
 		}
 		api.set(platform.Inventory{Instances: listed}, nil)
 		is.NoErr(m.Refresh(t.Context()))
-		fresh := newSnapshot(all[0], newList(listed, nil, time.Time{}), homeCounts{defaultCount: 2})
+		fresh := newSnapshot(all[0], newList(listed, nil, time.Time{}), placements{defaultCount: 2})
 		for g := range 30 {
 			group := fmt.Sprintf("group-%d", g)
 			is.Equal(m.HomesRanked(group), fresh.homesOf(group).ranked)
@@ -218,7 +218,7 @@
 	for _, n := range []int{100, 1000, 7400} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			all := newInstances(n)
-			s := newSnapshot(all[0], newList(all, nil, time.Time{}), homeCounts{defaultCount: 1})
+			s := newSnapshot(all[0], newList(all, nil, time.Time{}), placements{defaultCount: 1})
 			for b.Loop() {
 				s.newHomeSet("orders-1")
 			}
@@ -234,12 +234,12 @@
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			all := newInstances(n + 1)
 			lists := []list{newList(all[:n], nil, time.Time{}), newList(all[1:], nil, time.Time{})}
-			s := newSnapshot(all[1], lists[0], homeCounts{defaultCount: 1})
+			s := newSnapshot(all[1], lists[0], placements{defaultCount: 1})
 			for g := range groups {
 				s.homesOf(fmt.Sprintf("group-%d", g))
 			}
 			for i := 0; b.Loop(); i++ {
-				next := newSnapshot(all[1], lists[(i+1)%2], homeCounts{defaultCount: 1})
+				next := newSnapshot(all[1], lists[(i+1)%2], placements{defaultCount: 1})
 				next.reuseHomes(s)
 				for g := range groups {
 					next.homesOf(fmt.Sprintf("group-%d", g))
--- a/internal/membership/placements.go
+++ b/internal/membership/placements.go
@@ -2,19 +2,19 @@
 
 import "maps"
 
-// homeCounts is the number of homes in each failure domain, by group.
-type homeCounts struct {
+// placements holds the placement of homes by group.
+type placements struct {
 	defaultCount int
-	byGroup      map[string]int
+	byGroup      map[string]Placement
 }
 
-func (c homeCounts) forGroup(group string) int {
-	if n, ok := c.byGroup[group]; ok {
-		return n
+func (p placements) forGroup(group string) Placement {
+	if placement, ok := p.byGroup[group]; ok {
+		return placement
 	}
-	return c.defaultCount
+	return Placement{PerDomain: p.defaultCount}
 }
 
-func (c homeCounts) equal(other homeCounts) bool {
-	return c.defaultCount == other.defaultCount && maps.Equal(c.byGroup, other.byGroup)
+func (p placements) equal(other placements) bool {
+	return p.defaultCount == other.defaultCount && maps.EqualFunc(p.byGroup, other.byGroup, Placement.equal)
 }
--- a/internal/membership/placements_test.go
+++ b/internal/membership/placements_test.go
@@ -10,7 +10,7 @@
 
 // The number of homes is set after the instances. Groups whose homes are already cached must
 // get the new number too, or their statements would permanently take an additional hop.
-func TestSetHomeCountsUpdatesCachedGroups(t *testing.T) {
+func TestSetPlacementsUpdatesCachedGroups(t *testing.T) {
 	is := is.New(t)
 	all := newInstances(9)
 	m := newMembers(&listAPI{list: platform.Inventory{Instances: all}}, all[3], 1)
@@ -19,10 +19,10 @@
 	is.True(before < len(all))
 	changed := 0
 	m.Subscribe(func() { changed++ })
-	m.SetHomeCounts(map[string]int{"g": 1 << 20})
+	m.SetPlacements(map[string]Placement{"g": {PerDomain: 1 << 20}})
 	is.Equal(len(m.Homes("g")), len(all))
 	is.True(m.IsHome("g"))
 	is.Equal(changed, 1)
-	m.SetHomeCounts(map[string]int{"g": 1})
+	m.SetPlacements(map[string]Placement{"g": {PerDomain: 1}})
 	is.Equal(len(m.Homes("g")), before)
 }
--- a/internal/membership/reuse.go
+++ b/internal/membership/reuse.go
@@ -8,9 +8,10 @@
 
 // reuseHomes copies from an older snapshot the homes that the changes since then do not affect.
 // Computing the homes of one group hashes every instance; with thousands of instances and
-// groups that takes about a second of CPU time, and an instance joins or leaves every minute.
+// groups that takes about a second of CPU time, and an instance joins or leaves every minute. While
+// a fleet starts, groups become known one after the other, each with its own placement.
 func (s *snapshot) reuseHomes(old *snapshot) {
-	if old == nil || old.self != s.self || !old.homeCounts.equal(s.homeCounts) {
+	if old == nil || old.self != s.self {
 		return
 	}
 	joined, left := diffInstances(old.live, s.live)
@@ -20,20 +21,21 @@
 	old.mu.Lock()
 	defer old.mu.Unlock()
 	for group, h := range old.homes {
-		if !homesChanged(group, h, joined, left, s.homeCounts.forGroup(group)) {
+		p := s.placements.forGroup(group)
+		if old.placements.forGroup(group).equal(p) && !homesChanged(group, h, joined, left, p) {
 			s.homes[group] = h
 		}
 	}
 }
 
-func homesChanged(group string, h *homeSet, joined, left []platform.Instance, perFailureDomain int) bool {
+func homesChanged(group string, h *homeSet, joined, left []platform.Instance, p Placement) bool {
 	for _, i := range left {
 		if h.contains(i.ID) {
 			return true
 		}
 	}
 	for _, i := range joined {
-		if h.admitsJoining(group, i, perFailureDomain) {
+		if h.admitsJoining(group, i, p) {
 			return true
 		}
 	}
--- a/internal/membership/setters.go
+++ b/internal/membership/setters.go
@@ -10,13 +10,13 @@
 	}
 }
 
-// SetHomeCounts sets the number of homes in each failure domain for individual groups; all
-// other groups use Options.PerFailureDomain. The map must not be modified afterwards.
-func (m *Members) SetHomeCounts(byGroup map[string]int) {
+// SetPlacements sets where the homes of individual groups are; all other groups have
+// Options.PerFailureDomain homes in each failure domain. The map must not be modified afterwards.
+func (m *Members) SetPlacements(byGroup map[string]Placement) {
 	m.mu.Lock()
-	next := homeCounts{defaultCount: m.options.PerFailureDomain, byGroup: byGroup}
-	changed := !next.equal(m.homeCounts)
-	m.homeCounts = next
+	next := placements{defaultCount: m.options.PerFailureDomain, byGroup: byGroup}
+	changed := !next.equal(m.placements)
+	m.placements = next
 	m.mu.Unlock()
 	if changed {
 		m.publishSnapshot()
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -19,18 +19,26 @@
 	domains    [][]platform.Instance
 	peers      []platform.Instance
 	leaving    map[string]bool
-	homeCounts homeCounts
+	placements placements
 
 	mu sync.Mutex
 	// homes caches the homes of requested groups: computing them hashes every instance, and
 	// routing needs them for each statement.
 	homes map[string]*homeSet
+	// picked caches the instances that were picked for tasks.
+	picked map[pickKey][]platform.Instance
+}
+
+// pickKey names a task and the number of instances of each failure domain that it is for.
+type pickKey struct {
+	key   string
+	count int
 }
 
 // newSnapshot builds a snapshot. The configured self takes precedence over this instance's
 // entry on the list, except that the entry can mark the instance as leaving.
-func newSnapshot(self platform.Instance, l list, counts homeCounts) *snapshot {
-	s := &snapshot{homeCounts: counts, listed: l.instances, leaving: make(map[string]bool), homes: make(map[string]*homeSet)}
+func newSnapshot(self platform.Instance, l list, p placements) *snapshot {
+	s := &snapshot{placements: p, listed: l.instances, leaving: make(map[string]bool), homes: make(map[string]*homeSet), picked: make(map[pickKey][]platform.Instance)}
 	byID := make(map[string]platform.Instance)
 	for _, i := range l.instances {
 		byID[i.ID] = i
@@ -57,5 +65,19 @@
 }
 
 func (s *snapshot) equal(other *snapshot) bool {
-	return s.self == other.self && s.homeCounts.equal(other.homeCounts) && slices.Equal(s.live, other.live) && slices.Equal(s.listed, other.listed) && maps.Equal(s.leaving, other.leaving)
+	return s.self == other.self && s.placements.equal(other.placements) && slices.Equal(s.live, other.live) && slices.Equal(s.listed, other.listed) && maps.Equal(s.leaving, other.leaving)
+}
+
+// domainsOf returns the instances of those failure domains that have homes under a placement.
+func (s *snapshot) domainsOf(p Placement) [][]platform.Instance {
+	if len(p.Domains) == 0 {
+		return s.domains
+	}
+	var domains [][]platform.Instance
+	for _, instances := range s.domains {
+		if p.includes(instances[0].FailureDomain) {
+			domains = append(domains, instances)
+		}
+	}
+	return domains
 }
