Readers and domain probers are instances of high capacity where there are some

Cause: readers were picked by hash among all instances. In the whole fleet nine of ten have 20 Mbit/s and a fifth of a core. A reader of such a machine tells a hundred followers of each entry: 3,000 members that register within ten seconds are, at about 100 B packed, 30 MB for a link that carries 25 MB in that time (arithmetic); with twice the fleet and its groups four times as much.

Readers and the instances that probe other failure domains are now picked by hash among those that have at least half of the largest capacity in their failure domain, if there are enough of them. Instances say in their entry that they pick so.

At twice the size the two readers of a failure domain send 13 MB a second of 125 for ten seconds, at 7,382 instances and 15,000 groups 17 MB a second (arithmetic, both on 1,000 Mbit/s). It ends where no instance of a failure domain has a large link: there a tree for changes is needed, which is not built.

Ruled out: more than two readers, which cost calls to the platform in every failure domain.

--- a/internal/instance/domainwatch.go
+++ b/internal/instance/domainwatch.go
@@ -86,7 +86,7 @@
 // channel answers.
 func (n *Instance) probeOtherDomains(ctx context.Context, round int, answers chan<- string) {
 	byDomain := make(map[string][]platform.Instance)
-	for _, i := range n.members.PickInstances(domainProbeDuty, probersPerDomain) {
+	for _, i := range n.members.PickCapable(domainProbeDuty, probersPerDomain) {
 		if i.FailureDomain != n.self().FailureDomain {
 			byDomain[i.FailureDomain] = append(byDomain[i.FailureDomain], i)
 		}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -208,6 +208,8 @@
 		PeerAddress:   s.Peer.Address,
 		AdminAddress:  s.Admin.Address,
 		Capacity:      s.Process.Capacity(),
+
+		PicksByCapacity: true,
 	}
 }
 
--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -26,20 +26,23 @@
 // instances of a failure domain with fewer. Tasks with different keys are spread over different
 // instances.
 func (m *Members) PickInstances(key string, n int) []platform.Instance {
-	return m.current.Load().pick(key, n)
+	return m.current.Load().pick(pickKey{key, n, false})
 }
 
 // pick returns n instances of each failure domain for a task. It computes them once for each key: the
 // callers ask for them many times a second, and each computation hashes every instance.
-func (s *snapshot) pick(key string, n int) []platform.Instance {
-	k := pickKey{key, n}
+func (s *snapshot) pick(k pickKey) []platform.Instance {
 	s.mu.Lock()
 	picked, ok := s.picked[k]
 	s.mu.Unlock()
 	if ok {
 		return slices.Clone(picked)
 	}
-	picked = instancesOf(pickPerDomain(key, s.domains, n))
+	domains := s.domains
+	if k.capable {
+		domains = capableDomains(domains, k.count)
+	}
+	picked = instancesOf(pickPerDomain(k.key, domains, k.count))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picked[k] = picked
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,7 +103,8 @@
 	if len(next.instances) == 0 && len(m.list.instances) > 0 {
 		return false, errEmptyList
 	}
-	changed = next.checksum != m.list.checksum
+	// The checksum, which earlier builds compute as well, does not cover all fields of an entry.
+	changed = next.checksum != m.list.checksum || !slices.Equal(next.instances, m.list.instances)
 	m.list = next
 	m.metrics.setListTime(next.readAt)
 	return changed, nil
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -29,10 +29,12 @@
 	picked map[pickKey][]platform.Instance
 }
 
-// pickKey names a task and the number of instances of each failure domain that it is for.
+// pickKey names a task, the number of instances of each failure domain that it is for, and whether
+// capable ones are preferred.
 type pickKey struct {
-	key   string
-	count int
+	key     string
+	count   int
+	capable bool
 }
 
 // newSnapshot builds a snapshot. The configured self takes precedence over this instance's
--- a/internal/objectwatch/changessince_test.go
+++ b/internal/objectwatch/changessince_test.go
@@ -29,8 +29,8 @@
 // Live implements Fleet.
 func (fakeFleet) Live() []platform.Instance { return nil }
 
-// PickInstances implements Fleet.
-func (f fakeFleet) PickInstances(_ string, n int) []platform.Instance {
+// PickCapable implements Fleet.
+func (f fakeFleet) PickCapable(_ string, n int) []platform.Instance {
 	if n <= readersPerDomain {
 		return f.readers
 	}
--- a/internal/objectwatch/fallback_test.go
+++ b/internal/objectwatch/fallback_test.go
@@ -79,8 +79,8 @@
 // largeFleet is a fleet whose failure domains all have more than maxDirectReaders instances.
 type largeFleet struct{ fakeFleet }
 
-// PickInstances implements Fleet.
-func (f largeFleet) PickInstances(_ string, n int) []platform.Instance {
+// PickCapable implements Fleet.
+func (f largeFleet) PickCapable(_ string, n int) []platform.Instance {
 	if n <= readersPerDomain {
 		return f.readers
 	}
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -214,7 +214,7 @@
 func (s *Sharing) pickFallbackReaders(n int) []platform.Instance {
 	self, hasReaders := s.Fleet.Self(), len(s.readers()) > 0
 	var all []platform.Instance
-	for _, i := range s.Fleet.PickInstances(readersKey, readersPerDomain) {
+	for _, i := range s.Fleet.PickCapable(readersKey, readersPerDomain) {
 		if i.ID != self.ID && !(hasReaders && i.FailureDomain == self.FailureDomain) {
 			all = append(all, i)
 		}
--- a/internal/objectwatch/testdomain_test.go
+++ b/internal/objectwatch/testdomain_test.go
@@ -62,8 +62,8 @@
 	return platform.Instance{ID: i.id, FailureDomain: "a", PeerAddress: i.id}
 }
 
-// PickInstances implements Fleet. It selects the first n instances for every key.
-func (i *testInstance) PickInstances(_ string, n int) []platform.Instance {
+// PickCapable implements Fleet. It selects the first n instances for every key.
+func (i *testInstance) PickCapable(_ string, n int) []platform.Instance {
 	var all []platform.Instance
 	for _, o := range i.domain.instances[:min(n, len(i.domain.instances))] {
 		all = append(all, o.Self())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -62,6 +62,9 @@
 	Leaving      bool   `json:"leaving"`
 	// Capacity is the processor time that the instance may use, in cores; zero if it is not known.
 	Capacity float64 `json:"capacity,omitempty"`
+	// PicksByCapacity reports that the instance takes capacities into account when it picks
+	// instances for tasks. Those of earlier builds do not.
+	PicksByCapacity bool `json:"picks_by_capacity,omitempty"`
 }
 
 // Upstream is an entry of the upstream list: a member, as described by itself.
