Instances that return list from instances, not each from the platform

Cause: an instance that returns to a running fleet gave each reader 80 ms for the whole list and then listed from the platform. A list of 3,000 members takes 110 ms on a link of 20 Mbit/s, so that each of them did: a power failure of half the fleet asks the store for 540 times 1.4 MB, six seconds of its link, with calls that time out after one. The bound holds only while the lists are small.

A returning instance now asks its readers and six others of its failure domain at once whether they answer, for 80 ms, and has a second for the list of one that does; then six others, then the platform. Instances pass on the list that they received, with the age that the last check of their own proved; at most 5 s old, the follower's check makes it current. Builds before this one answer such a request with nothing unless they are readers.

--- a/internal/objectwatch/messages.go
+++ b/internal/objectwatch/messages.go
@@ -27,6 +27,9 @@
 	DeltaBase *versionRef `json:"base,omitempty"`
 	// WaitForList reports that the requester can wait until the first list is complete.
 	WaitForList bool `json:"waits,omitempty"`
+	// AnyList reports that a list that the instance received from another one does as well. Instances
+	// of earlier builds have nothing for such a request unless they are readers.
+	AnyList bool `json:"any_list,omitempty"`
 }
 
 // versionRef identifies one version of an object.
--- a/internal/objectwatch/relayedlist.go
+++ b/internal/objectwatch/relayedlist.go
@@ -15,7 +15,8 @@
 	loaded   bool
 	objects  map[string]platform.Object
 	revision platform.Revision
-	// asOf is when the list that the objects are based on was requested from the platform.
+	// asOf is when the latest list that proves the objects to be complete was requested from the
+	// platform.
 	asOf time.Time
 	// loadedCh is closed when the first list is stored.
 	loadedCh chan struct{}
@@ -43,8 +44,8 @@
 
 // applyChanges applies the changes between the revisions after and revision. It ignores them if
 // the stored revision is before the first, because changes would be skipped, or beyond the
-// second.
-func (l *relayedList) applyChanges(objects []platform.Object, after, revision platform.Revision) {
+// second. asOf is when the list was requested that proves the changes to be complete, or the zero time.
+func (l *relayedList) applyChanges(objects []platform.Object, after, revision platform.Revision, asOf time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.loaded || after > l.revision || revision < l.revision {
@@ -58,6 +59,9 @@
 		}
 	}
 	l.revision = revision
+	if asOf.After(l.asOf) {
+		l.asOf = asOf
+	}
 }
 
 // snapshot returns the stored objects.
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -111,8 +111,8 @@
 //
 // An instance that returns to a running fleet has callers that wait until it has the objects.
 // Its readers may return later than it does and would delay the whole failure domain, so it asks
-// each reader once and then the platform. A fleet that starts for the first time has no callers
-// yet, and its instances wait for the readers.
+// each reader once, then some other instances, and then the platform. A fleet that starts for the
+// first time has no callers yet, and its instances wait for the readers.
 func (a *SharedAPI) listFromReaders(ctx context.Context) (response, error) {
 	start := a.sharing.Clock.Now()
 	a.sharing.waitForFleet(ctx, a.kind)
@@ -130,13 +130,7 @@
 		}
 		return a.askReaders(ctx, a.listFromReader)
 	}
-	for _, reader := range a.sharing.readers() {
-		got, err := a.callPeer(ctx, reader, methodList, request{Kind: a.kind}, startupListTimeout)
-		if err == nil && a.freshEnough(got) {
-			return got, nil
-		}
-	}
-	return response{}, errNoReader
+	return a.listOnReturn(ctx)
 }
 
 // listFromParent requests the first list from the parent in the relay tree, if there is one.
@@ -349,7 +343,10 @@
 	switch {
 	case method == methodList:
 		a.relayed.applyList(got.objects, got.revision(), a.sharing.Clock.Now().Add(-got.age()))
-	case !got.Compacted:
-		a.relayed.applyChanges(got.objects, req.after(), got.revision())
+	case got.Compacted:
+	case method == methodSince:
+		a.relayed.applyChanges(got.objects, req.after(), got.revision(), a.sharing.Clock.Now().Add(-got.age()))
+	default:
+		a.relayed.applyChanges(got.objects, req.after(), got.revision(), time.Time{})
 	}
 }
--- a/internal/objectwatch/sharing.go
+++ b/internal/objectwatch/sharing.go
@@ -251,12 +251,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var list snapshot
-	if req.WaitForList {
-		list = s.availableList(ctx, f, s.relayedList(req.Kind))
-	} else {
-		list = s.directList(ctx, f)
-	}
+	list := s.requestedList(ctx, f, req)
 	if !list.valid || list.revision.Era() < s.SharingConfig.API.Eras().Latest() {
 		return nil, errFeedUnavailable
 	}
@@ -269,6 +264,23 @@
 	return got, nil
 }
 
+// requestedList returns the list that suits a request.
+func (s *Sharing) requestedList(ctx context.Context, f *feed, req request) snapshot {
+	switch {
+	case req.WaitForList:
+		return s.availableList(ctx, f, s.relayedList(req.Kind))
+	case !req.AnyList:
+		return s.directList(ctx, f)
+	}
+	if s.IsReader() {
+		return s.directList(ctx, f)
+	}
+	if list := f.snapshot(); list.valid {
+		return list
+	}
+	return s.relayedList(req.Kind).snapshot()
+}
+
 // directList returns the list that this instance received from the platform. It waits briefly
 // for the first one.
 func (s *Sharing) directList(ctx context.Context, f *feed) snapshot {
