A reader's list replaces a base of the same revision

Cause, by reading: a follower that becomes a reader starts its history from the list that it followed. Where its watch had missed a change and the platform's list has the same revision, the feed took the list for unchanged and kept the object without the change.

A base of the revision of the list, or of a later one, is not used. TestListOfTheSameRevisionReplacesTheBase fails without it.

--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -80,11 +80,12 @@
 }
 
 // applyBase gives a feed that has no list yet an earlier one to start from, so that followers that
-// have the earlier list get the changes since then. The list from the platform must follow.
-func (f *feed) applyBase(base snapshot) {
+// have the earlier list get the changes since then. The list from the platform of the given revision
+// must follow; a base of that revision may lack a change that the list shows.
+func (f *feed) applyBase(base snapshot, listed platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loaded || !base.valid {
+	if f.loaded || !base.valid || base.revision >= listed {
 		return
 	}
 	f.reset(base.objects, base.revision)
--- a/internal/objectwatch/provided_test.go
+++ b/internal/objectwatch/provided_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	provided := snapshot{objects: []platform.Object{entryAt("a", 3), entryAt("b", 4), entryAt("gone", 5)}, revision: platform.NewRevision(0, 5), valid: true}
 	f := newFeed()
-	f.applyBase(provided)
+	f.applyBase(provided, platform.NewRevision(0, 9))
 	f.applyList([]platform.Object{entryAt("a", 3), entryAt("b", 8), entryAt("new", 9)}, platform.NewRevision(0, 9), time.Unix(1, 0))
 	changed, to, _, err := f.changesAfter(platform.NewRevision(0, 5))
 	is.NoErr(err)
@@ -34,7 +34,7 @@
 	_, _, _, err = f.changesAfter(platform.NewRevision(0, 4))
 	is.True(errors.Is(err, platform.ErrCompacted))
 	// A feed that has a list does not start anew.
-	f.applyBase(provided)
+	f.applyBase(provided, platform.NewRevision(0, 9))
 	_, to, _, err = f.changesAfter(platform.NewRevision(0, 8))
 	is.NoErr(err)
 	is.Equal(to, platform.NewRevision(0, 9))
@@ -45,9 +45,21 @@
 func TestListOfALaterEraReplacesTheProvidedList(t *testing.T) {
 	is := is.New(t)
 	f := newFeed()
-	f.applyBase(snapshot{objects: []platform.Object{entryAt("a", 3)}, revision: platform.NewRevision(1, 5), valid: true})
+	f.applyBase(snapshot{objects: []platform.Object{entryAt("a", 3)}, revision: platform.NewRevision(1, 5), valid: true}, platform.NewRevision(2, 2))
 	f.applyList([]platform.Object{entryAt("b", 2)}, platform.NewRevision(2, 2), time.Unix(1, 0))
 	list := f.snapshot()
 	is.Equal(len(list.objects), 1)
 	is.Equal(list.objects[0].Name, "b")
 }
+
+// A follower that becomes a reader has missed a change that its watch did not show, and the platform's
+// list has the same revision. Guards against a feed that keeps the object without the change.
+func TestListOfTheSameRevisionReplacesTheBase(t *testing.T) {
+	is := is.New(t)
+	f := newFeed()
+	f.applyBase(snapshot{objects: []platform.Object{entryAt("a", 3)}, revision: platform.NewRevision(0, 9), valid: true}, platform.NewRevision(0, 9))
+	f.applyList([]platform.Object{entryAt("a", 8)}, platform.NewRevision(0, 9), time.Unix(1, 0))
+	list := f.snapshot()
+	is.Equal(len(list.objects), 1)
+	is.Equal(list.objects[0].Revision, platform.NewRevision(0, 8))
+}
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -91,7 +91,7 @@
 	requestedAt := a.sharing.Clock.Now()
 	objects, revision, err := listPlatform(ctx, a.kind)
 	if err == nil {
-		a.feed.applyBase(a.relayed.snapshot())
+		a.feed.applyBase(a.relayed.snapshot(), revision)
 		a.feed.applyList(objects, revision, requestedAt)
 		a.base.update(objects)
 		a.hasList.Store(true)
