An instance finds out that it is a home without the other homes

The question now stops at the first instance of the own failure domain that ranks higher; one in a domain without homes answers at once.

Ruled out: the cached sets of homes, which each instance then holds for all groups.

--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -15,8 +15,28 @@
 	return m.current.Load().homesOf(group).ranked
 }
 
-// IsHome reports whether this instance is a home of a group.
-func (m *Members) IsHome(group string) bool { return m.current.Load().homesOf(group).includesSelf }
+// IsHome reports whether this instance is a home of a group. It does not compute the other homes: an
+// instance asks for each of the groups, and is home to few of them.
+func (m *Members) IsHome(group string) bool { return m.current.Load().isHome(group) }
+
+func (s *snapshot) isHome(group string) bool {
+	p := s.placements.forGroup(group)
+	if s.self.Leaving || !p.includes(s.self.FailureDomain) {
+		return false
+	}
+	own := rendezvousScore(group, s.self.ID)
+	preferred := 0
+	for k := range s.ownDomain {
+		other := &s.ownDomain[k]
+		if score := rendezvousScore(group, other.ID); score > own || score == own && other.ID < s.self.ID {
+			preferred++
+		}
+		if preferred >= p.PerDomain {
+			return false
+		}
+	}
+	return true
+}
 
 // PickInstances returns n instances of each failure domain for a task identified by key, or all
 // instances of a failure domain with fewer. Tasks with different keys are spread over different
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -17,7 +17,9 @@
 	listed  []platform.Instance
 	live    []platform.Instance
 	domains [][]platform.Instance
-	peers   []platform.Instance
+	// ownDomain are the live instances of this instance\'s failure domain.
+	ownDomain []platform.Instance
+	peers     []platform.Instance
 	// byID holds the live instances.
 	byID       map[string]platform.Instance
 	leaving    map[string]bool
@@ -56,6 +58,9 @@
 		if i.ID != self.ID {
 			s.peers = append(s.peers, i)
 		}
+		if i.FailureDomain == self.FailureDomain {
+			s.ownDomain = append(s.ownDomain, i)
+		}
 	}
 	for _, address := range l.leaving {
 		s.leaving[address] = true
@@ -68,7 +73,7 @@
 // start of a small instance.
 func (s *snapshot) withPlacements(p placements) *snapshot {
 	return &snapshot{
-		self: s.self, listed: s.listed, live: s.live, domains: s.domains, peers: s.peers, byID: s.byID, leaving: s.leaving,
+		self: s.self, listed: s.listed, live: s.live, domains: s.domains, ownDomain: s.ownDomain, peers: s.peers, byID: s.byID, leaving: s.leaving,
 		placements: p, homes: make(map[string]*homeSet), picks: s.picks,
 	}
 }
