Followers of members take in bursts at once

Cause: while the members of a thousand groups register at 320 a second, each follower took in 64 entries five times a second: a message, a view, and a reconciliation of homes each time, on 985 instances.

The pause after a response grows with the changes in it, to a second at 64 and more: one response in place of five. A single change is known as early as before. A member that leaves serves for several seconds; the reader and its follower each wait a second at most.

Ruled out: a longer pause at all times, which delays single changes.

Not measured yet.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -97,6 +97,10 @@
 // watch response.
 const upstreamWatchPause = 200 * time.Millisecond
 
+// maxUpstreamWatchPause is the same while hundreds of members register in a second. A member that leaves
+// keeps serving for several seconds.
+const maxUpstreamWatchPause = time.Second
+
 // missingCheckInterval is the time between two checks for missing entries whose grace period
 // has ended.
 const missingCheckInterval = 500 * time.Millisecond
@@ -126,6 +130,7 @@
 	return d.newFollower(objectwatch.Config{
 		API: d.config.API, Kind: platform.KindUpstreams, Sink: upstreamSink{d}, Clock: d.config.Clock, Log: d.config.Log,
 		Rand: rand.New(rand.NewPCG(d.config.Seed, 2)), CheckInterval: upstreamCheckInterval, AllowStaleLists: true, WatchPause: upstreamWatchPause,
+		MaxWatchPause: maxUpstreamWatchPause,
 	})
 }
 
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -62,6 +62,10 @@
 	// WatchPause is the pause after a change before the next watch. Bursts of changes that are not
 	// urgent then arrive in a single call.
 	WatchPause time.Duration
+	// MaxWatchPause, if it is longer, is the pause after many changes at once: where thousands of
+	// objects change one after the other, each response costs all followers more than the changes in
+	// it.
+	MaxWatchPause time.Duration
 	// CheckInterval is the interval at which the objects are listed in addition to the watch;
 	// zero disables it. A watch can miss changes for seconds without any sign of it in its responses,
 	// so only a list bounds the delay of a change.
@@ -268,11 +272,21 @@
 		revision = next
 		if len(objects) > 0 {
 			f.deliverChanges(objects, revision)
-			_ = clock.Sleep(ctx, f.Clock, f.WatchPause)
+			_ = clock.Sleep(ctx, f.Clock, f.pauseAfter(len(objects)))
 		}
 	}
 }
 
+// burstChanges is the number of changes in one response by which the pause after it grows by
+// WatchPause.
+const burstChanges = 16
+
+// pauseAfter returns the pause after a response with a number of changes.
+func (f *Follower) pauseAfter(changes int) time.Duration {
+	pause := f.WatchPause * time.Duration(1+changes/burstChanges)
+	return min(pause, max(f.WatchPause, f.MaxWatchPause))
+}
+
 // recordCompaction counts a watch that cannot be resumed, and logs it once for each revision.
 func (f *Follower) recordCompaction(revision platform.Revision) {
 	f.Metrics.compactions.WithLabelValues(string(f.Kind)).Inc()
