--- a/internal/explain/usage.go
+++ b/internal/explain/usage.go
@@ -55,10 +55,12 @@
 func isUsage(l logLine) bool { return l.Message == usage.MessageReport }
 
 func (b *usageBuilder) add(l logLine) {
-	u := b.instances[l.writer]
+	// The line names its instance, because collected logs may have several lines behind one prefix.
+	id := cmp.Or(l.Instance, l.writer)
+	u := b.instances[id]
 	if u == nil {
-		u = &InstanceUsage{Instance: l.writer}
-		b.instances[l.writer] = u
+		u = &InstanceUsage{Instance: id}
+		b.instances[id] = u
 	}
 	u.Roles = l.Roles
 	u.ProcessorMS += l.ProcessorMS
--- a/internal/explain/usage_test.go
+++ b/internal/explain/usage_test.go
@@ -12,7 +12,7 @@
 	is := is.New(t)
 	logs := `1.0 i1 {"@message":"Usage of the last interval.","roles":"reader","cpu_ms":700,"heap_kb":900,"calls":"a 3; b 1"}
 1.0 i2 {"@message":"Usage of the last interval.","roles":"home of 2","cpu_ms":100,"heap_kb":500,"calls":"a 4; bad; c x"}
-11.0 i1 {"@message":"Usage of the last interval.","roles":"reader","cpu_ms":100,"heap_kb":800}
+{"@message":"Usage of the last interval.","instance":"i1","roles":"reader","cpu_ms":100,"heap_kb":800}
 `
 	r, err := Read(Filter{}, strings.NewReader(logs))
 	is.NoErr(err)
--- a/internal/instance/usage.go
+++ b/internal/instance/usage.go
@@ -10,6 +10,7 @@
 // reportUsage logs what the instance uses, until ctx ends.
 func (n *Instance) reportUsage(ctx context.Context) {
 	usage.New(usage.Config{
+		Instance: n.options.Settings.Instance.ID,
 		Gatherer: n.options.Registry,
 		Roles:    n.roles,
 		Clock:    n.options.Clock,
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -29,6 +29,8 @@
 
 // Config configures a Reporter.
 type Config struct {
+	// Instance is the ID of the instance.
+	Instance string
 	Gatherer prometheus.Gatherer
 	// Roles returns the roles that the instance has now.
 	Roles func() []string
@@ -62,6 +64,7 @@
 	used := now.since(r.previous)
 	r.previous = now
 	fields := []any{
+		"instance", r.Instance,
 		"roles", strings.Join(r.Roles(), ","),
 		"cpu_ms", used.processor.Milliseconds(),
 		"heap_kb", now.heapBytes / 1024,
