A reader goes on serving after a list that showed no change

The store forgets its history after 20 s. The readers list again (seconds 1 and 2); nothing has changed, so that the feed stays at its revision. The next change, of the first restart, continues from the list's revision: the feed takes it for a gap and has nothing for its followers any more. The same for a follower that becomes a reader: it never lists, and its feed stays empty.

The feed now knows up to which revision a list has shown all changes, and an instance that others follow lists when its feed has no list. TestChangeAfterAnUnchangedListIsServed and TestNewReadersListForTheirFollowers fail without.

Ruled out: listing instances at intervals like the other kinds, ten readers' lists of all entries each few seconds.

--- a/internal/objectwatch/feed.go
+++ b/internal/objectwatch/feed.go
@@ -36,6 +36,8 @@
 	objects           map[string]platform.Object
 	// revision is the revision of the last known change.
 	revision platform.Revision
+	// listed is the revision of the latest list. All changes up to it are known.
+	listed platform.Revision
 	// asOf is the send time of the latest request for a list that the platform answered. Watches
 	// do not advance it: a watch may miss changes for seconds.
 	asOf time.Time
@@ -74,6 +76,7 @@
 		f.reset(objects, revision)
 		return
 	}
+	f.listed = max(f.listed, revision)
 	if revision > f.revision {
 		f.applyListDiff(objects, revision)
 	}
@@ -96,6 +99,7 @@
 // The caller holds f.mu.
 func (f *feed) reset(objects []platform.Object, revision platform.Revision) {
 	f.loaded = true
+	f.listed = revision
 	clear(f.previous)
 	for name, o := range f.objects {
 		if len(o.Value) >= minBaseBytes {
@@ -141,7 +145,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reachable = true
-	if after > f.revision {
+	if after > f.revision && after > f.listed {
 		// There is a gap between the known revision and this response; wait for the next list.
 		f.loaded = false
 	}
@@ -215,6 +219,13 @@
 	return now.Sub(f.asOf)
 }
 
+// isLoaded reports whether the feed has a list and all changes since.
+func (f *feed) isLoaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
 // snapshot returns all objects. The snapshot is not valid before the first list and while the
 // platform is unreachable.
 func (f *feed) snapshot() snapshot {
--- a/internal/objectwatch/sharedapi.go
+++ b/internal/objectwatch/sharedapi.go
@@ -161,6 +161,11 @@
 	if !errors.Is(err, errNoReader) {
 		return nil, after, err
 	}
+	if len(a.sharing.readers()) == 0 && !a.feed.isLoaded() {
+		// Others follow this instance. It has become a reader, or its list does not reach up to its
+		// revision: without a list its feed would have nothing for them.
+		return nil, after, platform.ErrCompacted
+	}
 	objects, next, err := a.watchPlatform(ctx, after)
 	if err == nil {
 		a.feed.applyWatch(objects, after, next)
