--- a/internal/instance/homedensity.go
+++ b/internal/instance/homedensity.go
@@ -8,14 +8,13 @@
 )
 
 const (
-	// maxGroupsPerInstance is the number of groups to which an instance is home on average above
+	// fewHomesAbove is the number of groups to which an instance would be home on average above
 	// which a group has one home in each failure domain of its members only. A home follows each
 	// member of its group and keeps connections to it whether it has callers or not, so that with
 	// many small groups the homes cost more than the requests that they serve.
-	maxGroupsPerInstance = 4.0
-	// manyGroupsPerInstance is the same number below which groups have all their homes again. It is
-	// lower, so that instances that come and go do not move the homes of all groups.
-	manyGroupsPerInstance = 2.0
+	fewHomesAbove = 4.0
+	// allHomesBelow is the number of groups below which they have all their homes again. It is lower, so that instances that come and go do not move the homes of all groups.
+	allHomesBelow = 2.0
 	// minHomes is the minimum number of homes of a group.
 	minHomes = 2
 )
@@ -39,9 +38,9 @@
 	perGroup := float64(homes) / float64(len(known))
 	perInstance := perGroup * float64(max(total, len(known))) / float64(fleet.instances)
 	switch {
-	case perInstance > maxGroupsPerInstance:
+	case perInstance > fewHomesAbove:
 		d.few = true
-	case perInstance < manyGroupsPerInstance:
+	case perInstance < allHomesBelow:
 		d.few = false
 	}
 	return d.few
--- a/internal/registry/discovery.go
+++ b/internal/registry/discovery.go
@@ -17,10 +17,10 @@
 	listPause = 500 * time.Millisecond
 	// listSpread is the time after listPause over which the instances list.
 	listSpread = time.Second
-	// listDecades sets how unevenly they are spread: the number of instances whose time has come
-	// grows by the factor e^listDecades over listSpread. With it, the first of up to e^listDecades
-	// instances lists well before the others.
-	listDecades = 9.2
+	// spreadExponent sets how unevenly they are spread: the number of instances whose time has come
+	// grows by the factor e^spreadExponent, some ten thousand, over listSpread. In a failure domain of
+	// up to that size the first instance lists well before the others.
+	spreadExponent = 9.2
 	// pullTimeout bounds the request for the list from the instance that announced it. It covers the
 	// time in which that instance receives it itself.
 	pullTimeout = 3 * time.Second
@@ -44,8 +44,8 @@
 // list meanwhile does not depend on the number of instances, because their times are distributed
 // exponentially.
 func listDelay(random float64) time.Duration {
-	least := math.Exp(-listDecades)
-	part := 1 + math.Log(least+random*(1-least))/listDecades
+	least := math.Exp(-spreadExponent)
+	part := 1 + math.Log(least+random*(1-least))/spreadExponent
 	return time.Duration(part * float64(listSpread))
 }
 
