--- a/internal/instance/homedensity.go
+++ b/internal/instance/homedensity.go
@@ -13,7 +13,8 @@
 	// member of its group and keeps connections to it whether it has callers or not, so that with
 	// many small groups the homes cost more than the requests that they serve.
 	fewHomesAbove = 4.0
-	// allHomesBelow is the number of groups below which they have all their homes again. It is lower, so that instances that come and go do not move the homes of all groups.
+	// allHomesBelow is the number of groups below which they have all their homes again. It is lower,
+	// so that instances that come and go do not move the homes of all groups.
 	allHomesBelow = 2.0
 	// minHomes is the minimum number of homes of a group.
 	minHomes = 2
