review: show that a holder that wakes promotes with an old number

The instance that changes a primary is stopped about when it reads the status of the member that it is about to promote. Another instance takes over and promotes with a higher number. When the first one is continued, it sends its promotion with its lower number: the expiry of the claim is checked before a round trip to the member and not at the call.

--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -15,11 +15,16 @@
 	store  *store
 	name   string
 	slots  int
+	// changedAt is when the scenario last saw another member lead.
+	changedAt time.Time
 
 	mu      sync.Mutex
 	members []*member
 	// runs are the statements that members have run.
 	runs []statementRun
+	// onStatusOfPaused is called right after a member has answered STATUS on a connection on which
+	// it was paused for a term that nobody leads yet; nil if nobody asks.
+	onStatusOfPaused func()
 }
 
 // statementRun is one statement that a member has run.
@@ -218,4 +223,16 @@
 	return entry{}, false
 }
 
+// run returns the run of a statement.
+func (g *group) run(id string) (statementRun, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.runs {
+		if r.id == id {
+			return r, true
+		}
+	}
+	return statementRun{}, false
+}
+
 func (e entry) String() string { return fmt.Sprintf("%d.%d", e.term, e.number) }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 // that the case could not run.
 var scenarios = map[string]func(*rig) (bool, error){
 	"restarted-home": restartedHome,
+	"frozen-holder":  frozenHolder,
 }
 
 func main() {
--- a/review/rig/member.go
+++ b/review/rig/member.go
@@ -80,12 +80,20 @@
 	failed                    bool
 	writes                    map[string]string
 	ids                       []string
+	// paused is the term of the last PAUSE on the connection.
+	paused int
+	// afterAnswer is called once the present answer was written; nil if nobody asks.
+	afterAnswer func()
 }
 
 func (s *memberSession) readLine() (string, bool) {
 	if s.out.Flush() != nil {
 		return "", false
 	}
+	if f := s.afterAnswer; f != nil {
+		s.afterAnswer = nil
+		f()
+	}
 	text, err := s.in.ReadString('\n')
 	return strings.TrimRight(text, "\r\n"), err == nil
 }
@@ -296,6 +304,9 @@
 	m := s.member
 	r := statementRun{at: time.Now(), member: m.id, conn: s.number, transaction: s.transaction, id: id, text: text, values: maps.Clone(s.values), held: len(m.log)}
 	m.group.runs = append(m.group.runs, r)
+	if strings.HasPrefix(id, trafficPrefix) {
+		return
+	}
 	m.group.record.add("member "+m.id, "runs %s %s on connection %d in transaction %d, values %v, log %s", id, text, s.number, s.transaction, s.values, m.position())
 }
 
@@ -313,9 +324,12 @@
 	time.Sleep(controlTime)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if verb == "STATUS" && s.paused > m.term {
+		s.afterAnswer = g.onStatusOfPaused
+	}
 	switch {
 	case verb == "PAUSE" && term > max(m.term, m.heldTerm) && !m.leads:
-		m.heldTerm = term
+		m.heldTerm, s.paused = term, term
 		g.record.add("member "+m.id, "is paused for term %d", term)
 	case verb == "RESUME":
 		m.heldTerm = 0
--- a/review/rig/promotion.go
+++ b/review/rig/promotion.go
@@ -20,7 +20,7 @@
 // promotionService is the platform's call that appoints primaries. It does not check the fence.
 type promotionService struct {
 	record *record
-	group  *group
+	groups []*group
 	// delay is the time from the call until the member leads.
 	delay time.Duration
 
@@ -53,13 +53,25 @@
 	p.mu.Lock()
 	p.calls = append(p.calls, c)
 	p.mu.Unlock()
-	status := p.group.startPromotion(body.Id, p.delay)
+	status := http.StatusConflict
+	for _, g := range p.groups {
+		if g.name == body.Service {
+			status = g.startPromotion(body.Id, p.delay)
+		}
+	}
 	p.record.add("platform", "POST /promotion Service=%s Id=%s Lease-Holder=%s Fence-Token=%d -> %d", c.service, c.member, c.holder, c.fence, status)
 	w.WriteHeader(status)
 }
 
-func (p *promotionService) received() []promotionCall {
+// received returns the calls for a service, in the order in which they arrived.
+func (p *promotionService) received(service string) []promotionCall {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]promotionCall(nil), p.calls...)
+	var calls []promotionCall
+	for _, c := range p.calls {
+		if c.service == service {
+			calls = append(calls, c)
+		}
+	}
+	return calls
 }
--- a/review/rig/restartedhome.go
+++ b/review/rig/restartedhome.go
@@ -7,7 +7,7 @@
 
 // umthombo holds the figures of umthombo-return.
 var umthombo = sheet{
-	service: "gowu98c", zones: []string{"gau-a", "gau-b", "gau-c", "gau-d"}, machines: []int{2, 2, 2, 1},
+	services: []string{"gowu98c"}, zones: []string{"gau-a", "gau-b", "gau-c", "gau-d"}, machines: []int{2, 2, 2, 1},
 	slots: 3, connections: 22, promotion: time.Second, lag: 8 * time.Millisecond,
 }
 
@@ -48,7 +48,7 @@
 			return false, err
 		}
 	}
-	if err := waitFor(10*time.Second, "the home is ready", func() bool { return home.ready() && home.isHome(umthombo.service) }); err != nil {
+	if err := waitFor(10*time.Second, "the home is ready", func() bool { return home.ready() && home.isHome(r.groups[0].name) }); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
@@ -75,11 +75,11 @@
 	_, _, _ = second.query("ROLLBACK")
 
 	broken := r.judgeTransactions(first, second)
-	if _, kept := r.group.committed(secondWrite); kept {
+	if _, kept := r.groups[0].committed(secondWrite); kept {
 		r.note("UNASKED: the write %s of %s is committed, and it never sent COMMIT; its last answer was %s", secondWrite, second.name, a)
 		broken = true
 	}
-	if _, kept := r.group.committed(firstWrite); committed && !kept {
+	if _, kept := r.groups[0].committed(firstWrite); committed && !kept {
 		r.note("the commit %s of %s was acknowledged, and its write %s is in no log", commit, first.name, firstWrite)
 		broken = true
 	}
@@ -90,7 +90,7 @@
 func (r *rig) entryAndHome() (entry, home *instance) {
 	for _, e := range r.instances {
 		for _, h := range r.instances {
-			if e.zone == h.zone && !e.isHome(umthombo.service) && h.isHome(umthombo.service) {
+			if e.zone == h.zone && !e.isHome(r.groups[0].name) && h.isHome(r.groups[0].name) {
 				return e, h
 			}
 		}
@@ -107,9 +107,10 @@
 	}
 	owners := make(map[place]string)
 	broken := false
-	r.group.mu.Lock()
-	runs := r.group.runs
-	r.group.mu.Unlock()
+	g := r.groups[0]
+	g.mu.Lock()
+	runs := g.runs
+	g.mu.Unlock()
 	for _, run := range runs {
 		sender := senderOf(run.id, requesters)
 		if run.transaction == 0 || sender == "" {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -28,7 +28,7 @@
 	network   string
 	store     *store
 	promotion *promotionService
-	group     *group
+	groups    []*group
 	instances []*instance
 }
 
