review: show that a session loses its position when its route moves

A session on a read_your_writes route writes; the route goes to another service and comes back, and the session reads once in between. The reply of the other service carries no position, and the session keeps that. Its next read runs on a replica that is behind and lacks the session's own commit.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 var scenarios = map[string]func(*rig) (bool, error){
 	"restarted-home": restartedHome,
 	"frozen-holder":  frozenHolder,
+	"moved-route":    movedRoute,
 }
 
 func main() {
