--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -50,7 +50,7 @@
 	r.promotion.delay = s.promotion
 	r.writeManifest(1, s, routes(s.services))
 	for k, service := range s.services {
-		g := &group{record: r.record, store: r.store, name: service, slots: s.slots}
+		g := &group{record: r.record, store: r.store, name: service, slots: s.slots, ownerOf: r.findOwner}
 		r.groups = append(r.groups, g)
 		for n := range membersPerService {
 			id := fmt.Sprintf("i-%08x", 0x7f3a91c2+(k*membersPerService+n)*0x1b3d)
--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -22,6 +22,15 @@
 	members []*member
 	// runs are the statements that members have run.
 	runs []statementRun
+	// ownerOf returns the process of the instance that has the other end of a connection; nil if
+	// the members need not know it.
+	ownerOf func(remote net.Addr) int
+	// onPause is called right after a member has answered a PAUSE; beforePromotion is called when
+	// a promotion is about to take effect, with the lock held. Nil if nobody asks.
+	onPause         func(m *member)
+	beforePromotion func(m *member)
+	// isolated is the member that is cut off from the others; nil if none is.
+	isolated *member
 	// onStatusOfPaused is called right after a member has answered STATUS on a connection on which
 	// it was paused for a term that nobody leads yet; nil if nobody asks.
 	onStatusOfPaused func()
@@ -92,6 +101,23 @@
 	return best
 }
 
+// leaderFor returns the leader of the highest term that a member reaches. g.mu must be held.
+func (g *group) leaderFor(m *member) *member {
+	var best *member
+	for _, o := range g.members {
+		if o.leads && o.running && (best == nil || o.term > best.term) && (g.isolated == nil || g.isolated != o && g.isolated != m) {
+			best = o
+		}
+	}
+	return best
+}
+
+// cutLinks cuts a member off from the other members. g.mu must be held.
+func (g *group) cutLinks(m *member) {
+	g.isolated = m
+	g.record.add("member "+m.id, "is cut off from the other members")
+}
+
 // commit appends the writes of a transaction to a primary's log and replicates it. g.mu must be
 // held.
 func (g *group) commit(m *member, writes map[string]string, ids []string) {
@@ -108,6 +134,9 @@
 func (m *member) receive(from *member, end int) {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
+	if g := m.group; g.isolated == m || g.isolated == from {
+		return
+	}
 	if !m.running || m.following != from || m.heldTerm > m.term || m.term != from.term || end <= len(m.log) {
 		return
 	}
@@ -143,13 +172,16 @@
 		g.mu.Unlock()
 		return
 	}
+	if g.beforePromotion != nil {
+		g.beforePromotion(m)
+	}
 	term := 0
 	for _, o := range g.members {
 		term = max(term, o.term)
 	}
 	m.term, m.heldTerm, m.leads, m.following = term+1, 0, true, nil
 	for _, o := range g.members {
-		if o != m {
+		if o != m && g.isolated != m {
 			o.follow(m)
 		}
 	}
@@ -189,8 +221,7 @@
 		return err
 	}
 	m.group.mu.Lock()
-	leader := m.group.leader()
-	if leader != nil && leader != m {
+	if leader := m.group.leaderFor(m); leader != nil && leader != m {
 		m.follow(leader)
 	}
 	m.group.mu.Unlock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,9 +27,10 @@
 // scenarios are the cases by name. A scenario reports whether its rule was broken; an error means
 // that the case could not run.
 var scenarios = map[string]func(*rig) (bool, error){
-	"restarted-home": restartedHome,
-	"frozen-holder":  frozenHolder,
-	"moved-route":    movedRoute,
+	"restarted-home":    restartedHome,
+	"frozen-holder":     frozenHolder,
+	"moved-route":       movedRoute,
+	"restarted-replica": restartedReplica,
 }
 
 func main() {
--- a/review/rig/member.go
+++ b/review/rig/member.go
@@ -15,7 +15,7 @@
 const (
 	connectTime   = 12 * time.Millisecond
 	statementTime = 5 * time.Millisecond
-	controlTime   = 2 * time.Millisecond
+	controlTime   = time.Millisecond
 )
 
 // member is one member of a group. The group's lock guards its state.
@@ -35,6 +35,11 @@
 	log            []entry
 	conns          []net.Conn
 	connCount      int
+	// isCut reports whether an instance, by its process, is cut off from the member; nil if none is.
+	isCut func(pid int) bool
+	// controlWait is how long control statements wait for a slot.
+	controlWait time.Duration
+	sessions    []*memberSession
 }
 
 func (m *member) start() error {
@@ -62,15 +67,26 @@
 		s := &memberSession{member: m, conn: c, number: m.connCount, in: bufio.NewReader(c), out: bufio.NewWriter(c)}
 		m.conns = append(m.conns, c)
 		m.group.mu.Unlock()
-		go s.serve()
+		go func() {
+			if m.group.ownerOf != nil {
+				s.pid = m.group.ownerOf(c.RemoteAddr())
+			}
+			if !m.addSession(s) {
+				reset(c)
+				return
+			}
+			s.serve()
+		}()
 	}
 }
 
 // memberSession is one connection to a member.
 type memberSession struct {
-	member   *member
-	conn     net.Conn
-	number   int
+	member *member
+	conn   net.Conn
+	number int
+	// pid is the process of the instance; zero if it is not known.
+	pid      int
 	in       *bufio.Reader
 	out      *bufio.Writer
 	values   map[string]string
@@ -321,7 +337,7 @@
 func (s *memberSession) control(verb, rest string) {
 	m, g := s.member, s.member.group
 	term, _ := strconv.Atoi(rest)
-	time.Sleep(controlTime)
+	time.Sleep(controlTime + m.controlWait)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if verb == "STATUS" && s.paused > m.term {
@@ -331,6 +347,9 @@
 	case verb == "PAUSE" && term > max(m.term, m.heldTerm) && !m.leads:
 		m.heldTerm, s.paused = term, term
 		g.record.add("member "+m.id, "is paused for term %d", term)
+		if g.onPause != nil {
+			s.afterAnswer = func() { g.onPause(m) }
+		}
 	case verb == "RESUME":
 		m.heldTerm = 0
 	case verb == "STEPDOWN" && m.leads && term > m.term:
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -30,6 +30,9 @@
 	promotion *promotionService
 	groups    []*group
 	instances []*instance
+	// findOwner, if it is set before the deployment starts, tells the members which instance opened
+	// a connection.
+	findOwner func(remote net.Addr) int
 }
 
 func newRig(file, program, template string, trouble bool) (*rig, error) {
--- a/review/rig/traffic.go
+++ b/review/rig/traffic.go
@@ -22,12 +22,22 @@
 	sessions       sync.WaitGroup
 	count          atomic.Uint64
 	served, failed atomic.Int64
+	// resting means that no statement is sent.
+	resting atomic.Bool
 }
 
-// startTraffic opens the sessions.
+// startTraffic opens sessions at all instances.
 func (r *rig) startTraffic() *traffic {
+	return r.startTrafficAt(func(*instance) bool { return true })
+}
+
+// startTrafficAt opens sessions at some of the instances.
+func (r *rig) startTrafficAt(selected func(i *instance) bool) *traffic {
 	t := &traffic{rig: r, stop: make(chan struct{})}
 	for n, i := range r.instances {
+		if !selected(i) {
+			continue
+		}
 		for k := range r.groups {
 			t.sessions.Go(func() { t.run(n, i, database(dbPrimary, k)) })
 		}
@@ -39,6 +49,10 @@
 	for !t.ended() {
 		q, err := connect(nil, fmt.Sprintf("traffic-%d", n), i.front(), db)
 		for err == nil && !t.ended() {
+			if t.resting.Load() {
+				time.Sleep(trafficPause)
+				continue
+			}
 			text := fmt.Sprintf("READ t%d", n)
 			if t.count.Load()%4 == 0 {
 				text = fmt.Sprintf("WRITE t%d %d", n, t.count.Load())
