A transaction ID is never given out again by another process or table

Cause: newTransactions numbered from 1 behind "instance/group/", in each process and in each executor.Group of one process. A peer's unit runs in whatever transaction has the ID that it names, and a rollback takes the same ID.

Ruled out: a pooled connection handed out within an open transaction (the member had rolled it back, and the connection was a new one), and sessions mixed up at the entry instance (each unit carried the ID of its own session).

Why this works: each table takes its IDs from a sequence with a random prefix of 128 bits, so an ID names one transaction at most, whatever is restarted, and one that is lost is refused before anything is sent. Nothing has to be kept across a restart.

--- a/internal/executor/departures.go
+++ b/internal/executor/departures.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/topazrock/topazrock/internal/execution"
@@ -37,9 +34,8 @@
 // needs no agreement: a notice that is late, lost or of an earlier process names no unit, and its
 // unit runs to its end.
 type departures struct {
-	// prefix and count make departure IDs that no other process uses.
-	prefix string
-	count  atomic.Uint64
+	// ids issues the departure IDs of this instance's units.
+	ids *execution.IDSequence
 
 	mu    sync.Mutex
 	units map[string]*execution.Departure
@@ -48,12 +44,9 @@
 }
 
 func newDepartures() *departures {
-	return &departures{prefix: rand.Text(), units: make(map[string]*execution.Departure), early: make(map[string]time.Time)}
+	return &departures{ids: execution.NewIDSequence(), units: make(map[string]*execution.Departure), early: make(map[string]time.Time)}
 }
 
-// newID returns a departure ID for a unit.
-func (d *departures) newID() string { return d.prefix + "-" + strconv.FormatUint(d.count.Add(1), 36) }
-
 // begin returns the context of a peer's unit. end must be called when the unit has ended. Without an
 // ID, the unit's caller is not known to leave.
 func (d *departures) begin(parent context.Context, id string, now time.Time) (ctx context.Context, end func()) {
--- a/internal/executor/departures_test.go
+++ b/internal/executor/departures_test.go
@@ -289,7 +289,7 @@
 	}
 	now := time.Now()
 	for range 2 * maxEarlyNotices {
-		r.departures.leave(r.departures.newID(), now)
+		r.departures.leave(r.departures.ids.Next(), now)
 	}
 	is.Equal(len(r.departures.early), maxEarlyNotices)
 	r.departures.leave("late", now.Add(time.Minute))
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -125,7 +125,7 @@
 
 func (r *Router) sendUnit(ctx context.Context, home platform.Instance, u *execution.Unit, partial func([]byte) error) (*execution.Reply, error) {
 	departure := execution.DepartureOf(ctx)
-	id, ok := departure.Forward(r.departures.newID, func(id string) { r.notifyInstance(home.ID, methodLeft, objectRef{Group: u.Group, ID: id}) })
+	id, ok := departure.Forward(r.departures.ids.Next, func(id string) { r.notifyInstance(home.ID, methodLeft, objectRef{Group: u.Group, ID: id}) })
 	if !ok {
 		return nil, r.metrics.countRefusal(u.Group, execution.ErrCallerLeft)
 	}
--- a/internal/executor/group.go
+++ b/internal/executor/group.go
@@ -114,5 +114,5 @@
 // OpenTransactions returns the number of open transactions.
 func (g *Group) OpenTransactions() int { return g.transactions.count() }
 
-// transactionSeparator separates the instance, the group and the number in a transaction ID.
+// transactionSeparator separates the instance, the group and the unique part of a transaction ID.
 const transactionSeparator = "/"
--- a/internal/executor/transactions.go
+++ b/internal/executor/transactions.go
@@ -3,31 +3,35 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
+
+	"github.com/topazrock/topazrock/internal/execution"
 )
 
 // transactions is the table of open transactions of one group.
 type transactions struct {
-	mu         sync.Mutex
-	prefix     string
-	lastNumber uint64
-	open       map[string]*transaction
+	// owner is the part of the IDs that names the instance and the group.
+	owner string
+	// ids makes the IDs differ from those of earlier tables of the same owner: a caller may still
+	// send the ID of a transaction that was lost with its table.
+	ids *execution.IDSequence
+
+	mu   sync.Mutex
+	open map[string]*transaction
 	// opened receives a signal when a transaction is opened; it buffers one signal.
 	opened chan struct{}
 }
 
-func newTransactions(prefix string) *transactions {
-	return &transactions{prefix: prefix, open: make(map[string]*transaction), opened: make(chan struct{}, 1)}
+func newTransactions(owner string) *transactions {
+	return &transactions{owner: owner, ids: execution.NewIDSequence(), open: make(map[string]*transaction), opened: make(chan struct{}, 1)}
 }
 
-// add assigns tx an ID that is unique across all instances and registers it.
+// add assigns tx an ID that no other transaction of any instance has or had, and registers it.
 func (t *transactions) add(tx *transaction) {
+	tx.id = t.owner + transactionSeparator + t.ids.Next()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastNumber++
-	tx.id = t.prefix + transactionSeparator + strconv.FormatUint(t.lastNumber, 36)
 	t.open[tx.id] = tx
 	select {
 	case t.opened <- struct{}{}:
