Unit IDs differ between instances and between their processes

A home keys its running units by it (cancels, interruptions and early ends of reads), and an entry instance finds the session for a part of a large answer by it; a home that was still sending parts for the process before would have reached a session of the new one. On PostgreSQL's protocol 20 random bits told sessions of two processes apart.

Why this works: one sequence with a random prefix for each server of callers.

--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -51,7 +51,8 @@
 
 // Unit is one unit of a caller's work, as described in the package comment.
 type Unit struct {
-	// ID identifies the unit on its entry instance, for cancels and partial replies.
+	// ID identifies the unit among those of all instances and their earlier processes, for cancels
+	// and partial replies. It comes from an IDSequence.
 	ID string `json:"id"`
 	// RequestName is the name that the caller gave the unit, for logs; it may be empty.
 	RequestName string `json:"request,omitempty"`
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/topazrock/topazrock/internal/callers"
+	"github.com/topazrock/topazrock/internal/execution"
 )
 
 // Server accepts callers and serves their sessions.
@@ -14,13 +15,14 @@
 	config     Config
 	workers    *workerPool
 	processIDs *processIDs
+	unitIDs    *execution.IDSequence
 }
 
 // NewServer returns a Server. It accepts callers once Serve is called.
 func NewServer(c Config) *Server {
 	c.setDefaults()
 	c.Logger = c.Logger.Named("frontend")
-	s := &Server{config: c, workers: newWorkerPool(), processIDs: newProcessIDs(ProcessIDPrefix(c.Instance))}
+	s := &Server{config: c, workers: newWorkerPool(), processIDs: newProcessIDs(ProcessIDPrefix(c.Instance)), unitIDs: execution.NewIDSequence()}
 	s.Server = callers.New(callers.Config{
 		MaxCallers:       c.MaxCallers,
 		OpenSession:      s.openSession,
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -30,7 +30,6 @@
 	pendingSettings []setting
 	statements      map[string]*statement
 	unnamed         *statement
-	unitCount       uint64
 	// callerLeft means that the caller left while a unit ran. No further unit is sent.
 	callerLeft bool
 
--- a/internal/frontend/units.go
+++ b/internal/frontend/units.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -89,8 +88,7 @@
 }
 
 func (s *session) fillUnit(u *execution.Unit, t tag, sql string) {
-	s.unitCount++
-	u.ID = s.server.config.Instance + "-" + strconv.FormatUint(uint64(s.processID), 36) + "-" + strconv.FormatUint(s.unitCount, 36)
+	u.ID = s.server.unitIDs.Next()
 	s.state.FillUnit(u)
 	u.Class, u.Key = t.class, t.key
 	s.setWorkspace(u)
