A promotion is announced, and not requested once its claim is replaced

Cause: memberAttempt.promote checked the claim's age, and then came a status request, a new connection and the goroutine of an HTTP client. A process that is paused in between sends the request when it resumes, before its timers fire, and the platform compares no tokens.

Ruled out: two claims with one number, bytes held up by the network (the request comes 1 ms after the process is continued), clocks.

Why this works: right before the request the claimer stores the member in its claim's record, conditional on the record's version, so a claim that was replaced is found out whatever the clocks say. A later claimer prefers the announced member among equals, so that a late request changes nothing.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/member"
-	"github.com/topazrock/topazrock/internal/platform"
 )
 
 // attempt carries out the failover of one claimed term: it fences the members,
@@ -29,7 +28,8 @@
 	target       string
 	promoted     chan struct{}
 	// recorded is the record of the promotion once it is stored.
-	recorded Record
+	recorded     Record
+	announcement announcement
 	// abort cancels the attempt with a reason.
 	abort context.CancelCauseFunc
 }
@@ -48,10 +48,12 @@
 		targetChosen: make(chan struct{}),
 		promoted:     make(chan struct{}),
 		snapshot:     s,
+		announcement: announcement{record: won.record, version: won.version},
 	}
 	for _, m := range s.Members {
 		avoided := won.record.Cause.avoidsPrimary() && m.Address == s.Primary
-		a.memberAttempts = append(a.memberAttempts, &memberAttempt{attempt: a, address: m.Address, avoid: m.Leaving || avoided, failing: c.failsWork(m.Address)})
+		a.memberAttempts = append(a.memberAttempts, &memberAttempt{attempt: a, address: m.Address, avoid: m.Leaving || avoided, failing: c.failsWork(m.Address),
+			requestedBefore: m.Address == won.requestedBefore})
 	}
 	return a
 }
@@ -99,7 +101,7 @@
 // claim was sent: other instances start their takeover timeout when they read the
 // claim, which cannot be earlier.
 func (a *attempt) remaining() time.Duration {
-	return a.claim.sentAt.Add(a.claimer.Settings.AttemptTimeout).Sub(a.claimer.Clock.Now())
+	return a.claimer.Settings.AttemptTimeout - a.claim.age.Elapsed()
 }
 
 // elapsedSince returns the time since start, and the current time.
@@ -201,14 +203,10 @@
 // claimer's log use it; correctness does not depend on it, so the number of tries
 // is limited.
 func (a *attempt) recordPrimary(ctx context.Context) {
-	r := a.claim.record
+	r := a.announcement.record
 	r.Primary = a.target
-	value, err := r.encode()
-	if err != nil {
-		return
-	}
 	for range maxRecordTries {
-		if a.tryRecordPrimary(ctx, value) {
+		if _, err := a.claimer.storeRecord(ctx, r, a.announcement.version); err == nil {
 			a.recorded = r
 			a.claimer.callHook(StepRecorded)
 			return
@@ -219,10 +217,3 @@
 
 // maxRecordTries limits the tries to record the primary.
 const maxRecordTries = 3
-
-func (a *attempt) tryRecordPrimary(ctx context.Context, value []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, a.claimer.Settings.PlatformTimeout)
-	defer cancel()
-	_, err := a.claimer.Platform.Put(ctx, platform.KindGroup, a.claimer.Group, value, a.claim.version)
-	return err == nil
-}
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
 	"github.com/topazrock/topazrock/internal/platform"
@@ -15,20 +16,16 @@
 type claim struct {
 	record  Record
 	version platform.Revision
-	// sentAt is when the claim was first sent; no other instance can have read it earlier.
-	sentAt time.Time
-}
-
-// rivalClaim is another instance's claim of a term that has no primary yet.
-type rivalClaim struct {
-	claimID string
-	// deadline is when the claim expires.
-	deadline time.Time
+	// age counts from when the claim was first sent; no other instance can have read it earlier.
+	age clock.Stopwatch
+	// requestedBefore is the member whose promotion an earlier claimer may still request; empty if
+	// there is none.
+	requestedBefore string
 }
 
 // claimTerm claims the next term on the platform.
 func (m *primaryMonitor) claimTerm(ctx context.Context, s *group.Snapshot, a assessment) (claim, error) {
-	current, version, err := m.readRecord(ctx)
+	current, version, err := m.claimer.readRecord(ctx)
 	if err != nil {
 		return claim{}, err
 	}
@@ -55,6 +52,9 @@
 	if err == nil && !m.causeHolds(s, a) {
 		return claim{}, errRecovered
 	}
+	if current.mayBeRequested() {
+		won.requestedBefore = current.Target
+	}
 	return won, err
 }
 
@@ -106,34 +106,6 @@
 	return max(current.Term, s.Term) + 1
 }
 
-// readRecord returns the group's record and the version of its object. If the object does not
-// exist yet, the record is zero and the version has the number zero.
-func (m *primaryMonitor) readRecord(ctx context.Context) (Record, platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.claimer.Settings.PlatformTimeout)
-	defer cancel()
-	o, err := m.claimer.Platform.Get(ctx, platform.KindGroup, m.claimer.Group)
-	if errors.Is(err, platform.ErrNotFound) {
-		return Record{}, platform.NewRevision(m.claimer.Platform.Eras().Latest(), 0), nil
-	}
-	if err != nil {
-		return Record{}, 0, err
-	}
-	r, err := decodeRecord(o.Value)
-	return r, o.Version, err
-}
-
-// claimExpired reports whether a claimed term has had no primary for the takeover
-// timeout. The timeout starts when this instance first read the claim, so clocks of
-// different instances are never compared.
-func (m *primaryMonitor) claimExpired(r Record, s *group.Snapshot) bool {
-	now := m.claimer.Clock.Now()
-	if m.rival.claimID != r.Claim {
-		wait := m.detector.takeoverTimeout() + time.Duration(m.claimer.rank(s))*m.claimer.Settings.Stagger
-		m.rival = rivalClaim{claimID: r.Claim, deadline: now.Add(wait)}
-	}
-	return !now.Before(m.rival.deadline)
-}
-
 // causeHolds reports whether the cause of a claim still applies.
 func (m *primaryMonitor) causeHolds(s *group.Snapshot, a assessment) bool {
 	now, current := m.claimer.Clock.Now(), m.claimer.View.Snapshot()
@@ -155,18 +127,14 @@
 // version check lets only one of the two take effect. A claim that was stored in a later era of
 // the store than it was decided in may have replaced another one and is lost.
 func (m *primaryMonitor) putClaim(ctx context.Context, r Record, version platform.Revision) (claim, error) {
-	value, err := r.encode()
-	if err != nil {
-		return claim{}, err
-	}
-	outcomeUnknown, sentAt := false, m.claimer.Clock.Now()
+	outcomeUnknown, age := false, clock.StartStopwatch(m.claimer.Clock)
 	for {
-		o, err := m.putRecord(ctx, value, version)
+		o, err := m.claimer.storeRecord(ctx, r, version)
 		switch {
 		case err == nil && o.Version.Era() != version.Era():
 			return claim{}, ErrLostClaim
 		case err == nil:
-			return claim{record: r, version: o.Version, sentAt: sentAt}, nil
+			return claim{record: r, version: o.Version, age: age}, nil
 		case errors.Is(err, platform.ErrConflict):
 		case errors.Is(err, platform.ErrUnavailable) && !outcomeUnknown:
 			return claim{}, err
@@ -178,23 +146,17 @@
 		case err != nil:
 			return claim{}, err
 		case current.Claim == r.Claim && currentVersion.Era() == version.Era():
-			return claim{record: r, version: currentVersion, sentAt: sentAt}, nil
+			return claim{record: r, version: currentVersion, age: age}, nil
 		case currentVersion != version:
 			return claim{}, ErrLostClaim
 		}
 	}
 }
 
-func (m *primaryMonitor) putRecord(ctx context.Context, value []byte, version platform.Revision) (platform.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.claimer.Settings.PlatformTimeout)
-	defer cancel()
-	return m.claimer.Platform.Put(ctx, platform.KindGroup, m.claimer.Group, value, version)
-}
-
 // readRecordWithRetry reads the record until the platform answers or ctx ends.
 func (m *primaryMonitor) readRecordWithRetry(ctx context.Context) (Record, platform.Revision, error) {
 	for {
-		r, version, err := m.readRecord(ctx)
+		r, version, err := m.claimer.readRecord(ctx)
 		if err == nil || errors.Is(err, ErrBadRecord) {
 			return r, version, err
 		}
--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -23,6 +23,13 @@
 // any two majorities share a member. Safety depends on no lease and no clock:
 // timeouts decide only when a claimer tries, never whether the result is correct.
 //
+// Where promotions are requested from a service that compares neither terms nor claims, their
+// order does depend on time. The claimer announces the request in the group's object, which
+// fails if another claim has replaced its own, and sends it only within AttemptTimeout of the
+// claim. Other claimers give an announced claim AnnouncedTimeout, unless it is withdrawn. A
+// request can be late only if its process is paused, between the last check and the write, for
+// the difference of the two.
+//
 // # Which instance claims, and when
 //
 // Live instances are ranked by rendezvous hash and start staggered by rank, so
--- a/internal/failover/lateclaim_test.go
+++ b/internal/failover/lateclaim_test.go
@@ -47,8 +47,8 @@
 	sent := clock.now
 	won, err := monitor.putClaim(t.Context(), Record{Term: 2, Number: 1, Claim: "a"}, 0)
 	is.NoErr(err)
-	is.Equal(won.sentAt, sent)
-	a := &attempt{claimer: c, claim: won, term: 2, promoted: make(chan struct{})}
+	is.Equal(won.age.StartedAt(), sent)
+	a := &attempt{claimer: c, claim: won, term: 2, promoted: make(chan struct{}), abort: func(error) {}}
 	is.True(a.remaining() <= 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	m := &memberAttempt{attempt: a, control: &cancelingControl{cancel: cancel}}
--- a/internal/failover/memberattempt.go
+++ b/internal/failover/memberattempt.go
@@ -17,7 +17,10 @@
 	// failing is set if the member fails the statements of this instance. No quorum waits for others
 	// because of it, but it is promoted only when no better member is equally up to date.
 	failing bool
-	control member.Control
+	// requestedBefore is set if an earlier claimer may still request this member's promotion. It is
+	// preferred among members that are equally up to date: the request then changes nothing.
+	requestedBefore bool
+	control         member.Control
 }
 
 // controlCall is a control call of the attempt's term.
@@ -30,6 +33,8 @@
 		return 2
 	case m.failing:
 		return 1
+	case m.requestedBefore:
+		return -1
 	default:
 		return 0
 	}
@@ -58,10 +63,10 @@
 func (m *memberAttempt) promote(ctx context.Context) {
 	_, err := m.callWithRetry(ctx, func(ctx context.Context, c member.Control) (member.Status, error) {
 		// A process that was paused may resume after the attempt expired, before its timers fire.
-		if m.attempt.remaining() <= 0 {
-			return member.Status{}, errClaimExpired
+		if err := m.attempt.Check(); err != nil {
+			return member.Status{}, err
 		}
-		return c.Promote(ctx, member.Promotion{Term: m.attempt.term, Claimer: m.attempt.claim.record.Claimer, Claim: m.attempt.claim.record.Number})
+		return c.Promote(ctx, member.Promotion{Term: m.attempt.term, Claimer: m.attempt.claim.record.Claimer, Claim: m.attempt.claim.record.Number, Guard: m.attempt})
 	})
 	if err == nil {
 		close(m.attempt.promoted)
--- a/internal/failover/metrics.go
+++ b/internal/failover/metrics.go
@@ -12,8 +12,15 @@
 	claims   *prometheus.CounterVec
 	attaches *prometheus.CounterVec
 	ignored  *prometheus.CounterVec
+	withheld *prometheus.CounterVec
 }
 
+// Values of the reason label of promotions that were not requested.
+const (
+	withheldExpired  = "expired"
+	withheldReplaced = "replaced"
+)
+
 // Values of the outcome label. A claim is refused if other failure domains reach the primary
 // or the cause no longer applies, lost if the term was granted to another claim, rival if
 // another claim has not expired yet, cooldown if a failing primary was replaced a short time ago,
@@ -50,9 +57,13 @@
 			Name: "topazrock_failover_work_reports_ignored_total",
 			Help: "Reports on a primary's work that proved nothing, by reason.",
 		}, []string{"reason"}),
+		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_failover_withheld_promotions_total",
+			Help: "Promotions that were not requested because their claim had expired or was replaced, by reason.",
+		}, []string{"reason"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.phases, m.claims, m.attaches, m.ignored)
+		reg.MustRegister(m.phases, m.claims, m.attaches, m.ignored, m.withheld)
 	}
 	return m
 }
--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -95,6 +95,7 @@
 		m.recorded, m.recordedEra = attempt.recorded, won.version.Era()
 	}
 	if err != nil {
+		attempt.withdraw(ctx)
 		c.log.Warn("Failover attempt for the claimed term was abandoned.", "term", won.record.Term, "error", err)
 		c.Metrics.countClaim(a.cause, outcomeAbandoned)
 		m.delayClaims(m.backoff.nextDelay())
@@ -148,7 +149,7 @@
 	switch {
 	case errors.Is(err, ErrRivalClaim):
 		outcome = outcomeRival
-		m.earliestClaim = m.rival.deadline
+		m.earliestClaim = m.rival.nextCheck
 	case errors.Is(err, errForgottenClaim):
 		outcome = outcomeRival
 		m.earliestClaim = m.lostClaimsEnd()
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -20,6 +20,11 @@
 	// Claimer is the ID of the instance that claimed the term.
 	Claimer string `json:"claimer"`
 	Cause   Cause  `json:"cause"`
+	// Target is the address of the member whose promotion the claimer may request; empty until it
+	// announces that. Builds that do not know it drop it.
+	Target string `json:"target,omitempty"`
+	// Withdrawn means that the claimer requests no promotion under the claim any more.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 	// Primary is the address of the promoted member; empty until then.
 	Primary string `json:"primary,omitempty"`
 	// FailingTerm is the highest term that was claimed because a primary failed its statements;
@@ -27,6 +32,10 @@
 	FailingTerm logpos.Term `json:"failing_term,omitempty"`
 }
 
+// mayBeRequested reports whether the claimer may still request a promotion without storing anything
+// before.
+func (r Record) mayBeRequested() bool { return r.Target != "" && r.Primary == "" && !r.Withdrawn }
+
 func (r Record) encode() ([]byte, error) { return json.Marshal(r) }
 
 func decodeRecord(value []byte) (Record, error) {
--- a/internal/failover/restore.go
+++ b/internal/failover/restore.go
@@ -1,10 +1,6 @@
 package failover
 
-import (
-	"context"
-
-	"github.com/topazrock/topazrock/internal/platform"
-)
+import "context"
 
 // restoreRecord writes the record of this instance's last promotion again if the platform's store
 // lost it when it returned from a copy. Nobody else writes it, and without it the next claimer and
@@ -18,7 +14,7 @@
 		return
 	}
 	m.restoreFrom = now.Add(idleInterval)
-	current, version, err := m.readRecord(ctx)
+	current, version, err := m.claimer.readRecord(ctx)
 	if err != nil {
 		m.claimer.log.Debug("Reading the group's record failed.", "error", err)
 		return
@@ -29,7 +25,7 @@
 	}
 	lost := m.recorded
 	lost.Number = nextNumber(current, version)
-	stored, err := m.storeRecord(ctx, lost, version)
+	stored, err := m.claimer.storeRecord(ctx, lost, version)
 	if err != nil {
 		m.claimer.log.Warn("Restoring the group's record failed; will retry.", "term", lost.Term, "error", err)
 		return
@@ -37,11 +33,3 @@
 	m.recorded, m.recordedEra = lost, stored.Version.Era()
 	m.claimer.log.Info("The group's record was lost by the platform and is restored.", "term", lost.Term, "primary", lost.Primary, "era", era)
 }
-
-func (m *primaryMonitor) storeRecord(ctx context.Context, r Record, version platform.Revision) (platform.Object, error) {
-	value, err := r.encode()
-	if err != nil {
-		return platform.Object{}, err
-	}
-	return m.putRecord(ctx, value, version)
-}
--- a/internal/failover/settings.go
+++ b/internal/failover/settings.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Settings holds the timing parameters of failover. None of them affects safety.
+// Settings holds the timing parameters of failover. Where members compare terms, none of them
+// affects safety.
 type Settings struct {
 	// DetectionTime is how long probes on new connections must have failed before the primary
 	// counts as lost.
@@ -20,6 +21,10 @@
 	// TakeoverTimeout is how long a claimed term may have no primary before another instance
 	// claims the next one.
 	TakeoverTimeout time.Duration
+	// AnnouncedTimeout replaces TakeoverTimeout for a claim whose promotion is announced to a service
+	// that does not compare claims. It must exceed AttemptTimeout by more than a process may be
+	// paused between its last check of the claim and the request.
+	AnnouncedTimeout time.Duration
 	// AttemptTimeout limits the duration of a failover, from when its claim was sent.
 	AttemptTimeout time.Duration
 	// CallTimeout is the timeout of the first try of a call to a member, dialing included.
@@ -60,22 +65,23 @@
 // members that take about 10 ms to open a connection.
 func DefaultSettings() Settings {
 	return Settings{
-		DetectionTime:   150 * time.Millisecond,
-		StablePeriod:    5 * time.Second,
-		MinFailures:     3,
-		Stagger:         100 * time.Millisecond,
-		TakeoverTimeout: 400 * time.Millisecond,
-		AttemptTimeout:  5 * time.Second,
-		CallTimeout:     100 * time.Millisecond,
-		RetryInterval:   20 * time.Millisecond,
-		WitnessTimeout:  50 * time.Millisecond,
-		PlatformTimeout: 500 * time.Millisecond,
-		MinBackoff:      50 * time.Millisecond,
-		MaxBackoff:      time.Second,
-		StallTimeout:    5 * time.Second,
-		FailingTime:     failingTime,
-		ReattachDelay:   200 * time.Millisecond,
-		SwitchGrace:     500 * time.Millisecond,
-		SwitchCooldown:  10 * time.Second,
+		DetectionTime:    150 * time.Millisecond,
+		StablePeriod:     5 * time.Second,
+		MinFailures:      3,
+		Stagger:          100 * time.Millisecond,
+		TakeoverTimeout:  400 * time.Millisecond,
+		AnnouncedTimeout: 10 * time.Second,
+		AttemptTimeout:   5 * time.Second,
+		CallTimeout:      100 * time.Millisecond,
+		RetryInterval:    20 * time.Millisecond,
+		WitnessTimeout:   50 * time.Millisecond,
+		PlatformTimeout:  500 * time.Millisecond,
+		MinBackoff:       50 * time.Millisecond,
+		MaxBackoff:       time.Second,
+		StallTimeout:     5 * time.Second,
+		FailingTime:      failingTime,
+		ReattachDelay:    200 * time.Millisecond,
+		SwitchGrace:      500 * time.Millisecond,
+		SwitchCooldown:   10 * time.Second,
 	}
 }
--- a/internal/failover/storereturn_test.go
+++ b/internal/failover/storereturn_test.go
@@ -54,7 +54,7 @@
 		s.ReturnFromCopy(time.Second)
 		_, err = second.claimOnce()
 		is.True(errors.Is(err, errForgottenClaim))
-		attemptEnd := held.sentAt.Add(first.claimer.Settings.AttemptTimeout)
+		attemptEnd := held.age.StartedAt().Add(first.claimer.Settings.AttemptTimeout)
 		for errors.Is(err, errForgottenClaim) {
 			time.Sleep(100 * time.Millisecond)
 			var won claim
@@ -88,7 +88,7 @@
 		put(Record{Term: 1, Number: 1, Claim: "c", Primary: "p"})
 
 		late, lateView := newStoreClaimer(s, 1)
-		current, version, err := late.readRecord(context.Background())
+		current, version, err := late.claimer.readRecord(context.Background())
 		is.NoErr(err)
 		s.ReturnFromCopy(5 * time.Second)
 
@@ -123,20 +123,20 @@
 		is.NoErr(err)
 		m.recorded, m.recordedEra = won.record, won.version.Era()
 		m.recorded.Primary = "q"
-		_, err = m.storeRecord(context.Background(), m.recorded, won.version)
+		_, err = m.claimer.storeRecord(context.Background(), m.recorded, won.version)
 		is.NoErr(err)
 		s.ReturnFromCopy(time.Second)
-		other, _, err := m.readRecord(context.Background())
+		other, _, err := m.claimer.readRecord(context.Background())
 		is.NoErr(err)
 		is.Equal(other.Primary, "")
 		m.restoreRecord(context.Background())
-		restored, version, err := m.readRecord(context.Background())
+		restored, version, err := m.claimer.readRecord(context.Background())
 		is.NoErr(err)
 		is.Equal(restored.Primary, "q")
 		is.Equal(restored.Term, won.record.Term)
 		is.True(restored.Number > won.record.Number)
 		m.restoreRecord(context.Background())
-		_, again, err := m.readRecord(context.Background())
+		_, again, err := m.claimer.readRecord(context.Background())
 		is.NoErr(err)
 		is.Equal(again, version)
 	})
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -57,6 +57,9 @@
 	// the receiver of a promotion can reject one made under an earlier claim.
 	Claimer string
 	Claim   uint64
+	// Guard protects a promotion that is requested from a receiver that compares neither terms nor
+	// claims; nil means no protection.
+	Guard ClaimGuard
 }
 
 // Control is a control connection to one member. Except for Close, every method
