A session keeps its position in each group that it used

Cause: a session held one position. A unit for another group was sent without one, its reply returned the empty position, and the session stored that in place of its own. Back at the first group the read asked only for the age that the route accepts, which a position from before the write satisfies.

Ruled out: an old configuration (the read ran at the service of the newest manifest), and a replica that answers below the position that it was asked for (none was asked for).

Why this works: session.Positions holds one position for each group; a position only rises, and neither a reply without one nor another group's changes it. When one is dropped, the session counts as roaming in groups whose position it does not hold: its next read there asks for the floor, which covers every write acknowledged before, now also where members check positions themselves.

--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -73,8 +73,9 @@
 	// Token is the minimum log position that the session must observe.
 	Token logpos.Token `json:"token"`
 	// Roaming is set when the session started without a token and has not run
-	// anything on this instance yet. It may have written through another instance,
-	// so even a read that accepts stale data needs a barrier.
+	// anything on this instance yet, or when its position in the group was dropped. It may have
+	// written, so even a read that accepts stale data needs a position that covers all writes
+	// acknowledged before.
 	Roaming bool `json:"roaming,omitempty"`
 	// Timeout is the time that remained until the caller's deadline when the unit was sent.
 	Timeout time.Duration `json:"timeout"`
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -57,7 +57,7 @@
 // created, through another instance, the objects that its statements name, and replicas may not
 // have them yet.
 func onlyPrepares(u *execution.Unit) bool {
-	return !u.Executes() && !(u.Roaming && u.Token.IsZero())
+	return !u.Executes() && !positionUnknown(u)
 }
 
 // prepareAtReplica runs a unit that only prepares or describes statements at a replica that
--- a/internal/executor/readrequirement.go
+++ b/internal/executor/readrequirement.go
@@ -34,7 +34,7 @@
 	if g.Wire.ChecksPosition {
 		return g.checkedRequirement(ctx, u, p)
 	}
-	if u.Token.IsZero() && u.Roaming || p.maxAge == 0 {
+	if positionUnknown(u) || p.maxAge == 0 {
 		return g.barrierRequirement(ctx, u, p)
 	}
 	s, err := g.snapshotForToken(ctx, u.Token)
@@ -53,6 +53,11 @@
 // if its log lacks the position. It uses the oldest proved mark that is recent enough, because a
 // lagging replica is most likely to contain it.
 func (g *Group) checkedRequirement(ctx context.Context, u *execution.Unit, p plan) (readRequirement, error) {
+	if positionUnknown(u) {
+		// The session may have written at any position up to the newest one.
+		mark, err := g.fetchFloor(ctx, p)
+		return readRequirement{position: mark.Position, mark: mark, token: g.newToken(mark)}, err
+	}
 	mark, ok := g.provenMark(p)
 	if !ok {
 		var err error
@@ -70,16 +75,20 @@
 	return readRequirement{position: mark.Position, mark: mark, token: u.Token}, nil
 }
 
+// positionUnknown reports whether the unit's session may have written at a position that the unit
+// does not name.
+func positionUnknown(u *execution.Unit) bool { return u.Roaming && u.Token.IsZero() }
+
 func (g *Group) provenMark(p plan) (logpos.TermPosition, bool) {
 	return g.Tracker.ProvenPosition(g.Clock.Now().Add(readMargin - p.maxAge))
 }
 
 // refreshRequirement computes the requirement again just before the read is sent, because the
 // maximum age counts from then. The requirement stays unchanged in two cases: if members do not
-// check positions, because the age of each replica is proved separately; and for a fresh read,
-// because its requirement counts from its arrival.
+// check positions, because the age of each replica is proved separately; and for a fresh read and one
+// of a session whose position is not known, because their requirements count from their arrival.
 func (g *Group) refreshRequirement(ctx context.Context, u *execution.Unit, p plan, req readRequirement) (readRequirement, error) {
-	if !g.Wire.ChecksPosition || p.fresh {
+	if !g.Wire.ChecksPosition || p.fresh || positionUnknown(u) {
 		return req, nil
 	}
 	return g.checkedRequirement(ctx, u, p)
--- a/internal/frontend/reply.go
+++ b/internal/frontend/reply.go
@@ -102,7 +102,7 @@
 }
 
 func (s *session) tokenStatus() *pgproto3.ParameterStatus {
-	return &pgproto3.ParameterStatus{Name: TokenParameter, Value: s.state.Token.String()}
+	return &pgproto3.ParameterStatus{Name: TokenParameter, Value: s.state.Token().String()}
 }
 
 // sendError replies to a unit with its error. If a transaction was open, it is
@@ -197,9 +197,7 @@
 	if err != nil {
 		return s.sendError(err, false)
 	}
-	if s.state.Token.Less(t.TermPosition) {
-		s.state.Token = t
-	}
+	s.state.Positions.Raise(t)
 	if !t.IsZero() {
 		s.state.Roaming = false
 	}
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	s.state.Token = t
+	s.state.Positions.Raise(t)
 	s.state.Roaming = false
 	return nil
 }
--- a/internal/session/state.go
+++ b/internal/session/state.go
@@ -19,8 +19,8 @@
 type State struct {
 	// Group is the database group that the session uses.
 	Group string
-	// Token is the position that the session's reads must at least reflect.
-	Token logpos.Token
+	// Positions are the positions that the session's reads must at least reflect.
+	Positions Positions
 	// Roaming is set if the caller connected without a token and has had no answer with a
 	// token yet: it may have written through another instance.
 	Roaming bool
@@ -39,11 +39,14 @@
 	Repeats RepeatDetector
 }
 
+// Token returns the session's position in its group.
+func (s *State) Token() logpos.Token { return s.Positions.Of(s.Group) }
+
 // FillUnit copies the session's state into a unit.
 func (s *State) FillUnit(u *execution.Unit) {
 	u.Group = s.Group
-	u.Token = s.Token
-	u.Roaming = s.Roaming
+	u.Token = s.Token()
+	u.Roaming = s.Roaming || s.Positions.MayBeMissing(s.Group)
 	u.Transaction = s.Transaction
 	u.Values = s.values
 }
@@ -56,9 +59,7 @@
 	// A reply without a token gives no information about the session's earlier writes. For
 	// example, the first read after a bare BEGIN still requires a barrier.
 	s.Roaming = s.Roaming && r.Token.IsZero()
-	changed := r.Token != s.Token
-	s.Token = r.Token
-	return changed
+	return s.Positions.Raise(r.Token)
 }
 
 // Status returns the transaction status reported to the caller.
