Tests: the window that is left to a paused claimer, and suspensions

- A claimer that is paused for 30 s between its last check and its request still sends a lower number than the platform has seen.
- The age of a claim counts a suspension of the machine.
Without the clock that counts it (Stopwatch.Elapsed with the monotonic clock alone) TestSuspensionCountsForTheAgeOfAClaim fails.
- The ID of a transaction begins with its instance, which earlier builds read.
- Two tests share how they start a session.

No product code changes.

--- a/internal/executor/transactionids_test.go
+++ b/internal/executor/transactionids_test.go
@@ -66,6 +66,10 @@
 				h.start()
 				lost, err := h.execute(t, "")
 				is.NoErr(err)
+				// Instances of earlier builds route a unit by the instance in front of the ID.
+				owner, ok := transactionOwner(lost.Transaction)
+				is.True(ok)
+				is.Equal(owner, "i")
 				loseTransactions(h)
 				other, err := h.execute(t, "")
 				is.NoErr(err)
--- a/internal/failover/pausedclaimer_test.go
+++ b/internal/failover/pausedclaimer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -174,36 +175,75 @@
 // paused, at any step between the choice of the member and the request.
 func TestPausedClaimerRequestsNoPromotionUnderAReplacedClaim(t *testing.T) {
 	for _, step := range pauseSteps {
-		for _, pause := range []time.Duration{time.Second, 2500 * time.Millisecond, 6 * time.Second, 30 * time.Second} {
-			if step == pauseBeforeRequest && pause > promotionSettings().AnnouncedTimeout {
-				// Nothing in the process can stop this one: see docs/incidents/promotion-under-a-replaced-claim.md.
-				continue
+		for _, pause := range []time.Duration{time.Second, 2500 * time.Millisecond, 6 * time.Second, longPause} {
+			if step != pauseBeforeRequest || pause != longPause {
+				t.Run(fmt.Sprint(step, "/", pause), func(t *testing.T) { checkPausedClaimer(t, step, pause) })
 			}
-			t.Run(fmt.Sprint(step, "/", pause), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					store, receiver := standin.NewStore(), &unfencedReceiver{}
-					first, paused := newPausedClaimer(store, receiver, 1, step, pause)
-					second, running := newPausedClaimer(store, receiver, 2, "", 0)
-					won, err := first.claimOnce()
-					is.NoErr(err)
-					ended := make(chan struct{})
-					go func() {
-						defer close(ended)
-						paused.promote(first, won, "q")
-					}()
-					running.takeOver(t, second)
-					<-ended
-					numbers := receiver.requested()
-					is.True(len(numbers) > 0)
-					is.True(slices.IsSorted(numbers))
-					is.Equal(len(slices.Compact(slices.Clone(numbers))), len(numbers))
-				})
-			})
 		}
 	}
 }
 
+// Guards against the same where no check is left: between the last one and the request, for longer
+// than others wait.
+func TestClaimerPausedLongBetweenCheckAndRequest(t *testing.T) {
+	checkPausedClaimer(t, pauseBeforeRequest, longPause)
+}
+
+// longPause exceeds the time after which an announced claim is replaced.
+const longPause = 30 * time.Second
+
+// checkPausedClaimer pauses a claimer, lets another one take over, and checks that the numbers of the
+// requested promotions rise.
+func checkPausedClaimer(t *testing.T, step pauseStep, pause time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, receiver := standin.NewStore(), &unfencedReceiver{}
+		first, paused := newPausedClaimer(store, receiver, 1, step, pause)
+		second, running := newPausedClaimer(store, receiver, 2, "", 0)
+		won, err := first.claimOnce()
+		is.NoErr(err)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			paused.promote(first, won, "q")
+		}()
+		running.takeOver(t, second)
+		<-ended
+		numbers := receiver.requested()
+		is.True(len(numbers) > 0)
+		is.True(slices.IsSorted(numbers))
+		is.Equal(len(slices.Compact(slices.Clone(numbers))), len(numbers))
+	})
+}
+
+// suspendedClock is the clock of a machine that was suspended, which only the time since its start shows.
+type suspendedClock struct {
+	clock.System
+	suspended *time.Duration
+}
+
+// SinceBoot implements clock.BootClock.
+func (c suspendedClock) SinceBoot() time.Duration { return *c.suspended }
+
+// Guards against a promotion under a claim that has expired while the machine was suspended.
+func TestSuspensionCountsForTheAgeOfAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var suspended time.Duration
+		m, _ := newPausedClaimer(standin.NewStore(), &unfencedReceiver{}, 1, "", 0)
+		m.claimer.Clock = suspendedClock{suspended: &suspended}
+		won, err := m.claimOnce()
+		is.NoErr(err)
+		a := newAttempt(m.claimer, won, m.claimer.View.Snapshot())
+		var ended error
+		a.abort = func(err error) { ended = err }
+		is.NoErr(a.Check())
+		suspended = m.claimer.Settings.AttemptTimeout
+		is.True(errors.Is(a.Check(), errClaimExpired))
+		is.True(errors.Is(ended, errClaimExpired))
+	})
+}
+
 // Guards against a group that stays without a primary for the longer timeout although its claimer
 // can say that it requests nothing any more, or never announced a request.
 func TestOnlyASilentClaimerThatAnnouncedIsWaitedForLonger(t *testing.T) {
