Review case 4: reads at new members that lack what the replaced ones had

Two members of a database are replaced, and the new ones receive nothing for 4.7 s while the old ones leave. What the old ones confirmed is then on the primary alone, and the two new members count as a majority, from which the floor of reads is taken: reads of all kinds of route lack acknowledged commits while the primary is alive and stays the primary.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -36,8 +38,10 @@
 // cases are the cases by name. trouble is false if the disruption is left out.
 var cases = map[string]func(r *record, trouble bool) error{
 	"descriptors": runDescriptors,
-	"memory":      runMemory,
 	"staleness":   runStaleness,
+	"false-copy":  runFalseCopy,
+	"memory":      runMemory,
+	"replaced":    runReplaced,
 	"restart":     runRestart,
 }
 
@@ -52,6 +56,13 @@
 		os.Exit(exitNotRun)
 	}
 	r := &record{file: file, start: time.Now()}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		startedProcesses.kill()
+		os.Exit(exitNotRun)
+	}()
 	err = cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err == nil:
--- a/review/rig-2/system.go
+++ b/review/rig-2/system.go
@@ -52,14 +52,17 @@
 
 // system is the deployment with its stand-ins.
 type system struct {
-	dir       string
-	record    *record
-	store     *standin.Store
-	url       string
-	nodes     []*member.Node
-	members   []string
-	instances []*instanceProcess
-	closers   []func()
+	dir     string
+	record  *record
+	store   *standin.Store
+	url     string
+	nodes   []*member.Node
+	members []string
+	// memberZones are the zones of the members, and draining those that have reported that they leave.
+	memberZones []string
+	draining    map[int]bool
+	instances   []*instanceProcess
+	closers     []func()
 
 	mu        sync.Mutex
 	term      logpos.Term
@@ -86,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{dir: dir, record: r, store: standin.NewStore(), term: 1, primaryID: memberID(0)}
+	s := &system{dir: dir, record: r, store: standin.NewStore(), term: 1, primaryID: memberID(0), draining: make(map[int]bool)}
 	s.closers = append(s.closers, func() { _ = os.RemoveAll(dir) })
 	for _, set := range options {
 		set(s)
@@ -112,25 +115,33 @@
 }
 
 func (s *system) startMembers() error {
-	for i := range zones {
-		address, err := freePort(fmt.Sprintf("127.7.1.%d", i+1))
-		if err != nil {
+	for _, zone := range zones {
+		if err := s.addMember(zone); err != nil {
 			return err
 		}
-		s.members = append(s.members, address)
 	}
-	for i := range zones {
-		n := member.New(member.Options{
-			Address: s.members[i], Primary: s.members[0], Network: netio.TCP{}, ID: memberID(i), Group: groupName,
-			ConnectDelay: connectDelay, MaxConnections: maxConns, MaxConcurrentStatements: slots,
-			ReplicationLag: replicationLag, StatementCost: 5 * time.Millisecond,
-		})
-		if err := n.Start(); err != nil {
-			return err
-		}
-		s.nodes = append(s.nodes, n)
-		s.closers = append(s.closers, n.Stop)
+	return nil
+}
+
+// addMember starts another member, as a replica of the first one unless it is the first.
+func (s *system) addMember(zone string) error {
+	i := len(s.nodes)
+	address, err := freePort(fmt.Sprintf("127.7.1.%d", i+1))
+	if err != nil {
+		return err
+	}
+	s.members = append(s.members, address)
+	s.memberZones = append(s.memberZones, zone)
+	n := member.New(member.Options{
+		Address: address, Primary: s.members[0], Network: netio.TCP{}, ID: memberID(i), Group: groupName,
+		ConnectDelay: connectDelay, MaxConnections: maxConns, MaxConcurrentStatements: slots,
+		ReplicationLag: replicationLag, StatementCost: 5 * time.Millisecond,
+	})
+	if err := n.Start(); err != nil {
+		return err
 	}
+	s.nodes = append(s.nodes, n)
+	s.closers = append(s.closers, n.Stop)
 	return nil
 }
 
@@ -203,10 +214,11 @@
 		"Limits":   map[string]any{"TxIdleMs": 3000},
 		"Routes": []any{
 			primaryRoute,
+			map[string]any{"Name": "r3", "Host": "consulta-vistoria", "Type": "bounded_staleness", "Service": groupName, "TimeoutMs": 3000, "SloMs": 800, "Priority": 2, "MaxStalenessMs": 1500},
 			map[string]any{"Name": "r2", "Host": "analise-atendente", "Type": "read_your_writes", "Service": groupName, "TimeoutMs": 1000, "SloMs": 400, "Priority": 2, "MaxStalenessMs": 2500},
 		},
 	})
-	for i := range zones {
+	for i := range s.nodes {
 		s.publishMember(i, i == 0)
 	}
 }
@@ -216,9 +228,13 @@
 	if primary {
 		role = "primary"
 	}
+	state := "ready"
+	if s.draining[i] {
+		state = "draining"
+	}
 	s.put(platform.KindUpstreams, memberID(i), map[string]any{
-		"Service": groupName, "Addr": s.members[i], "Zone": zones[i], "Version": "v1", "Slots": slots,
-		"State": "ready", "ColdMs": 0, "DbRole": role, "Seq": 1, "born": 1,
+		"Service": groupName, "Addr": s.members[i], "Zone": s.memberZones[i], "Version": "v1", "Slots": slots,
+		"State": state, "ColdMs": 0, "DbRole": role, "Seq": 1, "born": 1,
 	})
 }
 
@@ -273,6 +289,7 @@
 	if err := p.command.Start(); err != nil {
 		return err
 	}
+	startedProcesses.add(p.command.Process)
 	p.exited = make(chan struct{})
 	c, exited := p.command, p.exited
 	go func() {
@@ -357,11 +374,29 @@
 		if s.nodes[i].Running() {
 			return
 		}
-		ctx := context.Background()
-		if current, err := s.store.Get(ctx, platform.KindUpstreams, memberID(i)); err == nil {
-			_ = s.store.Delete(ctx, platform.KindUpstreams, memberID(i), current.Version)
-			s.record.printf("the entry of %s has expired", memberID(i))
-		}
+		s.removeEntry(i)
+	})
+}
+
+// removeEntry removes a member's entry.
+func (s *system) removeEntry(i int) {
+	ctx := context.Background()
+	if current, err := s.store.Get(ctx, platform.KindUpstreams, memberID(i)); err == nil {
+		_ = s.store.Delete(ctx, platform.KindUpstreams, memberID(i), current.Version)
+		s.record.printf("the entry of %s is removed", memberID(i))
+	}
+}
+
+// drainMember has a member report that it leaves. It serves for drainTime, and then exits and its entry
+// is removed.
+func (s *system) drainMember(i int, drainTime time.Duration) {
+	s.draining[i] = true
+	s.publishMember(i, false)
+	s.record.printf("%s is draining", memberID(i))
+	time.AfterFunc(drainTime, func() {
+		s.nodes[i].Kill()
+		s.record.printf("%s has left", memberID(i))
+		s.removeEntry(i)
 	})
 }
 
@@ -400,3 +435,26 @@
 		s.record.printf("log of %s: %d lines with %q", p.name, found, text)
 	}
 }
+
+// processes are those that this process has started.
+type processes struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+var startedProcesses processes
+
+func (p *processes) add(started *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, started)
+}
+
+// kill ends all processes. Those that have ended and were waited for are not signalled.
+func (p *processes) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, started := range p.all {
+		_ = started.Kill()
+	}
+}
