Say which manifest is in force, since when, from where, and which checks failed

"Manifest is in force." was written when a manifest was received, before the view was published, which may be put off; no line said whether it came from a list, a watch, a check beside the watch or another instance; failed checks were logged at debug, without the time since the last one that was answered; a refusal did not name the version it was decided under.

--- a/internal/directory/bench_test.go
+++ b/internal/directory/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -24,7 +25,7 @@
 	for n := range groups {
 		m.Groups = append(m.Groups, Group{Name: fmt.Sprint("g", n), MemberConnections: 42})
 	}
-	d.setManifest(m, platform.Object{})
+	d.setManifest(m, platform.Object{}, objectwatch.OriginList)
 	var all []platform.Object
 	for n := range 3 * groups {
 		value, _ := json.Marshal(platform.Upstream{ID: fmt.Sprint("m", n), Group: fmt.Sprint("g", n/3), Address: fmt.Sprint("10.0.0.", n), Slots: 3})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,8 +45,9 @@
 	manifest      Manifest
 	manifestIndex manifestIndex
 	manifestKnown bool
-	// manifestObject is the object that manifest was decoded from.
+	// manifestObject is the object that manifest was decoded from, and manifestOrigin how it arrived.
 	manifestObject platform.Object
+	manifestOrigin objectwatch.Origin
 	// manifestConfirmed is set once a manifest may be in force; see confirmManifest.
 	manifestConfirmed bool
 	// manifestCount is the number of manifests applied so far.
@@ -120,7 +121,7 @@
 
 func (d *Directory) newManifestFollower() *objectwatch.Follower {
 	c := objectwatch.Config{
-		API: d.config.API, Kind: platform.KindManifest, Sink: manifestSink{d}, Clock: d.config.Clock, Log: d.config.Log,
+		API: d.config.API, Kind: platform.KindManifest, Sink: &manifestSink{d: d}, Clock: d.config.Clock, Log: d.config.Log,
 		Rand: rand.New(rand.NewPCG(d.config.Seed, 1)), CheckInterval: manifestCheckInterval,
 	}
 	return d.newFollower(c)
@@ -172,8 +173,10 @@
 		d.mu.Unlock()
 		return
 	}
-	d.current.Store(d.buildView(previous, changes))
+	next := d.buildView(previous, changes)
+	d.current.Store(next)
 	d.config.Metrics.views.Inc()
+	d.reportManifest(previous, next)
 	subscribers := d.subscribers
 	d.mu.Unlock()
 	for _, f := range subscribers {
@@ -181,9 +184,19 @@
 	}
 }
 
-// applyManifest puts a manifest in force unless the current one has the same or a higher
-// version.
-func (d *Directory) applyManifest(o platform.Object) {
+// reportManifest logs and counts a manifest that a new view puts in force. The caller holds d.mu.
+func (d *Directory) reportManifest(previous, next *view) {
+	if previous.manifestCount == next.manifestCount {
+		return
+	}
+	d.config.Metrics.setManifest(next.version, d.manifestOrigin, d.config.Clock.Now())
+	d.log.Info("Manifest is in force.", "version", next.version, "before", previous.version, "origin", d.manifestOrigin,
+		"revision", d.manifestObject.Revision.Number(), "databases", len(next.databases), "workspaces", len(next.workspaces.All()))
+}
+
+// applyManifest takes over a manifest unless the current one has the same or a higher version. It is in
+// force once it is published.
+func (d *Directory) applyManifest(o platform.Object, from objectwatch.Origin) {
 	if o.Name != platform.ManifestName || o.Removed || d.isInForce(o) {
 		return
 	}
@@ -195,15 +208,14 @@
 	d.mu.Lock()
 	current, isNewer := d.manifest.Version, !d.manifestKnown || m.Version > d.manifest.Version
 	if isNewer {
-		d.setManifest(m, o)
+		d.setManifest(m, o, from)
 	}
 	d.mu.Unlock()
 	switch {
 	case isNewer:
-		d.log.Info("Manifest is in force.", "version", m.Version, "before", current, "databases", len(m.Databases), "workspaces", len(m.Workspaces.All()))
 		d.reportInvalidWorkspaces(m)
 	case m.Version < current:
-		d.log.Info("Ignoring manifest older than the one in force.", "version", m.Version, "in_force", current)
+		d.log.Info("Ignoring manifest older than the one in force.", "version", m.Version, "in_force", current, "origin", from)
 	}
 }
 
@@ -216,8 +228,8 @@
 }
 
 // setManifest replaces the manifest. The caller holds d.mu.
-func (d *Directory) setManifest(m Manifest, o platform.Object) {
-	d.manifest, d.manifestKnown, d.manifestObject = m, true, o
+func (d *Directory) setManifest(m Manifest, o platform.Object, from objectwatch.Origin) {
+	d.manifest, d.manifestKnown, d.manifestObject, d.manifestOrigin = m, true, o, from
 	d.manifestIndex = newManifestIndex(m)
 	d.manifestCount++
 }
--- a/internal/directory/inforce_test.go
+++ b/internal/directory/inforce_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/objectwatch"
 	"github.com/topazrock/topazrock/internal/platform"
 )
 
@@ -32,11 +33,11 @@
 	is.NoErr(err)
 	o := platform.Object{Name: platform.ManifestName, Revision: 5, Value: value}
 	for range 3 {
-		d.applyManifest(o)
+		d.applyManifest(o, objectwatch.OriginList)
 	}
 	is.Equal(decoded, 1)
 	// One that another instance passed on has no revision and is compared by its version.
 	o.Revision = 0
-	d.applyManifest(o)
+	d.applyManifest(o, objectwatch.OriginList)
 	is.Equal(decoded, 2)
 }
--- a/internal/directory/manifestpeers.go
+++ b/internal/directory/manifestpeers.go
@@ -105,7 +105,7 @@
 			}
 			if len(got.Value) > 0 {
 				d.log.Info("Another instance has a later manifest than the platform.", "instance", i.ID)
-				d.applyManifest(platform.Object{Kind: platform.KindManifest, Name: platform.ManifestName, Value: got.Value})
+				d.applyManifest(platform.Object{Kind: platform.KindManifest, Name: platform.ManifestName, Value: got.Value}, objectwatch.OriginPeer)
 			}
 		})
 	}
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -1,24 +1,34 @@
 package directory
 
-import "github.com/topazrock/topazrock/internal/platform"
+import (
+	"github.com/topazrock/topazrock/internal/objectwatch"
+	"github.com/topazrock/topazrock/internal/platform"
+)
 
 // manifestSink receives changes of the manifest.
-type manifestSink struct{ d *Directory }
+type manifestSink struct {
+	d *Directory
+	// origin is where the objects that are being applied come from.
+	origin objectwatch.Origin
+}
+
+// SetOrigin implements objectwatch.OriginSink.
+func (s *manifestSink) SetOrigin(o objectwatch.Origin) { s.origin = o }
 
 // ApplyList implements objectwatch.Sink.
-func (s manifestSink) ApplyList(objects []platform.Object) { s.ApplyChanges(objects) }
+func (s *manifestSink) ApplyList(objects []platform.Object) { s.ApplyChanges(objects) }
 
 // ApplyChanges implements objectwatch.Sink.
-func (s manifestSink) ApplyChanges(objects []platform.Object) {
+func (s *manifestSink) ApplyChanges(objects []platform.Object) {
 	for _, o := range objects {
-		s.d.applyManifest(o)
+		s.d.applyManifest(o, s.origin)
 	}
 	s.d.publish()
 }
 
 // PlatformReturned implements objectwatch.ReturnSink. Another instance may have a manifest that the
 // store lost before this instance received it.
-func (s manifestSink) PlatformReturned() {
+func (s *manifestSink) PlatformReturned() {
 	if s.d.peers != nil {
 		s.d.requestManifestCheck()
 	}
@@ -26,7 +36,7 @@
 
 // SetReachable implements objectwatch.Sink. It does nothing: a manifest stays in force while the
 // platform is unreachable.
-func (manifestSink) SetReachable(bool) {}
+func (*manifestSink) SetReachable(bool) {}
 
 // upstreamSink receives changes of the members' entries.
 type upstreamSink struct{ d *Directory }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -204,6 +204,9 @@
 	return d.current.Load().services.get(group)
 }
 
+// Version returns the version of the manifest in force; zero if there is none.
+func (d *Directory) Version() int64 { return d.current.Load().version }
+
 // FindDatabase returns the database with a name.
 func (d *Directory) FindDatabase(name string) (document.Database, bool) {
 	b, ok := d.current.Load().databases[name]
--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -43,6 +43,23 @@
 	PlatformReturned()
 }
 
+// Origin says how objects reached a Follower. Its value is the label of metrics.
+type Origin string
+
+// Origins.
+const (
+	OriginList  Origin = "list"
+	OriginWatch Origin = "watch"
+	OriginCheck Origin = "check"
+	OriginPeer  Origin = "peer"
+)
+
+// OriginSink is a Sink that is told where objects come from.
+type OriginSink interface {
+	// SetOrigin is called before each call of ApplyList and ApplyChanges.
+	SetOrigin(o Origin)
+}
+
 // Peers are other instances that follow the same kind.
 type Peers interface {
 	// ChangesSince returns the changes after a revision and the revision that they lead to. It
@@ -97,6 +114,10 @@
 	// failingSince is the time of the first failure since the last response; zero if there was
 	// none. lastAnswer is the time of the last response from the platform or a peer.
 	failingSince, lastAnswer time.Time
+	// failedChecks is how many checks in a row have failed. checkedAt is when the latest one that did
+	// not fail was requested, or when Run began.
+	failedChecks int
+	checkedAt    time.Time
 }
 
 // New returns a Follower. Call Run to start it.
@@ -112,6 +133,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	if f.CheckInterval > 0 {
+		f.checkedAt = f.Clock.Now()
 		loops.Go(func() { f.runChecks(ctx) })
 	}
 	f.listAndWatch(ctx)
@@ -122,16 +144,54 @@
 // the watch detects the failure as well.
 func (f *Follower) runChecks(ctx context.Context) {
 	for clock.Sleep(ctx, f.Clock, f.CheckInterval) == nil {
+		requestedAt := f.Clock.Now()
 		if f.applyPeerChanges(ctx) {
+			f.recordCheck(requestedAt)
 			continue
 		}
 		objects, revision, err := f.listForCheck(ctx)
 		if err != nil {
-			f.Log.Debug("Listing the objects failed.", "error", err)
+			f.recordFailedCheck(ctx, requestedAt, err)
 			continue
 		}
 		f.markReachable()
-		f.deliverList(objects, revision)
+		f.deliverList(objects, revision, OriginCheck)
+		f.recordCheck(requestedAt)
+	}
+}
+
+// recordCheck records a check that was answered. Its request time is logged if checks before it failed.
+func (f *Follower) recordCheck(requestedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failedChecks > 0 {
+		f.Log.Info("Checks are answered again.", "failed", f.failedChecks, "since_last", requestedAt.Sub(f.checkedAt).String(), "took", f.Clock.Now().Sub(requestedAt).String())
+	}
+	f.failedChecks, f.checkedAt = 0, requestedAt
+	f.Metrics.setChecked(f.Kind, requestedAt)
+}
+
+// recordFailedCheck counts a check that failed, and logs the first one in a row.
+func (f *Follower) recordFailedCheck(ctx context.Context, requestedAt time.Time, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedChecks++
+	f.Metrics.failedChecks.WithLabelValues(string(f.Kind)).Inc()
+	level := hclog.Debug
+	if f.failedChecks == 1 {
+		level = hclog.Warn
+	}
+	now := f.Clock.Now()
+	f.Log.Log(level, "A check was not answered; a change may be unknown.", "failed", f.failedChecks, "since_last", now.Sub(f.checkedAt).String(), "took", now.Sub(requestedAt).String(), "error", err)
+}
+
+// announceOrigin tells the sink where the objects that follow come from. The caller holds f.mu.
+func (f *Follower) announceOrigin(o Origin) {
+	if s, ok := f.Sink.(OriginSink); ok {
+		s.SetOrigin(o)
 	}
 }
 
@@ -148,7 +208,7 @@
 		f.Log.Debug("No peer returned recent changes.", "error", err)
 		return false
 	}
-	f.deliverChanges(objects, revision)
+	f.deliverChanges(objects, revision, OriginPeer)
 	return true
 }
 
@@ -164,7 +224,7 @@
 // that was answered slowly or is stale may predate a change that the watch has delivered;
 // delivering the list would revert that change until the next list. The sink already has
 // everything in such a list.
-func (f *Follower) deliverList(objects []platform.Object, revision platform.Revision) {
+func (f *Follower) deliverList(objects []platform.Object, revision platform.Revision, from Origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if revision < f.delivered {
@@ -179,6 +239,7 @@
 		f.recordReturn(revision)
 	}
 	f.delivered = revision
+	f.announceOrigin(from)
 	f.Sink.ApplyList(objects)
 }
 
@@ -205,13 +266,14 @@
 
 // deliverChanges passes the changes up to a revision to the sink unless the sink already has
 // that revision. Late changes are part of what the sink has, and would revert later ones.
-func (f *Follower) deliverChanges(objects []platform.Object, revision platform.Revision) {
+func (f *Follower) deliverChanges(objects []platform.Object, revision platform.Revision, from Origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(objects) == 0 || revision <= f.delivered || revision.Era() != f.delivered.Era() {
 		return
 	}
 	f.delivered = revision
+	f.announceOrigin(from)
 	f.Sink.ApplyChanges(objects)
 }
 
@@ -230,7 +292,7 @@
 			continue
 		}
 		f.markReachable()
-		f.deliverList(objects, revision)
+		f.deliverList(objects, revision, OriginList)
 		// Resume from the delivered revision: if the list was too old to be delivered, its own
 		// revision is an earlier one.
 		from := f.deliveredRevision()
@@ -271,7 +333,7 @@
 		f.markReachable()
 		revision = next
 		if len(objects) > 0 {
-			f.deliverChanges(objects, revision)
+			f.deliverChanges(objects, revision, OriginWatch)
 			_ = clock.Sleep(ctx, f.Clock, f.pauseAfter(len(objects)))
 		}
 	}
--- a/internal/objectwatch/metrics.go
+++ b/internal/objectwatch/metrics.go
@@ -1,6 +1,8 @@
 package objectwatch
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/topazrock/topazrock/internal/platform"
@@ -18,6 +20,8 @@
 	ignoredLists *prometheus.CounterVec
 	compactions  *prometheus.CounterVec
 	servedBytes  *prometheus.CounterVec
+	failedChecks *prometheus.CounterVec
+	checked      *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with r unless r is nil.
@@ -35,9 +39,17 @@
 			Name: "topazrock_watch_served_bytes_total",
 			Help: "Bytes of encoded objects that were sent to other instances.",
 		}, []string{"kind", "content"}),
+		failedChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_watch_failed_checks_total",
+			Help: "Lists beside the watch that were not answered. Until the next one, a change that the watch misses stays unknown.",
+		}, []string{"kind"}),
+		checked: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "topazrock_watch_checked_timestamp_seconds",
+			Help: "When the latest list beside the watch that was answered was requested, in Unix seconds.",
+		}, []string{"kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.ignoredLists, m.compactions, m.servedBytes)
+		r.MustRegister(m.ignoredLists, m.compactions, m.servedBytes, m.failedChecks, m.checked)
 	}
 	return m
 }
@@ -50,3 +62,8 @@
 	}
 	m.servedBytes.WithLabelValues(string(req.Kind), content).Add(float64(bytes))
 }
+
+// setChecked records the request time of a check that was answered.
+func (m *Metrics) setChecked(kind platform.Kind, requestedAt time.Time) {
+	m.checked.WithLabelValues(string(kind)).Set(float64(requestedAt.UnixMilli()) / 1000)
+}
