--- a/internal/standin/linedemo/caller.go
+++ b/internal/standin/linedemo/caller.go
@@ -6,8 +6,16 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/topazrock/topazrock/internal/standin/linecaller"
 )
 
+// codeBusy is the protocol's error code for a statement that did not run.
+const codeBusy = "BUSY"
+
+// statementTimeout is the callers' timeout for connecting and for each statement.
+const statementTimeout = 5 * time.Second
+
 // caller writes increasing numbers to a key of its own and checks that reads return the
 // last acknowledged one or a later one.
 type caller struct {
@@ -19,14 +27,14 @@
 	// acknowledged.
 	lastWritten, lastAcknowledged int
 	// ownSession writes, and reads its own writes; otherSession reads at another instance.
-	ownSession, otherSession *session
+	ownSession, otherSession *linecaller.Session
 }
 
 // run writes and reads until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	defer func() {
-		c.ownSession.close()
-		c.otherSession.close()
+		c.ownSession.Close()
+		c.otherSession.Close()
 	}()
 	for ctx.Err() == nil {
 		c.ownSession = c.ensureSession(c.ownSession, c.homeInstance, ownDatabase)
@@ -39,11 +47,11 @@
 }
 
 // ensureSession returns s if it still works, otherwise a new session at the instance.
-func (c *caller) ensureSession(s *session, instance int, database string) *session {
-	if s != nil && !s.broken {
+func (c *caller) ensureSession(s *linecaller.Session, instance int, database string) *linecaller.Session {
+	if !s.Broken() {
 		return s
 	}
-	return openSession(c.system.callerAddresses[instance], database)
+	return linecaller.Open(c.system.callerAddresses[instance], database, statementTimeout)
 }
 
 func (c *caller) key() string { return "caller" + strconv.Itoa(c.number) }
@@ -51,12 +59,12 @@
 // writeNext writes the next number and records the outcome.
 func (c *caller) writeNext() {
 	c.lastWritten++
-	_, code, ok := c.ownSession.runQuery(fmt.Sprintf("%d-%d-w", c.number, c.lastWritten), fmt.Sprintf("WRITE %s %d", c.key(), c.lastWritten))
+	a := c.ownSession.Run(fmt.Sprintf("%d-%d-w", c.number, c.lastWritten), fmt.Sprintf("WRITE %s %d", c.key(), c.lastWritten))
 	switch {
-	case ok && code == "":
+	case a.Complete && a.Code == "":
 		c.lastAcknowledged = c.lastWritten
 		c.report.recordAcknowledged()
-	case ok && code == codeBusy:
+	case a.Complete && a.Code == codeBusy:
 		c.report.increment(&c.report.Refused)
 	default:
 		c.report.increment(&c.report.Unknown)
@@ -65,14 +73,14 @@
 
 // checkRead reads the key and counts a stale read if the value is older than the last
 // acknowledged write. It reports whether the read succeeded.
-func (c *caller) checkRead(s *session) bool {
-	id := fmt.Sprintf("%d-%d-%s-%d", c.number, c.lastWritten, s.database, time.Now().UnixNano())
-	row, code, ok := s.runQuery(id, "READ "+c.key())
-	if !ok || code != "" {
+func (c *caller) checkRead(s *linecaller.Session) bool {
+	id := fmt.Sprintf("%d-%d-%s-%d", c.number, c.lastWritten, s.Database, time.Now().UnixNano())
+	a := s.Run(id, "READ "+c.key())
+	if !a.Complete || a.Code != "" {
 		return false
 	}
 	c.report.increment(&c.report.Reads)
-	value, _ := strconv.Atoi(strings.TrimPrefix(row, "v="))
+	value, _ := strconv.Atoi(strings.TrimPrefix(a.Row, "v="))
 	if value < c.lastAcknowledged {
 		c.report.increment(&c.report.Stale)
 	}
@@ -92,9 +100,9 @@
 func (c *caller) verifyLastWrite(ctx context.Context) {
 	for range verifyAttempts {
 		staleBefore := c.report.Stale
-		s := openSession(c.system.callerAddresses[c.homeInstance], freshDatabase)
+		s := linecaller.Open(c.system.callerAddresses[c.homeInstance], freshDatabase, statementTimeout)
 		succeeded := c.checkRead(s)
-		s.close()
+		s.Close()
 		if succeeded {
 			c.report.Lost += c.report.Stale - staleBefore
 			return
