--- a/internal/objectwatch/follower_test.go
+++ b/internal/objectwatch/follower_test.go
@@ -45,21 +45,28 @@
 	s.reachability = append(s.reachability, reachable)
 }
 
+// startFollower starts a Follower. The returned function stops it.
+func startFollower(api platform.API, sink Sink, check time.Duration) (stop func()) {
+	w := New(Config{API: api, Kind: platform.KindGroup, Sink: sink, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)),
+		Log: hclog.NewNullLogger(), CheckInterval: check})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 func runFollower(t *testing.T, check time.Duration, f func(is *is.I, s *standin.Store, n *recordingSink)) {
 	synctest.Test(t, func(t *testing.T) {
 		store, sink := standin.NewStore(), &recordingSink{values: make(map[string]string)}
-		w := New(Config{API: store, Kind: platform.KindGroup, Sink: sink, Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)),
-			Log: hclog.NewNullLogger(), CheckInterval: check})
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			w.Run(ctx)
-		}()
+		defer startFollower(store, sink, check)()
 		advance(time.Second)
 		f(is.New(t), store, sink)
-		cancel()
-		<-done
 	})
 }
 
