A check of the manifest that is not answered is repeated at once

Callers saw: a database that had been added was refused 3.0 to 3.8 s after the operator's acknowledgement, at five of eight instances, where the connections to the store had gone silent without a reset while new ones worked.

Cause: checks that follow one another without a budget. A list beside the watch bounds how long a change may be unknown. It began 2 s after the end of the last one, also where that one had failed, so that one unanswered list (1 s) left 5 s between two proofs. The comment relied on the watch, which is silent for the same reason.

Evidence: the logs of the run of real processes: 3.006 s since the last answered check at the failure, 5.006 s at the next answer, which put version 26 in force.

Change: the interval counts from request to request, and an unanswered check is repeated after 100 ms, with a backoff up to 1 s while the store is away. Why it works: what is unknown is bounded by the request time of the last answered check; the next answer comes after the interval, the time until the call is given up, and 100 ms.

--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -140,24 +140,37 @@
 	loops.Wait()
 }
 
-// runChecks lists the objects at CheckInterval. It does not handle a failed list, because
-// the watch detects the failure as well.
+// runChecks lists the objects at CheckInterval, counted from one request to the next: the request time of
+// an answered check bounds what may be unknown. A check that was not answered proves nothing and is
+// repeated soon, since the watch may be silent for the same reason.
 func (f *Follower) runChecks(ctx context.Context) {
-	for clock.Sleep(ctx, f.Clock, f.CheckInterval) == nil {
+	pause, backoff := f.CheckInterval, time.Duration(0)
+	for clock.Sleep(ctx, f.Clock, pause) == nil {
 		requestedAt := f.Clock.Now()
-		if f.applyPeerChanges(ctx) {
-			f.recordCheck(requestedAt)
-			continue
-		}
-		objects, revision, err := f.listForCheck(ctx)
-		if err != nil {
+		if err := f.check(ctx); err != nil {
 			f.recordFailedCheck(ctx, requestedAt, err)
+			backoff = min(max(2*backoff, minBackoff), maxBackoff)
+			pause = backoff
 			continue
 		}
-		f.markReachable()
-		f.deliverList(objects, revision, OriginCheck)
 		f.recordCheck(requestedAt)
+		backoff = 0
+		pause = max(minBackoff, f.CheckInterval-f.Clock.Now().Sub(requestedAt))
+	}
+}
+
+// check gets the changes from peers or lists the objects.
+func (f *Follower) check(ctx context.Context) error {
+	if f.applyPeerChanges(ctx) {
+		return nil
+	}
+	objects, revision, err := f.listForCheck(ctx)
+	if err != nil {
+		return err
 	}
+	f.markReachable()
+	f.deliverList(objects, revision, OriginCheck)
+	return nil
 }
 
 // recordCheck records a check that was answered. Its request time is logged if checks before it failed.
