Unanswered checks back off to the check interval, as the load on an absent store asks

Change: the pause after an unanswered check starts at 100 ms, grows by a factor of four and ends at the check interval. The first repetition, which the 3 s need, is where it was.

TestUnansweredCheckDoesNotDelayAChangeByAnotherInterval passes.

--- a/internal/objectwatch/follower.go
+++ b/internal/objectwatch/follower.go
@@ -140,6 +140,10 @@
 	loops.Wait()
 }
 
+// checkBackoffFactor is the factor by which the pause after an unanswered check grows, from minBackoff up
+// to CheckInterval. A platform that is away is asked about as often as one that answers.
+const checkBackoffFactor = 4
+
 // runChecks lists the objects at CheckInterval, counted from one request to the next: the request time of
 // an answered check bounds what may be unknown. A check that was not answered proves nothing and is
 // repeated soon, since the watch may be silent for the same reason.
@@ -149,7 +153,7 @@
 		requestedAt := f.Clock.Now()
 		if err := f.check(ctx); err != nil {
 			f.recordFailedCheck(ctx, requestedAt, err)
-			backoff = min(max(2*backoff, minBackoff), maxBackoff)
+			backoff = min(max(checkBackoffFactor*backoff, minBackoff), f.CheckInterval)
 			pause = backoff
 			continue
 		}
