What a read must see is one value, so that a primary route's age cannot void its promise

Cause: a class carried PrimaryOnly and MaxAge, of which the first was meant to void the second. A read that goes elsewhere for lack of a primary asked for the age only (provenMark), and took a position proved within it in place of a floor.

A trace in checkedRequirement of the failing test: proved positions for every read of the primary route with 1,500 ms, floors for those without an age. Ruled out: floors that lack commits, and a replaced primary that still answers (the reads ran at the lagging replica).

Fix: consistency.Level, decided where the manifest or document is decoded. A level that sees everything has no age; readrequirement.go alone turns a level into a position. A read that sees everything and is sent to another member keeps its floor, as it counts from the read's arrival.

Tests changed: they name the level in place of the two fields, with the same values.

--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/inifile"
 	"github.com/topazrock/topazrock/internal/workspace"
 )
@@ -39,7 +40,7 @@
 	}
 	s.Limits = buildLimits(f.FirstSection(&schema, sectionLimits))
 	for _, sec := range f.SectionsOfKind(sectionRead) {
-		s.ReadClasses = append(s.ReadClasses, ReadClass{Name: sec.Name, MaxAge: sec.Duration("max_age"),
+		s.ReadClasses = append(s.ReadClasses, ReadClass{Name: sec.Name, Consistency: consistency.WithinAge(sec.Duration("max_age")),
 			Priority: sec.Int("priority"), MaxQueue: sec.Int("max_queue"), Timeout: sec.Duration("timeout")})
 	}
 	for _, sec := range f.SectionsOfKind(sectionRequest) {
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/inifile"
 )
 
@@ -52,7 +53,7 @@
 	s, err := Parse("orders.ini", []byte(minimalDocument+"[read recent]\nmax_age = 5s ; seconds\n"))
 	is.NoErr(err)
 	is.Equal(s.Limits.RequestTimeout, 15*time.Second)
-	is.Equal(s.ReadClasses, []ReadClass{{Name: "recent", MaxAge: 5 * time.Second, Priority: 5}})
+	is.Equal(s.ReadClasses, []ReadClass{{Name: "recent", Consistency: consistency.WithinAge(5 * time.Second), Priority: 5}})
 	is.Equal(s.Groups[0].Members[1], Member{Address: "10.0.0.2:5432", FailureDomain: "b"})
 	is.Equal(s.Users[0].Verifier, testVerifier)
 }
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/workspace"
 )
 
@@ -107,12 +108,8 @@
 // ReadClass is a declared class of reads.
 type ReadClass struct {
 	Name string
-	// MaxAge is the maximum age of the data that the read accepts. Zero means
-	// that the data must be current.
-	MaxAge time.Duration
-	// PrimaryOnly reports that reads run only at the primary, and see every write
-	// that was acknowledged before them. MaxAge is ignored in that case.
-	PrimaryOnly bool
+	// Consistency is what the class's reads must see.
+	Consistency consistency.Level
 	// MayWrite reports that requests of the class may also write. Each request
 	// declares whether it is read-only.
 	MayWrite bool
--- a/internal/executor/bench_test.go
+++ b/internal/executor/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
@@ -74,7 +75,7 @@
 	now := time.Now()
 	service := &document.Service{
 		Limits:      document.Limits{StatementTimeout: time.Minute, RequestTimeout: time.Minute, ConfirmTimeout: time.Second, AnswerBuffer: 1 << 20, MaxQueue: 10},
-		ReadClasses: []document.ReadClass{{Name: "aged", MaxAge: time.Hour, Priority: 5}},
+		ReadClasses: []document.ReadClass{{Name: "aged", Consistency: consistency.WithinAge(time.Hour), Priority: 5}},
 	}
 	status := member.Status{Role: member.RoleReplica, EnteredTerm: 1, AttachedTerm: 1, LastRecord: logpos.TermPosition{Term: 1, Position: 20}}
 	s := group.Snapshot{Group: "g", Term: 1, Primary: "p", QuorumAttachedAt: now, Members: []group.MemberView{
--- a/internal/executor/healthreplay_test.go
+++ b/internal/executor/healthreplay_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
@@ -173,8 +174,8 @@
 	g, fake := newFakeGroup(nil, nil, nil)
 	service := g.Service()
 	service.Limits.StatementTimeout = time.Second
-	service.ReadClasses[0].MaxAge = 1500 * time.Millisecond
-	service.ReadClasses = append(service.ReadClasses, document.ReadClass{Name: "fresh", PrimaryOnly: true, MayWrite: true, Priority: 5, LatencyObjective: readObjective})
+	service.ReadClasses[0].Consistency = consistency.WithinAge(1500 * time.Millisecond)
+	service.ReadClasses = append(service.ReadClasses, document.ReadClass{Name: "fresh", Consistency: consistency.Primary(), MayWrite: true, Priority: 5, LatencyObjective: readObjective})
 	c := &replayCluster{fakeCluster: fake, start: time.Now().Add(-10 * time.Second), work: work, members: make(map[string]*replayMember)}
 	c.snapshot.Size = 3
 	for _, a := range []string{"p", "r1", "r2"} {
--- a/internal/executor/hedge_test.go
+++ b/internal/executor/hedge_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/topazrock/topazrock/internal/admission"
 	"github.com/topazrock/topazrock/internal/clock"
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
@@ -207,7 +208,7 @@
 	}
 	service := &document.Service{
 		Limits:      document.Limits{StatementTimeout: time.Minute, RequestTimeout: time.Minute, ConfirmTimeout: time.Second, AnswerBuffer: 1 << 20, MaxQueue: 10},
-		ReadClasses: []document.ReadClass{{Name: "aged", MaxAge: time.Hour, Priority: 5, LatencyObjective: readObjective}},
+		ReadClasses: []document.ReadClass{{Name: "aged", Consistency: consistency.WithinAge(time.Hour), Priority: 5, LatencyObjective: readObjective}},
 	}
 	return NewGroup(Config{
 		Group: "g", Instance: "i", Service: func() *document.Service { return service },
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/topazrock/topazrock/internal/admission"
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/result"
@@ -27,14 +28,13 @@
 	// workspace is the workspace that the unit runs for; empty if it has none.
 	workspace string
 	read      bool
-	maxAge    time.Duration
-	// fresh means that reads must run at the primary, with proof that it was not replaced.
-	fresh      bool
-	atMostOnce bool
-	priority   int
-	maxQueue   int
-	timeout    time.Duration
-	objective  time.Duration
+	// consistency is what the unit must see if it reads.
+	consistency consistency.Level
+	atMostOnce  bool
+	priority    int
+	maxQueue    int
+	timeout     time.Duration
+	objective   time.Duration
 	// objectiveDeadline is when the objective ends, counted from the unit's arrival; zero if the
 	// class has no objective.
 	objectiveDeadline time.Time
@@ -58,8 +58,7 @@
 	p.class = u.Class
 	if r, ok := s.FindReadClass(u.Class); ok {
 		p.read = !r.MayWrite || u.IsReadOnly()
-		p.maxAge = r.MaxAge
-		p.fresh = r.PrimaryOnly
+		p.consistency = r.Consistency
 		p.objective = r.LatencyObjective
 		p.overrideLimits(r.Priority, r.MaxQueue, r.Timeout)
 		return p, nil
@@ -100,7 +99,7 @@
 func (p *plan) keyed(u *execution.Unit) bool { return p.atMostOnce && u.Key != "" }
 
 // needsPrimary reports whether the unit must run at the primary.
-func (p *plan) needsPrimary() bool { return !p.read || p.fresh }
+func (p *plan) needsPrimary() bool { return !p.read || p.consistency.RunsAtPrimary() }
 
 // keyOf returns the key whose row is inserted in the unit's transaction, or an empty string.
 func (p *plan) keyOf(u *execution.Unit) string {
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -82,13 +82,13 @@
 }
 
 // setReadRequirement sets in x what reads at the primary require, including those of a transaction
-// that the unit opens. A fresh read requires a proof that the primary had not been replaced when
-// the read began; a bounded-staleness read requires a log position.
+// that the unit opens. A read that runs at the primary requires a proof that the primary had not been replaced when
+// the read began; other reads require a log position.
 func (g *Group) setReadRequirement(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
 	if !g.Wire.ChecksPosition || !u.ReadOnly && !u.BeginsTransaction {
 		return nil
 	}
-	if p.fresh {
+	if p.consistency.RunsAtPrimary() {
 		v, err := g.Tracker.Verify()
 		x.verification = v
 		return err
@@ -107,7 +107,7 @@
 		return []wire.Step{unit, storeKey}
 	case p.keyed(u):
 		return []wire.Step{{Kind: wire.StepBegin}, storeKey, unit, {Kind: wire.StepCommit}, report}
-	case g.Wire.ChecksPosition && p.fresh && u.IsReadOnly():
+	case g.Wire.ChecksPosition && p.consistency.RunsAtPrimary() && u.IsReadOnly():
 		// Only the report shows whether the member was the primary; a replica also reads.
 		return []wire.Step{report, unit}
 	case u.BeginsTransaction, g.Wire.ReportsLogPosition:
--- a/internal/executor/readrequirement.go
+++ b/internal/executor/readrequirement.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/group"
 	"github.com/topazrock/topazrock/internal/logpos"
@@ -34,7 +35,7 @@
 	if g.Wire.ChecksPosition {
 		return g.checkedRequirement(ctx, u, p)
 	}
-	if positionUnknown(u) || p.maxAge == 0 {
+	if positionUnknown(u) || p.consistency.SeesAll() {
 		return g.barrierRequirement(ctx, u, p)
 	}
 	s, err := g.snapshotForToken(ctx, u.Token)
@@ -46,26 +47,26 @@
 		// The token may be forged, or reports may be delayed; the barrier decides.
 		return g.barrierRequirement(ctx, u, p)
 	}
-	return readRequirement{position: position, maxAge: p.maxAge, token: u.Token}, nil
+	return readRequirement{position: position, maxAge: p.consistency.MaxAge(), token: u.Token}, nil
 }
 
 // checkedRequirement computes the position to send with a read to a member that refuses the read
-// if its log lacks the position. It uses the oldest proved mark that is recent enough, because a
-// lagging replica is most likely to contain it.
+// if its log lacks the position. For a read within a maximum age this is the oldest proved mark that is
+// recent enough, because a lagging replica is most likely to contain it.
 func (g *Group) checkedRequirement(ctx context.Context, u *execution.Unit, p plan) (readRequirement, error) {
 	if positionUnknown(u) {
 		// The session may have written at any position up to the newest one.
 		mark, err := g.fetchFloor(ctx, p)
 		return readRequirement{position: mark.Position, mark: mark, token: g.newToken(mark)}, err
 	}
-	mark, ok := g.provenMark(p)
+	mark, ok := g.provenMark(p.consistency)
 	if !ok {
 		var err error
 		if mark, err = g.fetchFloor(ctx, p); err != nil {
 			return readRequirement{}, err
 		}
 		// The fetch may also have proved a lower mark that is recent enough.
-		if older, ok := g.provenMark(p); ok {
+		if older, ok := g.provenMark(p.consistency); ok {
 			mark = older
 		}
 	}
@@ -79,16 +80,22 @@
 // does not name.
 func positionUnknown(u *execution.Unit) bool { return u.Roaming && u.Token.IsZero() }
 
-func (g *Group) provenMark(p plan) (logpos.TermPosition, bool) {
-	return g.Tracker.ProvenPosition(g.Clock.Now().Add(readMargin - p.maxAge))
+// provenMark returns the oldest proved mark that a read sent now may require; none for reads that see
+// all acknowledged writes, because a mark covers only those acknowledged before it was proved.
+func (g *Group) provenMark(l consistency.Level) (logpos.TermPosition, bool) {
+	if l.SeesAll() {
+		return logpos.TermPosition{}, false
+	}
+	return g.Tracker.ProvenPosition(g.Clock.Now().Add(readMargin - l.MaxAge()))
 }
 
 // refreshRequirement computes the requirement again just before the read is sent, because the
 // maximum age counts from then. The requirement stays unchanged in two cases: if members do not
-// check positions, because the age of each replica is proved separately; and for a fresh read and one
-// of a session whose position is not known, because their requirements count from their arrival.
+// check positions, because the age of each replica is proved separately; and for a read that sees all
+// acknowledged writes and one of a session whose position is not known, because their requirements
+// count from their arrival.
 func (g *Group) refreshRequirement(ctx context.Context, u *execution.Unit, p plan, req readRequirement) (readRequirement, error) {
-	if !g.Wire.ChecksPosition || p.fresh || positionUnknown(u) {
+	if !g.Wire.ChecksPosition || p.consistency.SeesAll() || positionUnknown(u) {
 		return req, nil
 	}
 	return g.checkedRequirement(ctx, u, p)
