An object that cannot be used is logged and counted once for each of its revisions

What operators would see: a line in the log at each list, every 3 s on each instance, for one odd entry, and no metric. Entries of instances were accepted without an ID, if their name is empty too, and with any capacity: tasks are divided by capacity.

Change: objectwatch.Unusable remembers what was reported; directory and registry use it. decodeEntry checks ID and capacity.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,8 +55,11 @@
 	// sharing shares platform reads with other instances; nil if sharing is disabled.
 	sharing *objectwatch.Sharing
 	// peers are asked for later manifests; nil if there are none.
-	peers       *manifestPeers
-	members     *memberTable
+	peers   *manifestPeers
+	members *memberTable
+	// unusable are the entries that name no usable member. A member whose entry becomes one keeps
+	// what it reported last until its entry is removed.
+	unusable    *objectwatch.Unusable
 	subscribers []func()
 }
 
@@ -66,6 +69,7 @@
 		c.Metrics = NewMetrics(nil)
 	}
 	d := &Directory{config: c, log: c.Log.Named("directory"), members: newMemberTable()}
+	d.unusable = objectwatch.NewUnusable(platform.KindUpstreams, d.log, nil)
 	d.current.Store(emptyView())
 	return d
 }
@@ -92,7 +96,10 @@
 
 // UseSharing makes this instance share platform reads with other instances. It must be called
 // before Run.
-func (d *Directory) UseSharing(s *objectwatch.Sharing) { d.sharing = s }
+func (d *Directory) UseSharing(s *objectwatch.Sharing) {
+	d.sharing = s
+	d.unusable = objectwatch.NewUnusable(platform.KindUpstreams, d.log, s.Metrics)
+}
 
 // upstreamWatchPause batches the entries of members that start or change together into one
 // watch response.
@@ -248,15 +255,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if o.Removed {
+		d.unusable.Forget(o.Name)
 		d.members.markMissing(o.Name, now)
 		d.log.Info("Member's entry was removed.", "member", o.Name)
 		return
 	}
 	u, err := d.config.Decoder.DecodeUpstream(o)
 	if err != nil {
-		d.log.Warn("Cannot decode member's entry; ignoring it.", "member", o.Name, "error", err)
+		d.unusable.Report(o, err)
 		return
 	}
+	d.unusable.Forget(o.Name)
 	if !d.members.update(u, o.Revision, now) {
 		return
 	}
--- a/internal/directory/sinks.go
+++ b/internal/directory/sinks.go
@@ -51,6 +51,7 @@
 	}
 	s.d.mu.Lock()
 	s.d.members.markMissingExcept(listed, now)
+	s.d.unusable.Retain(objects)
 	s.d.mu.Unlock()
 	s.d.publish()
 }
--- a/internal/objectwatch/metrics.go
+++ b/internal/objectwatch/metrics.go
@@ -22,6 +22,8 @@
 	servedBytes  *prometheus.CounterVec
 	failedChecks *prometheus.CounterVec
 	checked      *prometheus.GaugeVec
+	// unusableObjects counts objects that a sink could not use.
+	unusableObjects *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with r unless r is nil.
@@ -47,9 +49,13 @@
 			Name: "topazrock_watch_checked_timestamp_seconds",
 			Help: "When the latest list beside the watch that was answered was requested, in Unix seconds.",
 		}, []string{"kind"}),
+		unusableObjects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazrock_watch_unusable_objects_total",
+			Help: "Revisions of objects that could not be used, such as an entry that another writer has left.",
+		}, []string{"kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.ignoredLists, m.compactions, m.servedBytes, m.failedChecks, m.checked)
+		r.MustRegister(m.ignoredLists, m.compactions, m.servedBytes, m.failedChecks, m.checked, m.unusableObjects)
 	}
 	return m
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -91,6 +91,8 @@
 	returned  bool
 	kept      map[string]platform.Instance
 	keptUntil time.Time
+	// unusable are the entries that name no usable instance; guarded by mu.
+	unusable *objectwatch.Unusable
 }
 
 // New returns a Registry; Run starts it.
@@ -99,7 +101,8 @@
 		c.EntriesAPI = c.API
 	}
 	c.Log = c.Log.Named("registry")
-	return &Registry{Config: c, ownEntryMissing: make(chan struct{}, 1), announced: make(chan string, 1), toAnnounce: make(chan []string, maxWaitingAnnouncements), entries: make(map[string]platform.Instance)}
+	return &Registry{Config: c, ownEntryMissing: make(chan struct{}, 1), announced: make(chan string, 1), toAnnounce: make(chan []string, maxWaitingAnnouncements), entries: make(map[string]platform.Instance),
+		unusable: objectwatch.NewUnusable(platform.KindInstances, c.Log, c.WatchMetrics)}
 }
 
 // Run writes this instance's entry, follows the others, and monitors two of them, until ctx is
@@ -240,6 +243,7 @@
 		r.keepEntries(objects)
 	}
 	clear(r.entries)
+	r.unusable.Retain(objects)
 	r.mu.Unlock()
 	r.ApplyChanges(objects)
 }
@@ -269,17 +273,19 @@
 
 // applyObject applies one changed or removed object. The caller holds r.mu.
 func (r *Registry) applyObject(o platform.Object) {
-	var i platform.Instance
-	err := json.Unmarshal(o.Value, &i)
-	switch {
-	case o.Removed:
+	if o.Removed {
 		delete(r.entries, o.Name)
 		delete(r.kept, o.Name)
-	case err != nil || i.ID != o.Name || i.PeerAddress == "":
-		r.Log.Warn("Ignoring invalid instance entry.", "instance", o.Name, "error", err)
-	default:
-		r.entries[o.Name] = i
+		r.unusable.Forget(o.Name)
+		return
+	}
+	i, err := decodeEntry(o)
+	if err != nil {
+		r.unusable.Report(o, err)
+		return
 	}
+	r.unusable.Forget(o.Name)
+	r.entries[o.Name] = i
 }
 
 // knownInstances returns the known instances ordered by ID.
