A group's claim record that cannot be read is waited for and replaced

What callers would see: another writer leaves an object that cannot be read in place of a group's claim record; the primary is lost later and never replaced (writes fail until somebody removes the object).

Cause: reading the record failed with ErrBadRecord, and a claim needs the record.

Fix: such an object stands for an announced claim of another instance. Its version exceeds all fencing tokens of earlier claims, so the next one does too; the claimer whose record was replaced can store nothing any more. Terms and numbers that leave no room for later ones count as unreadable.

--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -90,6 +90,9 @@
 // assign terms themselves, they enter the claimed term before any of them becomes
 // primary in it, so only a primary's own report ends the claim.
 func (m *primaryMonitor) claimPending(r Record, s *group.Snapshot) bool {
+	if r.unreadable {
+		return true
+	}
 	if m.claimer.MembersAssignTerms {
 		return r.Term > s.LedTerm
 	}
@@ -157,8 +160,8 @@
 func (m *primaryMonitor) readRecordWithRetry(ctx context.Context) (Record, platform.Revision, error) {
 	for {
 		r, version, err := m.claimer.readRecord(ctx)
-		if err == nil || errors.Is(err, ErrBadRecord) {
-			return r, version, err
+		if err == nil {
+			return r, version, nil
 		}
 		m.claimer.pause(ctx, m.backoff.nextDelay(), nil)
 		if ctx.Err() != nil {
--- a/internal/failover/claimer.go
+++ b/internal/failover/claimer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,6 +16,8 @@
 type Claimer struct {
 	Config
 	log hclog.Logger
+	// reportedUnreadable is the version of the record that was last reported as unreadable.
+	reportedUnreadable atomic.Int64
 }
 
 // New returns a Claimer; call Run to start it.
--- a/internal/failover/metrics.go
+++ b/internal/failover/metrics.go
@@ -13,6 +13,8 @@
 	attaches *prometheus.CounterVec
 	ignored  *prometheus.CounterVec
 	withheld *prometheus.CounterVec
+	// unreadable counts versions of groups' records that could not be decoded.
+	unreadable prometheus.Counter
 }
 
 // Values of the reason label of promotions that were not requested.
@@ -61,9 +63,13 @@
 			Name: "topazrock_failover_withheld_promotions_total",
 			Help: "Promotions that were not requested because their claim had expired or was replaced, by reason.",
 		}, []string{"reason"}),
+		unreadable: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "topazrock_failover_unreadable_records_total",
+			Help: "Versions of groups' records that could not be read, such as one that another writer has left.",
+		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.phases, m.claims, m.attaches, m.ignored, m.withheld)
+		reg.MustRegister(m.phases, m.claims, m.attaches, m.ignored, m.withheld, m.unreadable)
 	}
 	return m
 }
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/platform"
 )
 
 // Record is the value of a group's object on the platform.
@@ -30,11 +32,25 @@
 	// FailingTerm is the highest term that was claimed because a primary failed its statements;
 	// zero if there is none. Later claims keep it; a build that does not know it drops it.
 	FailingTerm logpos.Term `json:"failing_term,omitempty"`
+	// unreadable means that the stored object cannot be decoded. It stands for a claim of which nothing
+	// but Claim is known: whoever wrote it may have replaced the record of an announced promotion.
+	unreadable bool
+}
+
+// unreadableRecord stands for an object of the given version that cannot be decoded. Fencing tokens
+// of earlier claims are below the version, so that the next claim exceeds them all the same.
+func unreadableRecord(version platform.Revision) Record {
+	return Record{Claim: fmt.Sprintf("unreadable/%d", version), unreadable: true}
 }
 
 // mayBeRequested reports whether the claimer may still request a promotion without storing anything
 // before.
-func (r Record) mayBeRequested() bool { return r.Target != "" && r.Primary == "" && !r.Withdrawn }
+func (r Record) mayBeRequested() bool {
+	return r.unreadable || r.Target != "" && r.Primary == "" && !r.Withdrawn
+}
+
+// maxRecordedTerm is the highest term that a record may name; a higher one leaves no room for later claims.
+const maxRecordedTerm = 1 << 62
 
 func (r Record) encode() ([]byte, error) { return json.Marshal(r) }
 
@@ -43,5 +59,8 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return Record{}, fmt.Errorf("%w: %w", ErrBadRecord, err)
 	}
+	if r.Term > maxRecordedTerm || r.FailingTerm > maxRecordedTerm || r.Number > math.MaxInt64 {
+		return Record{}, fmt.Errorf("%w: term %d, number %d", ErrBadRecord, r.Term, r.Number)
+	}
 	return r, nil
 }
--- a/internal/failover/recordstore.go
+++ b/internal/failover/recordstore.go
@@ -8,7 +8,8 @@
 )
 
 // readRecord returns the group's record and the version of its object. If the object does not
-// exist yet, the record is zero and the version has the number zero.
+// exist yet, the record is zero and the version has the number zero. An object that cannot be
+// decoded is an unreadable record, which the next claim replaces once it has expired.
 func (c *Claimer) readRecord(ctx context.Context) (Record, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Settings.PlatformTimeout)
 	defer cancel()
@@ -20,7 +21,11 @@
 		return Record{}, 0, err
 	}
 	r, err := decodeRecord(o.Value)
-	return r, o.Version, err
+	if err != nil {
+		c.reportUnreadable(o.Version, err)
+		return unreadableRecord(o.Version), o.Version, nil
+	}
+	return r, o.Version, nil
 }
 
 // storeRecord stores r in place of the record of the given version.
@@ -33,3 +38,12 @@
 	defer cancel()
 	return c.Platform.Put(ctx, platform.KindGroup, c.Group, value, version)
 }
+
+// reportUnreadable logs and counts a version of the record that cannot be decoded, once.
+func (c *Claimer) reportUnreadable(version platform.Revision, reason error) {
+	if c.reportedUnreadable.Swap(int64(version)) == int64(version) {
+		return
+	}
+	c.Metrics.unreadable.Inc()
+	c.log.Warn("The group's record cannot be read; it is treated as a pending claim.", "version", version.Number(), "error", reason)
+}
