A member that denies an entry's ID refutes it, and another entry at its address counts

What callers saw: after another writer left an entry with the address of the primary under another ID, BUSY and INDOUBT, and a change of primary; the former primary stayed unusable.

Cause: of several entries at an address the latest counted, and WRONGNODE was taken for a member that cannot be reached, until the pollers found the primary lost.

The entry that was refuted longest ago counts, so that a process which takes over an address is found whatever was refuted before.

--- a/internal/directory/membertable.go
+++ b/internal/directory/membertable.go
@@ -40,6 +40,8 @@
 	revision platform.Revision
 	// missingSince is when the entry was found missing; zero while it exists.
 	missingSince time.Time
+	// refutedAt is when the process at the address last denied to be this member; zero if it has not.
+	refutedAt time.Time
 }
 
 func newMemberTable() *memberTable {
@@ -92,7 +94,11 @@
 		u.Leaving = u.Leaving || e != nil && e.upstream.Leaving && e.upstream.Started == u.Started
 	}
 	changed := e == nil || e.upstream != u || !e.missingSince.IsZero()
-	t.store(&memberEntry{upstream: u, revision: revision})
+	next := &memberEntry{upstream: u, revision: revision}
+	if e != nil && e.upstream == u {
+		next.refutedAt = e.refutedAt
+	}
+	t.store(next)
 	return changed
 }
 
@@ -189,10 +195,23 @@
 	return &u
 }
 
-// supersedes reports whether e replaces other at their common address: an existing entry
+// refute records that the process at an address denied to be the member that an entry names. Another
+// writer may have left that entry.
+func (t *memberTable) refute(id, address string, now time.Time) {
+	if e := t.entries[id]; e != nil && e.upstream.Address == address {
+		e.refutedAt = now
+		t.touched[address] = true
+	}
+}
+
+// supersedes reports whether e replaces other at their common address: an entry that was refuted less
+// recently, or never, replaces one that was refuted later, an existing entry
 // replaces a missing one, a member that stays replaces one that leaves, and a higher revision
 // replaces a lower one, in this order of precedence.
 func (e *memberEntry) supersedes(other *memberEntry) bool {
+	if !e.refutedAt.Equal(other.refutedAt) {
+		return e.refutedAt.Before(other.refutedAt)
+	}
 	if e.missingSince.IsZero() != other.missingSince.IsZero() {
 		return e.missingSince.IsZero()
 	}
--- a/internal/directory/membertable_test.go
+++ b/internal/directory/membertable_test.go
@@ -50,3 +50,35 @@
 	table.setPlatformReachable(false, reachableAgain)
 	is.Equal(present(reachableAgain.Add(time.Hour)), "12")
 }
+
+// Guards against an entry of another writer that takes a member's address for good, and against a refuted
+// entry that is never tried again.
+func TestRefutedEntryGivesWayToTheOthersAtItsAddress(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := newMemberTable()
+	table.update(platform.Upstream{ID: "own", Address: "1"}, 1, now)
+	table.update(platform.Upstream{ID: "odd", Address: "1"}, 2, now)
+	expected := func() string { return table.changes(now)["1"].ID }
+	refute := func(id, address string) {
+		now = now.Add(time.Second)
+		table.refute(id, address, now)
+	}
+	is.Equal(expected(), "odd")
+	refute("odd", "2") // it has another address by now
+	refute("gone", "1")
+	table.touched["1"] = true
+	is.Equal(expected(), "odd")
+	refute("odd", "1")
+	is.Equal(expected(), "own")
+	// The same entry again says nothing new.
+	table.update(platform.Upstream{ID: "odd", Address: "1"}, 3, now)
+	is.Equal(expected(), "own")
+	refute("own", "1")
+	is.Equal(expected(), "odd")
+	refute("odd", "1")
+	is.Equal(expected(), "own")
+	// A changed entry may be that of a process which has taken the address over.
+	table.update(platform.Upstream{ID: "odd", Address: "1", Started: 7}, 4, now)
+	is.Equal(expected(), "odd")
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -225,6 +225,21 @@
 	return u.ID, true
 }
 
+// RefuteMember records that the process at an address denied to be the member with an ID, and reports
+// whether another member of the group is expected there now.
+func (d *Directory) RefuteMember(group, address, id string) bool {
+	d.mu.Lock()
+	d.members.refute(id, address, d.config.Clock.Now())
+	d.mu.Unlock()
+	d.publish()
+	expected, ok := d.MemberID(group, address)
+	if !ok || expected == id {
+		return false
+	}
+	d.log.Warn("The process at an address is not the member that its latest entry names; another entry is used.", "address", address, "denied", id, "member", expected)
+	return true
+}
+
 // MembersReportStart reports whether some member's entry has named the time at which the member
 // started.
 func (d *Directory) MembersReportStart() bool { return d.current.Load().reportStart }
