A unit carries what its reads must see, and the stricter of two versions counts

What callers would see: an operator changes a route from bounded staleness to primary. An entry instance has the new version and sends a read to a home that has not; the read lacks acknowledged commits within the old bound, after others were answered by the new version.

Cause: what a read must see was decided at the home alone, by the home's version.

Fix: the unit carries the level that the entry instance decoded (as text; builds that do not know it leave it out), and the home applies the stricter one of the two. A text that is not known counts as the strictest level.

TestReadMeetsTheLevelsOfEntryAndHome failed before in the case "entry is stricter".

--- a/internal/consistency/level.go
+++ b/internal/consistency/level.go
@@ -32,3 +32,48 @@
 
 // MaxAge returns the maximum age of the data that reads of the level accept; zero if the level SeesAll.
 func (l Level) MaxAge() time.Duration { return l.maxAge }
+
+// Stricter returns the level that meets both of two levels.
+func Stricter(a, b Level) Level {
+	switch {
+	case a.primary || b.primary:
+		return Primary()
+	case a.SeesAll() || b.SeesAll():
+		return Current()
+	default:
+		return WithinAge(min(a.maxAge, b.maxAge))
+	}
+}
+
+// Texts of the levels that have no age.
+const (
+	textPrimary = "primary"
+	textCurrent = "current"
+)
+
+// MarshalText implements encoding.TextMarshaler.
+func (l Level) MarshalText() ([]byte, error) {
+	switch {
+	case l.primary:
+		return []byte(textPrimary), nil
+	case l.SeesAll():
+		return []byte(textCurrent), nil
+	default:
+		return []byte(l.maxAge.String()), nil
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler. It takes a text that it does not know, as of a later
+// build, for the strictest level.
+func (l *Level) UnmarshalText(text []byte) error {
+	age, err := time.ParseDuration(string(text))
+	switch {
+	case string(text) == textCurrent:
+		*l = Current()
+	case err == nil:
+		*l = WithinAge(age)
+	default:
+		*l = Primary()
+	}
+	return nil
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -143,7 +143,8 @@
 func (d *Directory) indexDatabases() map[string]document.Database {
 	all := make(map[string]document.Database, len(d.manifest.Databases))
 	for _, b := range d.manifest.Databases {
-		all[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name, Public: b.Public}
+		level := b.Class.Consistency
+		all[b.Name] = document.Database{Name: b.Name, Group: b.Group, Class: b.Class.Name, Consistency: &level, Public: b.Public}
 	}
 	return all
 }
--- a/internal/execution/unit.go
+++ b/internal/execution/unit.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/logpos"
 )
 
@@ -70,6 +71,9 @@
 	// Class and Key come from the request's tag; empty if there is no tag.
 	Class string `json:"class,omitempty"`
 	Key   string `json:"key,omitempty"`
+	// Consistency is what the unit's reads must see by the entry instance's configuration; nil if that
+	// is not known there. A home whose configuration is of another version applies the stricter level.
+	Consistency *consistency.Level `json:"consistency,omitempty"`
 	// Token is the minimum log position that the session must observe.
 	Token logpos.Token `json:"token"`
 	// Roaming is set when the session started without a token and has not run
--- a/internal/executor/consistency_test.go
+++ b/internal/executor/consistency_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,14 @@
 	"github.com/topazrock/topazrock/internal/logpos"
 )
 
+// withoutPrimary returns a group without a primary whose class "r" has a level.
+func withoutPrimary(level consistency.Level) (*Group, *fakeCluster) {
+	g, cluster := newFakeGroup(&fakeMember{}, &fakeMember{}, &fakeMember{})
+	g.Service().ReadClasses = []document.ReadClass{{Name: "r", Consistency: level, MayWrite: true, LatencyObjective: readObjective}}
+	cluster.snapshot.Primary = ""
+	return g, cluster
+}
+
 // Guards against a read that has to see all acknowledged writes and is sent to a replica with a position
 // that was proved earlier.
 func TestReadWithoutAPrimaryRequiresWhatItsLevelPromises(t *testing.T) {
@@ -31,9 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				g, cluster := newFakeGroup(&fakeMember{}, &fakeMember{}, &fakeMember{})
-				g.Service().ReadClasses = []document.ReadClass{{Name: "r", Consistency: c.level, MayWrite: true, LatencyObjective: readObjective}}
-				cluster.snapshot.Primary = ""
+				g, cluster := withoutPrimary(c.level)
 				for _, transaction := range []bool{false, true} {
 					reply, err := g.Execute(t.Context(), &execution.Unit{ID: "u", Group: "g", Class: "r", Timeout: time.Second, ReadOnly: true,
 						BeginsTransaction: transaction, ReadOnlyTransaction: transaction, Messages: []byte("read")}, nil)
@@ -44,3 +51,35 @@
 		})
 	}
 }
+
+// Guards against a home with another version of the configuration than the entry instance, which reads within
+// an age that one of the two versions does not allow.
+func TestReadMeetsTheLevelsOfEntryAndHome(t *testing.T) {
+	const proved, floor = 10, 15
+	aged := consistency.WithinAge(time.Minute)
+	primary := consistency.Primary()
+	for name, c := range map[string]struct {
+		home  consistency.Level
+		entry *consistency.Level
+		want  logpos.Position
+	}{
+		"entry is stricter":      {aged, &primary, floor},
+		"home is stricter":       {primary, &aged, floor},
+		"same":                   {aged, &aged, proved},
+		"entry of earlier build": {aged, nil, proved},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g, cluster := withoutPrimary(c.home)
+				sent, err := json.Marshal(execution.Unit{ID: "u", Group: "g", Class: "r", Consistency: c.entry, Timeout: time.Second, ReadOnly: true, Messages: []byte("read")})
+				is.NoErr(err)
+				var u execution.Unit
+				is.NoErr(json.Unmarshal(sent, &u))
+				reply, err := g.Execute(t.Context(), &u, nil)
+				is.NoErr(err)
+				is.Equal(cluster.members[reply.Member].required, logpos.TermPosition{Term: 1, Position: c.want})
+			})
+		})
+	}
+}
--- a/internal/executor/plan.go
+++ b/internal/executor/plan.go
@@ -59,6 +59,9 @@
 	if r, ok := s.FindReadClass(u.Class); ok {
 		p.read = !r.MayWrite || u.IsReadOnly()
 		p.consistency = r.Consistency
+		if u.Consistency != nil {
+			p.consistency = consistency.Stricter(r.Consistency, *u.Consistency)
+		}
 		p.objective = r.LatencyObjective
 		p.overrideLimits(r.Priority, r.MaxQueue, r.Timeout)
 		return p, nil
