A stored document that cannot be read is rejected, not taken for an empty one

What operators would see: after an object of a service's document could not be read (or was empty), the empty text counted as a document whose version is the store's revision, era included. Each later version of the real document is lower and would have been ignored for ever.

Cause: a value that does not begin with a brace is the text of a document that was stored by other means; an empty value passed for one. Since objects that cannot be read are listed without their value, such values would come more often.

TestValueThatCannotBeReadIsNoDocument failed before for the two empty values.

--- a/internal/config/envelope.go
+++ b/internal/config/envelope.go
@@ -71,6 +71,9 @@
 // object's, era included, so that it never falls.
 func decodeObject(o platform.Object) (Envelope, error) {
 	value := bytes.TrimSpace(o.Value)
+	if len(value) == 0 {
+		return Envelope{}, errBadEnvelope
+	}
 	if !bytes.HasPrefix(value, []byte("{")) {
 		return Envelope{Change: Change{Version: int64(o.Version), By: "platform"}, Text: string(o.Value)}, nil
 	}
