Objects without a usable name are reported like other unusable objects

The client left them out with a metric of its own, which only the program registered (TestMetricsPageListsEveryMetric and TestDashboardAndAlertsNameMetricsThatExist failed). They are listed with an empty name now, which no reader takes for a member or an instance, and the first one is logged and counted.

--- a/internal/objectwatch/unusable.go
+++ b/internal/objectwatch/unusable.go
@@ -24,9 +24,10 @@
 	return &Unusable{kind: kind, log: l, metrics: m, reported: make(map[string]platform.Revision)}
 }
 
-// Report records that an object cannot be used.
+// Report records that an object cannot be used. Of those without a name, which nothing tells apart, only
+// the first one is recorded.
 func (u *Unusable) Report(o platform.Object, reason error) {
-	if last, known := u.reported[o.Name]; known && last == o.Revision {
+	if last, known := u.reported[o.Name]; known && (last == o.Revision || o.Name == "") {
 		return
 	}
 	u.reported[o.Name] = o.Revision
