An object without a value is reported as one that cannot be read

The log said "unexpected end of JSON input" for an entry that is too large or nests too deeply, as a run with real processes showed. Readers of such objects name the reason (platform.ErrUnreadable).

--- a/internal/config/envelope.go
+++ b/internal/config/envelope.go
@@ -72,7 +72,7 @@
 func decodeObject(o platform.Object) (Envelope, error) {
 	value := bytes.TrimSpace(o.Value)
 	if len(value) == 0 {
-		return Envelope{}, errBadEnvelope
+		return Envelope{}, fmt.Errorf("%w: %w", errBadEnvelope, platform.ErrUnreadable)
 	}
 	if !bytes.HasPrefix(value, []byte("{")) {
 		return Envelope{Change: Change{Version: int64(o.Version), By: "platform"}, Text: string(o.Value)}, nil
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -55,6 +55,9 @@
 func (r Record) encode() ([]byte, error) { return json.Marshal(r) }
 
 func decodeRecord(value []byte) (Record, error) {
+	if len(value) == 0 {
+		return Record{}, fmt.Errorf("%w: %w", ErrBadRecord, platform.ErrUnreadable)
+	}
 	var r Record
 	if err := json.Unmarshal(value, &r); err != nil {
 		return Record{}, fmt.Errorf("%w: %w", ErrBadRecord, err)
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -16,4 +16,7 @@
 	// ErrOutcomeUnknown reports that the response to a Put was lost and that the Put may
 	// have taken effect. Read the object to determine the outcome.
 	ErrOutcomeUnknown = errors.New("platform: outcome unknown")
+	// ErrUnreadable reports an object without a value: what is stored cannot be decoded, or exceeds
+	// the limits of what is kept.
+	ErrUnreadable = errors.New("platform: the stored value cannot be read, is too large or nests too deeply")
 )
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -46,7 +46,8 @@
 	// that of its last change.
 	Version  Revision `json:"version"`
 	Revision Revision `json:"revision"`
-	Value    []byte   `json:"value"`
+	// Value is empty if what is stored cannot be read; see ErrUnreadable.
+	Value []byte `json:"value"`
 	// Removed reports in the response to a watch that the object was deleted.
 	Removed bool `json:"removed,omitempty"`
 }
--- a/internal/registry/entry.go
+++ b/internal/registry/entry.go
@@ -16,6 +16,9 @@
 // decodeEntry decodes an instance's entry. An entry that another writer has left may hold anything. One
 // with an address at which nobody answers is that of a dead instance, which the sweeper removes.
 func decodeEntry(o platform.Object) (platform.Instance, error) {
+	if len(o.Value) == 0 {
+		return platform.Instance{}, fmt.Errorf("%w: %w", errUnusableEntry, platform.ErrUnreadable)
+	}
 	var i platform.Instance
 	if err := json.Unmarshal(o.Value, &i); err != nil {
 		return platform.Instance{}, fmt.Errorf("%w: %w", errUnusableEntry, err)
