Real processes beside odd entries of another writer, and a stand-in that serves bytes as they are

The stand-in store encoded responses with encoding/json, so it could serve nothing that the client's decoder does not read. PUT /v1/raw/KIND/NAME stores bytes as another writer would, and responses are put together without decoding them.

TestOddEntriesDoNotStopRealProcesses: eight instances, eleven odd entries among those of the members and of the instances. Changes behind them arrive, processes that are killed get ready again, none ends by itself, one log line for an entry and process, mended entries count. 3 s to 5 s.

--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +36,7 @@
 	mux.HandleFunc("POST /v1/objects/{kind}", s.servePut)
 	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.servePut)
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.serveDelete)
+	mux.HandleFunc("PUT /v1/raw/{kind}/{name}", s.servePutRaw)
 	mux.HandleFunc("PUT /v1/inventory", s.serveSetInventory)
 	mux.HandleFunc("POST /v1/faults", s.serveFaults)
 	mux.HandleFunc("GET /v1/calls", func(w http.ResponseWriter, _ *http.Request) { writeReply(w, s.Calls(), nil) })
@@ -44,7 +47,12 @@
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
 	o, _, err := s.get(r.Context(), requestedKind(r), r.PathValue("name"))
-	writeReply(w, toAPIObject(o), err)
+	if err != nil {
+		writeReply(w, nil, err)
+		return
+	}
+	body, err := s.appendObject(nil, o)
+	writeReply(w, rawBody(body), err)
 }
 
 // serveList serves a list, or a watch if the query contains Watch.
@@ -54,19 +62,15 @@
 		return
 	}
 	objects, revision, err := s.listWithInventory(r.Context(), requestedKind(r))
-	p := objectPage{Items: []object{}, StoreRevision: revision.Number()}
-	after := r.FormValue("after")
-	for _, o := range objects {
-		if o.Name <= after {
-			continue
-		}
-		if len(p.Items) == pageSize {
-			p.HasMore = true
-			break
-		}
-		p.Items = append(p.Items, toAPIObject(o))
+	if err != nil {
+		writeReply(w, nil, err)
+		return
 	}
-	writeReply(w, p, err)
+	after := r.FormValue("after")
+	objects = slices.DeleteFunc(objects, func(o platform.Object) bool { return o.Name <= after })
+	hasMore := len(objects) > pageSize
+	body, err := s.appendList([]byte(`{"items":`), objects[:min(len(objects), pageSize)], s.appendObject)
+	writeReply(w, rawBody(fmt.Appendf(body, `,"HasMore":%t,"StoreRevision":%d}`, hasMore, revision.Number())), err)
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -80,11 +84,15 @@
 		wait = time.Duration(ms) * time.Millisecond
 	}
 	objects, revision, err := s.watch(r.Context(), requestedKind(r), after, wait)
-	response := eventList{Events: []event{}, StoreRevision: revision.Number()}
-	for _, o := range objects {
-		response.Events = append(response.Events, event{Object: toAPIObject(o), Removed: o.Removed})
+	if err != nil {
+		writeReply(w, nil, err)
+		return
 	}
-	writeReply(w, response, err)
+	body, err := s.appendList([]byte(`{"events":`), objects, func(b []byte, o platform.Object) ([]byte, error) {
+		b, err := s.appendObject(append(b, `{"Object":`...), o)
+		return fmt.Appendf(b, `,"Removed":%t}`, o.Removed), err
+	})
+	writeReply(w, rawBody(fmt.Appendf(body, `,"StoreRevision":%d}`, revision.Number())), err)
 }
 
 // servePut creates or replaces an object.
@@ -102,6 +110,7 @@
 	if r.Method == http.MethodPost {
 		o.Meta.Revision = 0
 	}
+	s.setRaw(requestedKind(r), o.Meta.Name, false)
 	stored, _, err := s.put(r.Context(), requestedKind(r), o.Meta.Name, specValue(requestedKind(r), o.Spec), o.Meta.Revision)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler)
@@ -150,7 +159,11 @@
 
 // writeReply writes the JSON body, or the HTTP status that corresponds to the error.
 func writeReply(w http.ResponseWriter, body any, err error) {
+	raw, isRaw := body.(rawBody)
 	switch {
+	case err == nil && isRaw:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(raw)
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(body)
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -23,24 +23,6 @@
 	Revision int64  `json:"Revision"`
 }
 
-// objectPage is the response body of a list.
-type objectPage struct {
-	Items         []object `json:"items"`
-	HasMore       bool     `json:"HasMore"`
-	StoreRevision int64    `json:"StoreRevision"`
-}
-
-// eventList is the response body of a watch.
-type eventList struct {
-	Events        []event `json:"events"`
-	StoreRevision int64   `json:"StoreRevision"`
-}
-
-type event struct {
-	Object  object `json:"Object"`
-	Removed bool   `json:"Removed"`
-}
-
 // spec is the specification of an object of a kind that topazrock itself writes: Value
 // if the stored value is valid JSON, Bytes otherwise.
 type spec struct {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -44,6 +44,7 @@
 	revision  int64
 	undo      []pastChange
 	kinds     map[platform.Kind]*collection
+	raw       map[rawName]bool
 	inventory []datedInventory
 	faults    Faults
 	calls     map[Call]int
@@ -58,6 +59,7 @@
 	s := &Store{
 		eras:    platform.NewEraTracker(clock.System{}),
 		kinds:   map[platform.Kind]*collection{},
+		raw:     map[rawName]bool{},
 		calls:   map[Call]int{},
 		changed: make(chan struct{}),
 	}
