Members are held by group and address, so another group's entry hides none

What callers saw: after another writer left an entry with the address of a group's primary and the name of another group, or of none, one statement failed with BUSY, and the primary was replaced; the member could not be used for as long as the entry stayed. Instances that are not homes of the other group never connect with the entry's ID, so no refusal refutes it.

Cause: one member counted at each address, and the latest entry named it.

Fix: members are indexed by group and address (place). Where two groups name an address, each has its member there, and the process decides by refusing the wrong ID. A crashed member whose address another group took over stays listed until its entry expires, like any crashed member.

Earlier tests: calls have the group as one more argument.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -200,7 +200,7 @@
 		id, ok := h.directory.MemberID("g", "10.0.0.1:1")
 		h.is.True(ok)
 		h.is.Equal(id, "i-7")
-		h.is.True(!h.directory.IsLeaving("10.0.0.1:1"))
+		h.is.True(!h.directory.IsLeaving("g", "10.0.0.1:1"))
 		_, ok = h.directory.MemberID("other", "10.0.0.1:1")
 		h.is.True(!ok)
 	})
@@ -215,3 +215,28 @@
 		h.is.Equal(h.countMembers(), 3)
 	})
 }
+
+// Guards against an entry of another group, or of none, that takes a member's address from its group.
+func TestEntryOfAnotherGroupHidesNoMember(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		time.Sleep(time.Second)
+		service, ok := h.directory.FindService("g")
+		h.is.True(ok)
+		h.is.Equal(len(service.Groups[0].Members), 3)
+		for revision, group := range []string{"other", "unknown", ""} {
+			h.put(platform.KindUpstreams, "odd", platform.Upstream{Group: group, Address: "10.0.0.1:1", Leaving: revision == 1, Started: int64(revision)})
+			time.Sleep(time.Second)
+			id, ok := h.directory.MemberID("g", "10.0.0.1:1")
+			h.is.True(ok)
+			h.is.Equal(id, "i-1")
+			h.is.True(!h.directory.IsLeaving("g", "10.0.0.1:1"))
+			h.is.Equal(h.directory.MemberStarted("g", "10.0.0.1:1"), int64(0))
+			service, ok = h.directory.FindService("g")
+			h.is.True(ok)
+			h.is.Equal(len(service.Groups[0].Members), 3)
+		}
+		id, ok := h.directory.MemberID("", "10.0.0.1:1")
+		h.is.True(ok)
+		h.is.Equal(id, "odd")
+	})
+}
--- a/internal/directory/index.go
+++ b/internal/directory/index.go
@@ -12,22 +12,22 @@
 
 // index is an immutable map from names to values. An index with a few changes shares what is unchanged
 // with the one it was derived from.
-type index[V any] struct {
-	shards [indexShards]map[string]V
+type index[K ~string, V any] struct {
+	shards [indexShards]map[K]V
 	size   int
 }
 
-func shardOf(name string) int { return int(xxhash.Sum64String(name) % indexShards) }
+func shardOf[K ~string](name K) int { return int(xxhash.Sum64String(string(name)) % indexShards) }
 
 // get returns the value of a name.
-func (x *index[V]) get(name string) (V, bool) {
+func (x *index[K, V]) get(name K) (V, bool) {
 	v, ok := x.shards[shardOf(name)][name]
 	return v, ok
 }
 
 // all returns the names and values in no particular order.
-func (x *index[V]) all() iter.Seq2[string, V] {
-	return func(yield func(string, V) bool) {
+func (x *index[K, V]) all() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
 		for _, shard := range x.shards {
 			for name, v := range shard {
 				if !yield(name, v) {
@@ -39,7 +39,7 @@
 }
 
 // with returns an index with changed values. A nil value removes the name.
-func (x *index[V]) with(changes map[string]*V) *index[V] {
+func (x *index[K, V]) with(changes map[K]*V) *index[K, V] {
 	if len(changes) == 0 {
 		return x
 	}
@@ -57,7 +57,7 @@
 }
 
 // set changes a value in a shard that is not shared.
-func (x *index[V]) set(shard int, name string, v *V) {
+func (x *index[K, V]) set(shard int, name K, v *V) {
 	_, known := x.shards[shard][name]
 	switch {
 	case v == nil:
@@ -67,7 +67,7 @@
 		}
 		return
 	case x.shards[shard] == nil:
-		x.shards[shard] = make(map[string]V)
+		x.shards[shard] = make(map[K]V)
 	}
 	x.shards[shard][name] = *v
 	if !known {
--- a/internal/directory/index_test.go
+++ b/internal/directory/index_test.go
@@ -14,7 +14,7 @@
 func TestIndexesAreImmutable(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(1, 2))
-	current, want := &index[int]{}, map[string]int{}
+	current, want := &index[string, int]{}, map[string]int{}
 	for range 300 {
 		before, wantBefore := current, maps.Clone(want)
 		changes := make(map[string]*int)
--- a/internal/directory/membertable.go
+++ b/internal/directory/membertable.go
@@ -22,13 +22,20 @@
 	// members that had left by then or have left since.
 	returnedAt time.Time
 	departed   map[string]departedMember
-	// byAddress holds the IDs of the entries with an address. missing holds those of missing entries.
-	byAddress map[string]map[string]bool
-	missing   map[string]bool
-	// touched holds the addresses whose entries changed since the last call of changes.
-	touched map[string]bool
+	// byPlace holds the IDs of the entries that name a place. missing holds those of missing entries.
+	byPlace map[place]map[string]bool
+	missing map[string]bool
+	// touched holds the places whose entries changed since the last call of changes.
+	touched map[place]bool
 }
 
+// place is an address as that of a member of one group. Entries of two groups may name an address: that of
+// a member that is gone, or one that another writer has left. Neither hides the other group's member.
+type place string
+
+// placeOf returns the place of an address in a group. Names of groups contain no line breaks.
+func placeOf(group, address string) place { return place(group + "\n" + address) }
+
 // departedMember is a member whose entry was removed after it left.
 type departedMember struct {
 	started int64
@@ -47,20 +54,20 @@
 func newMemberTable() *memberTable {
 	return &memberTable{
 		entries: make(map[string]*memberEntry), departed: make(map[string]departedMember),
-		byAddress: make(map[string]map[string]bool), missing: make(map[string]bool), touched: make(map[string]bool),
+		byPlace: make(map[place]map[string]bool), missing: make(map[string]bool), touched: make(map[place]bool),
 	}
 }
 
 // store replaces an entry.
 func (t *memberTable) store(e *memberEntry) {
-	id, address := e.upstream.ID, e.upstream.Address
+	id, at := e.upstream.ID, e.place()
 	t.remove(id)
 	t.entries[id] = e
-	if t.byAddress[address] == nil {
-		t.byAddress[address] = make(map[string]bool)
+	if t.byPlace[at] == nil {
+		t.byPlace[at] = make(map[string]bool)
 	}
-	t.byAddress[address][id] = true
-	t.touched[address] = true
+	t.byPlace[at][id] = true
+	t.touched[at] = true
 }
 
 // remove deletes an entry if there is one.
@@ -69,14 +76,14 @@
 	if e == nil {
 		return
 	}
-	address := e.upstream.Address
+	at := e.place()
 	delete(t.entries, id)
 	delete(t.missing, id)
-	delete(t.byAddress[address], id)
-	if len(t.byAddress[address]) == 0 {
-		delete(t.byAddress, address)
+	delete(t.byPlace[at], id)
+	if len(t.byPlace[at]) == 0 {
+		delete(t.byPlace, at)
 	}
-	t.touched[address] = true
+	t.touched[at] = true
 }
 
 // update stores a member's entry, unless its revision is older than the stored one, and reports
@@ -163,26 +170,26 @@
 	return e.upstream.Leaving && e.missingSince.Sub(reachableSince) > missingGrace
 }
 
-// changes returns, for each address whose member may have changed since the last call, the member that
+// changes returns, for each place whose member may have changed since the last call, the member that
 // is present there, nil for none. Besides the entries that changed these are the missing ones, which
 // count or not depending on the time and on whether the platform answers.
-func (t *memberTable) changes(now time.Time) map[string]*platform.Upstream {
+func (t *memberTable) changes(now time.Time) map[place]*platform.Upstream {
 	for id := range t.missing {
-		t.touched[t.entries[id].upstream.Address] = true
+		t.touched[t.entries[id].place()] = true
 	}
-	present := make(map[string]*platform.Upstream, len(t.touched))
-	for address := range t.touched {
-		present[address] = t.presentAt(address, now)
+	present := make(map[place]*platform.Upstream, len(t.touched))
+	for at := range t.touched {
+		present[at] = t.presentAt(at, now)
 	}
 	clear(t.touched)
 	return present
 }
 
-// presentAt returns the member at an address that is not removed; nil if there is none. Where several
-// entries have the address, it returns the one that supersedes the others.
-func (t *memberTable) presentAt(address string, now time.Time) *platform.Upstream {
+// presentAt returns the member at a place that is not removed; nil if there is none. Where several
+// entries name the place, it returns the one that supersedes the others.
+func (t *memberTable) presentAt(at place, now time.Time) *platform.Upstream {
 	var best *memberEntry
-	for id := range t.byAddress[address] {
+	for id := range t.byPlace[at] {
 		e := t.entries[id]
 		if !t.isRemoved(e, now) && (best == nil || e.supersedes(best)) {
 			best = e
@@ -195,16 +202,18 @@
 	return &u
 }
 
-// refute records that the process at an address denied to be the member that an entry names. Another
+// refute records that the process at a place denied to be the member that an entry names. Another
 // writer may have left that entry.
-func (t *memberTable) refute(id, address string, now time.Time) {
-	if e := t.entries[id]; e != nil && e.upstream.Address == address {
+func (t *memberTable) refute(id string, at place, now time.Time) {
+	if e := t.entries[id]; e != nil && e.place() == at {
 		e.refutedAt = now
-		t.touched[address] = true
+		t.touched[at] = true
 	}
 }
 
-// supersedes reports whether e replaces other at their common address: an entry that was refuted less
+func (e *memberEntry) place() place { return placeOf(e.upstream.Group, e.upstream.Address) }
+
+// supersedes reports whether e replaces other at their common place: an entry that was refuted less
 // recently, or never, replaces one that was refuted later, an existing entry
 // replaces a missing one, a member that stays replaces one that leaves, and a higher revision
 // replaces a lower one, in this order of precedence.
--- a/internal/directory/membertable_test.go
+++ b/internal/directory/membertable_test.go
@@ -23,7 +23,7 @@
 	table.setPlatformReachable(true, start)
 	table.update(platform.Upstream{ID: "left", Address: "1", Leaving: true}, 1, start)
 	table.update(platform.Upstream{ID: "lost", Address: "2"}, 2, start)
-	view := &index[platform.Upstream]{}
+	view := &index[place, platform.Upstream]{}
 	present := func(at time.Time) (addresses string) {
 		view = view.with(table.changes(at))
 		all := maps.Collect(view.all())
@@ -57,28 +57,28 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	table := newMemberTable()
-	table.update(platform.Upstream{ID: "own", Address: "1"}, 1, now)
-	table.update(platform.Upstream{ID: "odd", Address: "1"}, 2, now)
-	expected := func() string { return table.changes(now)["1"].ID }
+	table.update(platform.Upstream{ID: "own", Group: "g", Address: "1"}, 1, now)
+	table.update(platform.Upstream{ID: "odd", Group: "g", Address: "1"}, 2, now)
+	expected := func() string { return table.changes(now)[placeOf("g", "1")].ID }
 	refute := func(id, address string) {
 		now = now.Add(time.Second)
-		table.refute(id, address, now)
+		table.refute(id, placeOf("g", address), now)
 	}
 	is.Equal(expected(), "odd")
 	refute("odd", "2") // it has another address by now
 	refute("gone", "1")
-	table.touched["1"] = true
+	table.touched[placeOf("g", "1")] = true
 	is.Equal(expected(), "odd")
 	refute("odd", "1")
 	is.Equal(expected(), "own")
 	// The same entry again says nothing new.
-	table.update(platform.Upstream{ID: "odd", Address: "1"}, 3, now)
+	table.update(platform.Upstream{ID: "odd", Group: "g", Address: "1"}, 3, now)
 	is.Equal(expected(), "own")
 	refute("own", "1")
 	is.Equal(expected(), "odd")
 	refute("odd", "1")
 	is.Equal(expected(), "own")
 	// A changed entry may be that of a process which has taken the address over.
-	table.update(platform.Upstream{ID: "odd", Address: "1", Started: 7}, 4, now)
+	table.update(platform.Upstream{ID: "odd", Group: "g", Address: "1", Started: 7}, 4, now)
 	is.Equal(expected(), "odd")
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -34,11 +34,11 @@
 	version       int64
 	manifestKnown bool
 	groupCount    int
-	// upstreams holds the members by address, and members those of each group ordered by address.
-	upstreams *index[platform.Upstream]
-	members   *index[[]platform.Upstream]
+	// upstreams holds the members by place, and members those of each group ordered by address.
+	upstreams *index[place, platform.Upstream]
+	members   *index[string, []platform.Upstream]
 	// services holds the service of each group that has members.
-	services  *index[*document.Service]
+	services  *index[string, *document.Service]
 	databases map[string]document.Database
 	// workspaces is shared by all views of the same manifest.
 	workspaces *workspace.Table
@@ -49,24 +49,24 @@
 }
 
 func emptyView() *view {
-	v := &view{upstreams: &index[platform.Upstream]{}, members: &index[[]platform.Upstream]{}, services: &index[*document.Service]{}}
+	v := &view{upstreams: &index[place, platform.Upstream]{}, members: &index[string, []platform.Upstream]{}, services: &index[string, *document.Service]{}}
 	v.listServices = sync.OnceValue(v.servicesByName)
 	return v
 }
 
 // differing returns those changes that differ from the view.
-func (v *view) differing(changes map[string]*platform.Upstream) map[string]*platform.Upstream {
-	maps.DeleteFunc(changes, func(address string, u *platform.Upstream) bool {
-		known, ok := v.upstreams.get(address)
+func (v *view) differing(changes map[place]*platform.Upstream) map[place]*platform.Upstream {
+	maps.DeleteFunc(changes, func(at place, u *platform.Upstream) bool {
+		known, ok := v.upstreams.get(at)
 		return ok == (u != nil) && (!ok || known == *u)
 	})
 	return changes
 }
 
 // buildView builds the view of the current state from the previous one and the members that changed, by
-// address. Only the groups that a change affects are built anew, unless the manifest is another one:
+// place. Only the groups that a change affects are built anew, unless the manifest is another one:
 // with a thousand groups, changes of a single member are frequent. The caller holds d.mu.
-func (d *Directory) buildView(previous *view, changes map[string]*platform.Upstream) *view {
+func (d *Directory) buildView(previous *view, changes map[place]*platform.Upstream) *view {
 	v := &view{
 		manifestCount: d.manifestCount,
 		version:       d.manifest.Version,
@@ -87,13 +87,13 @@
 		v.services = previous.services.with(d.newServices(v, maps.Keys(members)))
 		return v
 	}
-	v.services = (&index[*document.Service]{}).with(d.newServices(v, maps.Keys(d.manifestIndex.groups)))
+	v.services = (&index[string, *document.Service]{}).with(d.newServices(v, maps.Keys(d.manifestIndex.groups)))
 	v.databases = d.indexDatabases()
 	return v
 }
 
 // changedMembers returns the members of the groups that changes affect.
-func (v *view) changedMembers(changes map[string]*platform.Upstream) map[string]*[]platform.Upstream {
+func (v *view) changedMembers(changes map[place]*platform.Upstream) map[string]*[]platform.Upstream {
 	groups := make(map[string]*[]platform.Upstream)
 	listOf := func(group string) *[]platform.Upstream {
 		if groups[group] == nil {
@@ -103,10 +103,10 @@
 		}
 		return groups[group]
 	}
-	for address, u := range changes {
-		if known, ok := v.upstreams.get(address); ok {
+	for at, u := range changes {
+		if known, ok := v.upstreams.get(at); ok {
 			list := listOf(known.Group)
-			*list = slices.DeleteFunc(*list, func(o platform.Upstream) bool { return o.Address == address })
+			*list = slices.DeleteFunc(*list, func(o platform.Upstream) bool { return o.Address == known.Address })
 		}
 		if u != nil {
 			list := listOf(u.Group)
@@ -219,18 +219,15 @@
 
 // MemberID returns the ID of the member expected at an address of a group.
 func (d *Directory) MemberID(group, address string) (string, bool) {
-	u, ok := d.current.Load().upstreams.get(address)
-	if !ok || u.Group != group {
-		return "", false
-	}
-	return u.ID, true
+	u, ok := d.current.Load().upstreams.get(placeOf(group, address))
+	return u.ID, ok
 }
 
 // RefuteMember records that the process at an address denied to be the member with an ID, and reports
 // whether another member of the group is expected there now.
 func (d *Directory) RefuteMember(group, address, id string) bool {
 	d.mu.Lock()
-	d.members.refute(id, address, d.config.Clock.Now())
+	d.members.refute(id, placeOf(group, address), d.config.Clock.Now())
 	d.mu.Unlock()
 	d.publish()
 	expected, ok := d.MemberID(group, address)
@@ -245,16 +242,16 @@
 // started.
 func (d *Directory) MembersReportStart() bool { return d.current.Load().reportStart }
 
-// MemberStarted returns when the member at an address started, in Unix milliseconds; zero if its
-// entry does not name it.
-func (d *Directory) MemberStarted(address string) int64 {
-	u, _ := d.current.Load().upstreams.get(address)
+// MemberStarted returns when the member of a group at an address started, in Unix milliseconds; zero if
+// its entry does not name it.
+func (d *Directory) MemberStarted(group, address string) int64 {
+	u, _ := d.current.Load().upstreams.get(placeOf(group, address))
 	return u.Started
 }
 
-// IsLeaving reports whether the member at an address is leaving and must get no new work.
-func (d *Directory) IsLeaving(address string) bool {
-	u, _ := d.current.Load().upstreams.get(address)
+// IsLeaving reports whether the member of a group at an address is leaving and must get no new work.
+func (d *Directory) IsLeaving(group, address string) bool {
+	u, _ := d.current.Load().upstreams.get(placeOf(group, address))
 	return u.Leaving
 }
 
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -22,8 +22,8 @@
 	Groups() []VersionedGroup
 	// Workspaces returns the workspaces in force, or nil if callers belong to none.
 	Workspaces() *workspace.Table
-	// IsLeaving reports whether a member must not get new work.
-	IsLeaving(address string) bool
+	// IsLeaving reports whether a member of a group must not get new work.
+	IsLeaving(group, address string) bool
 	// Subscribe calls f after each change. f must not block.
 	Subscribe(f func())
 	// Run keeps the services up to date until ctx ends.
@@ -100,7 +100,9 @@
 }
 
 // IsLeaving implements Documents.
-func (d *storedDocuments) IsLeaving(address string) bool { return d.members.IsUpstreamLeaving(address) }
+func (d *storedDocuments) IsLeaving(_, address string) bool {
+	return d.members.IsUpstreamLeaving(address)
+}
 
 // Subscribe implements Documents.
 func (d *storedDocuments) Subscribe(f func()) { d.store.Subscribe(func(config.Applied) { f() }) }
--- a/internal/instance/homes.go
+++ b/internal/instance/homes.go
@@ -183,7 +183,7 @@
 func (n *Instance) updateHome(h *home, w VersionedGroup) {
 	var leaving []string
 	for _, m := range w.Members {
-		if n.documents.IsLeaving(m.Address) {
+		if n.documents.IsLeaving(w.Name, m.Address) {
 			leaving = append(leaving, m.Address)
 		}
 	}
--- a/internal/instance/memberhealth.go
+++ b/internal/instance/memberhealth.go
@@ -23,16 +23,16 @@
 
 // incarnationSource is implemented by Documents that know when members started.
 type incarnationSource interface {
-	// MemberStarted returns when the member at an address started, in Unix milliseconds; zero if
-	// it is not known.
-	MemberStarted(address string) int64
+	// MemberStarted returns when the member of a group at an address started, in Unix milliseconds; zero
+	// if it is not known.
+	MemberStarted(group, address string) int64
 }
 
 // newMemberHealth builds the record of the health of a group's members.
 func (n *Instance) newMemberHealth(g document.Group, w *group.Watcher) *memberhealth.Tracker {
 	incarnation := func(string) int64 { return 0 }
 	if d, ok := n.documents.(incarnationSource); ok {
-		incarnation = d.MemberStarted
+		incarnation = func(address string) int64 { return d.MemberStarted(g.Name, address) }
 	}
 	return memberhealth.NewTracker(memberhealth.Config{
 		Group:       g.Name,
