--- a/cmd/topazrock/manifestfleet_test.go
+++ b/cmd/topazrock/manifestfleet_test.go
@@ -107,13 +107,18 @@
 	for i, domain := range fleetDomains {
 		f.addInstance(i, domain)
 	}
+	f.awaitReady()
+	return f
+}
+
+// awaitReady waits until the processes of all instances are ready.
+func (f *fleet) awaitReady() {
 	for _, i := range f.instances {
 		f.waitFor("an instance", func() bool {
 			r, err := http.Get("http://" + i.ready + "/v1/ready")
-			return err == nil && r.StatusCode == http.StatusOK
+			return err == nil && r.Body.Close() == nil && r.StatusCode == http.StatusOK
 		})
 	}
-	return f
 }
 
 func (f *fleet) waitFor(what string, isTrue func() bool) {
--- a/cmd/topazrock/manifestsoak_test.go
+++ b/cmd/topazrock/manifestsoak_test.go
@@ -35,16 +35,22 @@
 // store and what is between them, and judges from outside which version each request was decided by.
 // Guards against changes that are not in force in time, that go back, and added databases that are refused.
 func TestManifestChangesOfRealProcesses(t *testing.T) {
+	dir := buildPrograms(t)
+	for n := range *soakSeeds {
+		seed := *soakSeed + uint64(n)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, dir, seed) })
+	}
+}
+
+// buildPrograms builds the programs and returns the directory that has them and the logs.
+func buildPrograms(t *testing.T) string {
 	dir := *soakLogs
 	if dir == "" {
 		dir = t.TempDir()
 	}
 	builder := &testDeployment{t: t, dir: dir}
 	builder.mustRun("go", "build", "-o", dir+"/", ".", "../topazrock-standin")
-	for n := range *soakSeeds {
-		seed := *soakSeed + uint64(n)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSoak(t, dir, seed) })
-	}
+	return dir
 }
 
 func runSoak(t *testing.T, dir string, seed uint64) {
--- a/cmd/topazrock/oddentries_test.go
+++ b/cmd/topazrock/oddentries_test.go
@@ -56,16 +56,6 @@
 	f.is.Equal(response.StatusCode, http.StatusOK)
 }
 
-// awaitReady waits until the processes of all instances are ready.
-func (f *fleet) awaitReady() {
-	for _, i := range f.instances {
-		f.waitFor("an instance", func() bool {
-			r, err := http.Get("http://" + i.ready + "/v1/ready")
-			return err == nil && r.Body.Close() == nil && r.StatusCode == http.StatusOK
-		})
-	}
-}
-
 // awaitGroup waits until sessions of a database at every instance are served by a group.
 func (f *fleet) awaitGroup(database, group string) {
 	for _, i := range f.instances {
@@ -94,13 +84,7 @@
 // Guards against processes that end, stop following, or never get ready because another writer has left
 // entries that cannot be used among those of the members and of the instances.
 func TestOddEntriesDoNotStopRealProcesses(t *testing.T) {
-	dir := *soakLogs
-	if dir == "" {
-		dir = t.TempDir()
-	}
-	builder := &testDeployment{t: t, dir: dir}
-	builder.mustRun("go", "build", "-o", dir+"/", ".", "../topazrock-standin")
-	f := startFleet(t, dir)
+	f := startFleet(t, buildPrograms(t))
 	odd := oddSpecs()
 	for name, spec := range odd {
 		f.putRaw(kindServers, name, spec)
