--- a/internal/executor/consistency_test.go
+++ b/internal/executor/consistency_test.go
@@ -6,12 +6,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/topazrock/topazrock/internal/clock"
 	"github.com/topazrock/topazrock/internal/consistency"
 	"github.com/topazrock/topazrock/internal/document"
 	"github.com/topazrock/topazrock/internal/execution"
 	"github.com/topazrock/topazrock/internal/logpos"
+	"github.com/topazrock/topazrock/internal/memberhealth"
 )
 
 // withoutPrimary returns a group without a primary whose class "r" has a level.
@@ -83,3 +86,34 @@
 		})
 	}
 }
+
+// Guards against a read that avoids an ejected primary and is sent to a replica with a position that was
+// proved earlier.
+func TestReadWithAnEjectedPrimaryRequiresTheFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake, cluster := newFakeGroup(&fakeMember{}, &fakeMember{}, &fakeMember{})
+		fake.Service().ReadClasses = []document.ReadClass{{Name: "r", Consistency: consistency.Primary(), MayWrite: true, LatencyObjective: readObjective}}
+		cluster.snapshot.Size = 3
+		config := fake.Config
+		config.Health = memberhealth.NewTracker(memberhealth.Config{
+			Group: "g", Process: "i", Clock: clock.System{}, Logger: hclog.NewNullLogger(), Metrics: memberhealth.NewMetrics(nil),
+			Enabled: func() bool { return true }, Incarnation: func(string) int64 { return 1 }, Snapshot: cluster.Snapshot,
+			Notify: func(memberhealth.Evidence) {},
+		})
+		g := NewGroup(config)
+		for range 50 {
+			if g.Health.State("p") != memberhealth.Healthy {
+				break
+			}
+			g.Health.Begin("p", "r").Failed()
+			g.Health.Begin("r1", "r").Served()
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(g.Health.State("p") != memberhealth.Healthy)
+		reply, err := g.Execute(t.Context(), &execution.Unit{ID: "u", Group: "g", Class: "r", Timeout: time.Second, ReadOnly: true, Messages: []byte("read")}, nil)
+		is.NoErr(err)
+		is.True(reply.Member != "p")
+		is.Equal(cluster.members[reply.Member].required, logpos.TermPosition{Term: 1, Position: 15})
+	})
+}
