--- a/internal/directory/membertable.go
+++ b/internal/directory/membertable.go
@@ -213,10 +213,10 @@
 
 func (e *memberEntry) place() place { return placeOf(e.upstream.Group, e.upstream.Address) }
 
-// supersedes reports whether e replaces other at their common place: an entry that was refuted less
-// recently, or never, replaces one that was refuted later, an existing entry
-// replaces a missing one, a member that stays replaces one that leaves, and a higher revision
-// replaces a lower one, in this order of precedence.
+// supersedes reports whether e replaces other at their common place. In this order of precedence, an
+// entry that was never refuted, or longer ago, replaces one that was refuted later, an existing entry
+// replaces a missing one, a member that stays replaces one that leaves, and a higher revision replaces
+// a lower one.
 func (e *memberEntry) supersedes(other *memberEntry) bool {
 	if !e.refutedAt.Equal(other.refutedAt) {
 		return e.refutedAt.Before(other.refutedAt)
--- a/internal/executor/primary.go
+++ b/internal/executor/primary.go
@@ -82,8 +82,8 @@
 }
 
 // setReadRequirement sets in x what reads at the primary require, including those of a transaction
-// that the unit opens. A read that runs at the primary requires a proof that the primary had not been replaced when
-// the read began; other reads require a log position.
+// that the unit opens. A read of a level that runs at the primary requires a proof that the primary had
+// not been replaced when the read began; other reads require a log position.
 func (g *Group) setReadRequirement(ctx context.Context, u *execution.Unit, p plan, x *exchange) error {
 	if !g.Wire.ChecksPosition || !u.ReadOnly && !u.BeginsTransaction {
 		return nil
